--- /dev/null
+++ b/packages/core/include/siskindrum/core/configuration.h
@@ -0,0 +1,44 @@
+#ifndef SISKINDRUM_CORE_CONFIGURATION_H_
+#define SISKINDRUM_CORE_CONFIGURATION_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "siskindrum/core/rule.h"
+#include "siskindrum/core/types.h"
+
+namespace siskindrum::core {
+
+// A rules file with the revision under which it was published.
+struct Configuration {
+  std::uint64_t revision_ = 0;
+  std::uint64_t digest_ = 0;
+  RuleSet rules_;
+};
+
+// The configuration in force in one process. Its revision only rises.
+struct ConfigurationState {
+  std::shared_ptr<const Configuration> current_;  // Null: none yet.
+  std::uint64_t heard_revision_ = 0;  // Highest that any peer has in force.
+  std::uint64_t refused_revision_ = 0;
+  std::string refused_error_;
+  std::uint64_t stale_offers_ = 0;
+  std::uint64_t conflicts_ = 0;
+  TimePoint changed_at_{};
+};
+
+enum class Offer { kTaken, kSame, kOlder, kConflict, kBehindPeers, kCount };
+
+// Takes a checked configuration unless it is older than the one in force or
+// than what peers are known to have in force. Thread-safe: no.
+Offer OfferConfiguration(ConfigurationState& state,
+                         std::shared_ptr<const Configuration> offered,
+                         TimePoint now);
+
+// Returns the outcome in snake_case. Thread-safe: yes.
+const char* ToString(Offer offer);
+
+}  // namespace siskindrum::core
+
+#endif  // SISKINDRUM_CORE_CONFIGURATION_H_
--- /dev/null
+++ b/packages/core/include/siskindrum/core/membership.h
@@ -0,0 +1,98 @@
+#ifndef SISKINDRUM_CORE_MEMBERSHIP_H_
+#define SISKINDRUM_CORE_MEMBERSHIP_H_
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "siskindrum/core/types.h"
+
+namespace siskindrum::core {
+
+// An entry as the platform's list names it.
+struct EntryInfo {
+  std::string name_;
+  std::string address_;  // Of the peers' interface, "ip:port".
+  std::string domain_;
+  bool leaving_ = false;
+};
+
+// Free decode slots and waiting requests of a cell, as its home says.
+struct CellDigest {
+  std::string cell_;
+  std::int32_t free_slots_ = 0;
+  std::uint32_t waiting_ = 0;
+};
+
+// What entries tell each other about one entry.
+struct MemberRow {
+  std::string name_;
+  std::string address_;
+  std::string domain_;
+  Incarnation incarnation_ = 0;
+  std::uint64_t counter_ = 0;  // Rises with each gossip round of that entry.
+  std::uint64_t revision_ = 0;      // Of the configuration in force there.
+  std::uint64_t list_version_ = 0;  // Of the instance list known there.
+  bool leaving_ = false;
+  std::vector<CellDigest> cells_;
+  std::vector<std::string> leaving_servers_;
+};
+
+struct Member {
+  MemberRow row_;
+  TimePoint advanced_at_{};  // When the counter last rose, by our clock.
+  bool heard_ = false;
+  bool listed_ = false;
+};
+
+// View of the other entries. A wrong view costs efficiency, never safety.
+struct Membership {
+  MemberRow self_;
+  std::map<std::string, Member> members_;
+  bool replaced_ = false;  // A newer incarnation of this entry was heard.
+};
+
+// Takes the platform's list of entries as a hint of whom to talk to.
+// Thread-safe: no.
+void UpdateEntries(Membership& membership,
+                   const std::vector<EntryInfo>& list,
+                   TimePoint now);
+
+// Merges rows heard from a peer. Returns true when a member came to life, was
+// replaced or left. Thread-safe: no.
+bool MergeRows(Membership& membership,
+               const std::vector<MemberRow>& rows,
+               TimePoint now);
+
+// True when the member was heard lately and is not leaving. Thread-safe: no.
+bool IsLive(const Member& member, TimePoint now);
+
+// Live entries, this one included unless it is leaving: name to failure
+// domain. Thread-safe: no.
+std::map<std::string, std::string> LiveEntries(const Membership& membership,
+                                               TimePoint now);
+
+// Rows to tell in the next gossip message: this entry's and the freshest of
+// the others. Thread-safe: no.
+std::vector<MemberRow> GossipRows(const Membership& membership, TimePoint now);
+
+// Members to tell, own failure domain first with a few from the others.
+// Thread-safe: no.
+std::vector<std::string> GossipTargets(const Membership& membership,
+                                       TimePoint now,
+                                       std::mt19937_64& random);
+
+// True when `incarnation` of `name` is proved to have been replaced.
+// Thread-safe: no.
+bool IsProvedGone(const Membership& membership,
+                  const std::string& name,
+                  Incarnation incarnation);
+
+// Drops members that are neither listed nor heard for long. Thread-safe: no.
+void ForgetMembers(Membership& membership, TimePoint now);
+
+}  // namespace siskindrum::core
+
+#endif  // SISKINDRUM_CORE_MEMBERSHIP_H_
--- /dev/null
+++ b/packages/core/include/siskindrum/core/router.h
@@ -0,0 +1,210 @@
+#ifndef SISKINDRUM_CORE_ROUTER_H_
+#define SISKINDRUM_CORE_ROUTER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "siskindrum/core/call.h"
+#include "siskindrum/core/configuration.h"
+#include "siskindrum/core/event.h"
+#include "siskindrum/core/fleet.h"
+#include "siskindrum/core/limit.h"
+#include "siskindrum/core/membership.h"
+#include "siskindrum/core/queue.h"
+
+namespace siskindrum::core {
+
+enum class RequestState {
+  kPlacing,     // Looks for a cell.
+  kWaiting,     // Queued at a cell's home.
+  kPrefilling,
+  kDecoding,
+  kSendingPlain,
+  kForwarded,   // At the home of its key.
+  kWaitingCall, // Another request sends the same key.
+  kCount
+};
+
+// How servers are chosen. All but kCellHome are kept as baselines for the
+// experiment command.
+enum class Policy {
+  kCellHome,
+  kRoundRobin,
+  kLeastLoad,
+  kTwoChoices,
+  kCount
+};
+
+// Returns the policy's name on the command line. Thread-safe: yes.
+const char* ToString(Policy policy);
+
+// One request in progress at this entry.
+struct Request {
+  RequestId id_;
+  RequestShape shape_;
+  std::shared_ptr<const Configuration> configuration_;  // Keeps `rule_` alive.
+  const Rule* rule_ = nullptr;
+  RequestState state_ = RequestState::kPlacing;
+  std::uint32_t attempt_ = 0;
+  std::uint32_t retries_ = 0;
+  int reimports_ = 0;
+  TimePoint arrived_at_{};
+  TimePoint first_token_at_{};
+  bool has_first_token_ = false;
+  TimePoint deadline_{};
+  std::uint32_t delivered_ = 0;
+
+  Need need_;
+  Placement placement_;
+  std::string home_;        // Peer that counts the slot; empty: this entry.
+  std::string asked_cell_;  // Cell whose home was asked last.
+  std::string asked_home_;
+  bool ask_answered_ = false;
+  TimePoint asked_at_{};
+  std::vector<std::string> tried_cells_;
+  std::string handle_;
+  TimePoint handle_until_{};
+
+  bool once_ = false;       // May not be repeated.
+  std::string content_type_;
+  std::string body_;
+  std::string plain_server_;
+  bool for_peer_ = false;   // Forwarded here by `peer_`.
+  std::string peer_;
+  RequestId peer_request_;
+  std::string call_home_;  // Seat that was asked.
+  bool caller_gone_ = false;
+  bool prefill_started_ = false;
+  TimePoint forwarded_at_{};
+  bool forward_sent_ = false;
+  RunState run_state_ = RunState::kNotRun;
+};
+
+// What was decided for a request, kept for a while for explanations.
+struct DecisionRecord {
+  RequestId request_;
+  std::shared_ptr<const Configuration> configuration_;  // Keeps `rule_` alive.
+  const Rule* rule_ = nullptr;
+  RequestShape shape_;
+  std::string cell_;
+  std::string home_;
+  std::string prefill_;
+  std::string decode_;
+  std::vector<Candidate> weighed_;
+  std::uint32_t attempts_ = 0;
+  std::string outcome_ = "in_progress";
+  Milliseconds first_token_{0};
+  Milliseconds total_{0};
+};
+
+struct PendingCancel {
+  std::string address_;
+  TimePoint first_{};
+  TimePoint last_{};
+};
+
+struct CancelKey {
+  RequestId request_;
+  std::string server_;
+  auto operator<=>(const CancelKey&) const = default;
+};
+
+struct RouterCounters {
+  std::uint64_t arrived_ = 0;
+  std::uint64_t answered_ = 0;
+  std::uint64_t failed_not_run_ = 0;
+  std::uint64_t failed_may_have_run_ = 0;
+  std::uint64_t caller_gone_ = 0;
+  std::uint64_t prefill_tokens_ = 0;
+  std::uint64_t prefill_tokens_wasted_ = 0;
+  std::uint64_t placed_home_ = 0;
+  std::uint64_t placed_remote_ = 0;
+  std::uint64_t placed_alone_ = 0;
+  std::uint64_t reimports_ = 0;
+  std::uint64_t continued_ = 0;
+  std::uint64_t cancels_sent_ = 0;
+  std::uint64_t swept_ = 0;
+  std::uint64_t calls_repeated_ = 0;
+  std::uint64_t homes_moved_ = 0;
+  std::uint64_t freezes_ = 0;
+  std::uint64_t peer_messages_ = 0;
+};
+
+struct RouterOptions {
+  std::string name_;
+  std::string domain_;
+  std::string peer_address_;
+  Incarnation incarnation_ = 0;
+  std::uint64_t seed_ = 0;
+  Policy policy_ = Policy::kCellHome;
+};
+
+// The decisions of one entry. Owned by one thread.
+struct Router {
+  RouterOptions options_;
+  std::mt19937_64 random_;
+  ConfigurationState configuration_;
+  std::shared_ptr<const Configuration> pending_offer_;  // During start.
+  std::string list_source_;
+  std::uint64_t list_version_ = 0;
+  std::vector<ServerInfo> listed_servers_;
+  std::vector<EntryInfo> listed_entries_;
+  Membership membership_;
+  Fleet fleet_;
+  std::map<std::string, WaitQueue> queues_;  // By cell, of cells homed here.
+  OrganisationLimits limits_;
+  RetryBudget retry_budget_;
+  CallLedger calls_;
+  std::map<std::string, std::vector<SeatClosing>> closings_;  // By seat.
+  TimePoint next_closing_query_{};
+  std::unordered_map<RequestId, Request, RequestIdHash> requests_;
+  std::map<CancelKey, PendingCancel> cancels_;
+  std::map<CancelKey, TimePoint> unclaimed_;  // Holds without a known owner.
+  std::map<RequestId, RequestId> forwarded_;  // Peer's request to ours.
+  std::unordered_map<RequestId, DecisionRecord, RequestIdHash> decisions_;
+  std::deque<RequestId> decision_order_;
+  std::size_t live_entries_ = 1;  // This one included.
+  std::map<std::string, std::uint64_t> round_robin_;
+  std::uint64_t next_sequence_ = 0;
+  TimePoint started_at_{};
+  TimePoint last_tick_{};
+  TimePoint next_gossip_{};
+  TimePoint next_sweep_{};
+  TimePoint next_relay_{};
+  TimePoint settle_until_{};
+  bool starting_ = true;
+  bool draining_ = false;
+  bool drained_ = false;
+  bool watching_ = false;
+  RouterCounters counters_;
+};
+
+// Makes a router that knows nothing yet. Thread-safe: yes.
+Router MakeRouter(const RouterOptions& options, const Now& now);
+
+// Handles one event and appends what is to be done. Thread-safe: no; one
+// thread owns `router`. Times must not go back between calls.
+void HandleEvent(Router& router,
+                 const Event& event,
+                 const Now& now,
+                 std::vector<RouterAction>& actions);
+
+// Makes the identity of the next request. Thread-safe: no.
+RequestId NextRequestId(Router& router);
+
+// True when the entry can serve: rules and servers are known and it is not
+// draining. Thread-safe: no.
+bool IsReady(const Router& router);
+
+// Decision record of a request, or nullptr. Thread-safe: no.
+const DecisionRecord* FindDecision(const Router& router, const RequestId& id);
+
+}  // namespace siskindrum::core
+
+#endif  // SISKINDRUM_CORE_ROUTER_H_
--- /dev/null
+++ b/packages/core/include/siskindrum/core/types.h
@@ -0,0 +1,77 @@
+#ifndef SISKINDRUM_CORE_TYPES_H_
+#define SISKINDRUM_CORE_TYPES_H_
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace siskindrum::core {
+
+using Milliseconds = std::chrono::milliseconds;
+using Nanoseconds = std::chrono::nanoseconds;
+// Monotonic time of one process; never compared across processes.
+using TimePoint = std::chrono::steady_clock::time_point;
+// Calendar time, used only to judge the birth time of idempotency keys.
+using WallTime = std::chrono::sys_time<Milliseconds>;
+
+// Both clocks, read together by the caller of the core.
+struct Now {
+  TimePoint steady_{};
+  WallTime wall_{};
+};
+
+// Identity of one run of an entry process. Chosen at random at start.
+using Incarnation = std::uint64_t;
+
+// Identity of a request across the fleet.
+struct RequestId {
+  Incarnation incarnation_ = 0;
+  std::uint64_t sequence_ = 0;
+  auto operator<=>(const RequestId&) const = default;
+};
+
+struct RequestIdHash {
+  std::size_t operator()(const RequestId& id) const {
+    return static_cast<std::size_t>(id.incarnation_ * 0x9E3779B97F4A7C15ULL ^
+                                    id.sequence_);
+  }
+};
+
+// Returns "<incarnation hex>-<sequence>". Thread-safe: yes.
+std::string ToString(const RequestId& id);
+
+// Parses what ToString wrote; false on any other text. Thread-safe: yes.
+bool ParseRequestId(const std::string& text, RequestId* id);
+
+// Rounds up to whole milliseconds for logs and reports. Thread-safe: yes.
+std::int64_t ToMilliseconds(Nanoseconds duration);
+
+enum class Priority : std::uint8_t { kLow, kNormal, kHigh, kCount };
+
+// Returns "low", "normal" or "high". Thread-safe: yes.
+const char* ToString(Priority priority);
+
+// Parses a priority name; false on any other text. Thread-safe: yes.
+bool ParsePriority(const std::string& text, Priority* priority);
+
+// Everything about a request that a rule may match and a placement may weigh.
+struct RequestShape {
+  std::string service_;       // Named by the path or header; may be empty.
+  std::string organisation_;  // The caller's organisation.
+  std::string model_;
+  std::string method_ = "POST";
+  std::string path_;
+  std::string domain_;                // Failure domain of the entry.
+  std::uint32_t prompt_tokens_ = 0;   // Estimate.
+  std::uint32_t max_tokens_ = 0;      // Upper bound of the answer.
+  std::uint64_t prefix_hash_ = 0;     // Identity of the prompt's prefix; 0: none.
+  std::uint32_t prefix_tokens_ = 0;   // Length of that prefix.
+  Priority priority_ = Priority::kNormal;
+  std::string idempotency_key_;       // Empty: none given.
+};
+
+}  // namespace siskindrum::core
+
+#endif  // SISKINDRUM_CORE_TYPES_H_
--- /dev/null
+++ b/packages/core/src/baseline.cc
@@ -0,0 +1,82 @@
+// Simple placements, each entry alone, kept for comparison.
+
+#include <algorithm>
+
+#include "router_p.h"
+#include "siskindrum/core/limits.h"
+
+namespace siskindrum::core {
+
+namespace {
+
+std::vector<Server*> Eligible(Step& step,
+                              const Request& request,
+                              ServerRole role) {
+  std::vector<Server*> servers;
+  for (auto& [name, server] : step.router_.fleet_.servers_) {
+    const ServerInfo& info = server.info_;
+    const auto& avoid = request.need_.avoid_;
+    const bool avoided =
+        std::find(avoid.begin(), avoid.end(), name) != avoid.end();
+    if (info.service_ == request.rule_->outcome_.pool_ &&
+        (info.role_ == role || info.role_ == ServerRole::kMixed) && !avoided &&
+        IsUsable(server, step.now_.steady_)) {
+      servers.push_back(&server);
+    }
+  }
+  return servers;
+}
+
+double ReportedLoad(const Server& server, ServerRole role) {
+  if (role == ServerRole::kPrefill) {
+    return server.load_.prefill_backlog_tokens_;
+  }
+  return server.load_.running_;
+}
+
+Server* Choose(Step& step, const Request& request, ServerRole role) {
+  Router& router = step.router_;
+  const std::vector<Server*> servers = Eligible(step, request, role);
+  if (servers.empty()) {
+    return nullptr;
+  }
+  const std::size_t count = servers.size();
+  if (router.options_.policy_ == Policy::kRoundRobin) {
+    const std::string turn = request.rule_->outcome_.pool_ + ToString(role);
+    return servers[router.round_robin_[turn]++ % count];
+  }
+  if (router.options_.policy_ == Policy::kTwoChoices) {
+    Server* a = servers[router.random_() % count];
+    Server* b = servers[router.random_() % count];
+    return ReportedLoad(*a, role) <= ReportedLoad(*b, role) ? a : b;
+  }
+  return *std::min_element(servers.begin(), servers.end(),
+                           [&](const Server* a, const Server* b) {
+                             return ReportedLoad(*a, role) <
+                                    ReportedLoad(*b, role);
+                           });
+}
+
+}  // namespace
+
+void PlaceByBaseline(Step& step, Request& request) {
+  Placement placement;
+  Server* decode = Choose(step, request, ServerRole::kDecode);
+  Server* prefill = request.need_.decode_only_
+                        ? nullptr
+                        : Choose(step, request, ServerRole::kPrefill);
+  if (decode == nullptr || (prefill == nullptr && !request.need_.decode_only_)) {
+    Verdict verdict;
+    verdict.run_state_ = request.run_state_;
+    verdict.reason_ = Reason::kNoServer;
+    FailRequest(step, request, std::move(verdict));
+    return;
+  }
+  placement.decode_ = decode->info_.name_;
+  if (prefill != nullptr) {
+    placement.prefill_ = prefill->info_.name_;
+  }
+  OnGranted(step, request, placement, "", "");
+}
+
+}  // namespace siskindrum::core
--- /dev/null
+++ b/packages/core/src/delivery.cc
@@ -0,0 +1,25 @@
+#include "siskindrum/core/delivery.h"
+
+namespace siskindrum::core {
+
+DeliveryDecision AcceptToken(DeliveryCursor& cursor, const TokenStamp& token) {
+  if (token.request_ != cursor.request_) {
+    ++cursor.dropped_crossed_;
+    return DeliveryDecision::kDrop;
+  }
+  if (token.attempt_ != cursor.attempt_) {
+    ++cursor.dropped_late_;
+    return DeliveryDecision::kDrop;
+  }
+  if (token.position_ < cursor.next_position_) {
+    ++cursor.dropped_doubled_;
+    return DeliveryDecision::kDrop;
+  }
+  if (token.position_ > cursor.next_position_) {
+    return DeliveryDecision::kGap;
+  }
+  ++cursor.next_position_;
+  return DeliveryDecision::kDeliver;
+}
+
+}  // namespace siskindrum::core
--- /dev/null
+++ b/packages/core/src/fleet.cc
@@ -0,0 +1,394 @@
+#include "siskindrum/core/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include "siskindrum/core/hash.h"
+#include "siskindrum/core/limits.h"
+
+namespace siskindrum::core {
+
+namespace {
+
+constexpr std::uint32_t kDefaultPrefillRate = 20000;  // Tokens a second.
+constexpr Nanoseconds kTransferAllowance = Milliseconds(40);
+constexpr double kHoldSmoothing = 0.1;
+// Share of the slots expected to end during a prefill that may be promised
+// ahead, when the rule prefers goodput.
+constexpr double kOvercommit = 0.5;
+
+bool HasRole(const Server& server, ServerRole role) {
+  return server.info_.role_ == role || server.info_.role_ == ServerRole::kMixed;
+}
+
+// True when the server may take this very request.
+bool Suits(const Server& server,
+           ServerRole role,
+           const Need& need,
+           TimePoint now) {
+  const bool avoided = std::find(need.avoid_.begin(), need.avoid_.end(),
+                                 server.info_.name_) != need.avoid_.end();
+  return HasRole(server, role) && IsUsable(server, now) && !avoided &&
+         (server.has_load_ || need.alone_);
+}
+
+std::uint32_t SlotsOf(const Server& server) {
+  return server.has_load_ && server.load_.slots_ != LoadReport::kUnknownSlots
+             ? server.load_.slots_
+             : kDefaultSlots;
+}
+
+std::uint32_t PiecesHeld(const Server& server) {
+  std::uint32_t sum = 0;
+  for (const auto& [id, hold] : server.holds_) {
+    sum += hold.pieces_;
+  }
+  return sum;
+}
+
+// Slots of `server` that are expected to end within `horizon`.
+double ExpectedReleases(const Server& server, Nanoseconds horizon) {
+  const double seconds = std::chrono::duration<double>(horizon).count();
+  return static_cast<double>(server.holds_.size()) *
+         std::min(1.0, seconds / server.mean_hold_seconds_);
+}
+
+bool HasPrefix(const Server& server, const Need& need, TimePoint now) {
+  if (need.prefix_hash_ == 0) {
+    return false;
+  }
+  const auto it = server.prefix_hints_.find(need.prefix_hash_);
+  return it != server.prefix_hints_.end() && now - it->second < kPrefixHintAge;
+}
+
+struct PrefillChoice {
+  Server* server_ = nullptr;
+  TimePoint done_{};
+};
+
+PrefillChoice ChoosePrefill(Fleet& fleet,
+                            const Cell& cell,
+                            const Need& need,
+                            TimePoint now,
+                            std::vector<Candidate>& weighed) {
+  PrefillChoice best;
+  for (const std::string& name : cell.servers_) {
+    Server& server = fleet.servers_.at(name);
+    if (!Suits(server, ServerRole::kPrefill, need, now)) {
+      continue;
+    }
+    const TimePoint start = std::max(now, server.prefill_free_at_);
+    const TimePoint done = start + PrefillTime(server, need, now);
+    weighed.push_back({name, "prefill",
+                       "ready in " + std::to_string(ToMilliseconds(done - now)) +
+                           " ms" +
+                           (HasPrefix(server, need, now) ? ", prefix cached"
+                                                         : "")});
+    if (best.server_ == nullptr || done < best.done_) {
+      best = {&server, done};
+    }
+  }
+  return best;
+}
+
+Server* ChooseDecode(Fleet& fleet,
+                     const Cell& cell,
+                     const Need& need,
+                     Nanoseconds horizon,
+                     TimePoint now,
+                     std::vector<Candidate>& weighed) {
+  Server* best = nullptr;
+  double best_free = 0;
+  for (const std::string& name : cell.servers_) {
+    Server& server = fleet.servers_.at(name);
+    if (!Suits(server, ServerRole::kDecode, need, now)) {
+      continue;
+    }
+    const bool memory = !server.has_load_ ||
+                        server.load_.total_pieces_ == UINT32_MAX ||
+                        PiecesHeld(server) + need.pieces_ <=
+                            server.load_.total_pieces_;
+    double free = FreeSlots(server);
+    if (need.prefer_ == Preference::kGoodput) {
+      free += kOvercommit * ExpectedReleases(server, horizon);
+    }
+    weighed.push_back({name, "decode",
+                       std::to_string(FreeSlots(server)) + " slots free" +
+                           (memory ? "" : ", no memory")});
+    if (memory && free >= 1.0 && (best == nullptr || free > best_free)) {
+      best = &server;
+      best_free = free;
+    }
+  }
+  return best;
+}
+
+void RemoveGone(Fleet& fleet, const std::set<std::string>& listed) {
+  for (auto it = fleet.servers_.begin(); it != fleet.servers_.end();) {
+    const bool gone = !listed.contains(it->first) && it->second.holds_.empty();
+    it = gone ? fleet.servers_.erase(it) : std::next(it);
+  }
+}
+
+// Groups usable and leaving servers alike, so that a server that starts to
+// leave does not move the others.
+std::map<std::string, Cell> MakeCells(const Fleet& fleet) {
+  std::map<std::string, std::vector<std::string>> groups;
+  for (const auto& [name, server] : fleet.servers_) {
+    groups[server.info_.service_ + "/" + server.info_.domain_].push_back(name);
+  }
+  std::map<std::string, Cell> cells;
+  for (const auto& [group, names] : groups) {
+    const std::size_t count = (names.size() + kCellServers - 1) / kCellServers;
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < count; ++i) {
+      ids.push_back(group + "/" + std::to_string(i));
+    }
+    for (const std::string& name : names) {
+      Cell& cell = cells[ids[static_cast<std::size_t>(RendezvousPick(name, ids))]];
+      const ServerInfo& info = fleet.servers_.at(name).info_;
+      cell.service_ = info.service_;
+      cell.domain_ = info.domain_;
+      cell.servers_.push_back(name);
+    }
+  }
+  for (auto& [name, cell] : cells) {
+    cell.name_ = name;
+  }
+  return cells;
+}
+
+}  // namespace
+
+const char* ToString(ServerRole role) {
+  static constexpr const char* kNames[] = {"prefill", "decode", "mixed",
+                                           "plain"};
+  return kNames[static_cast<int>(role)];
+}
+
+std::uint32_t PiecesFor(std::uint32_t tokens) {
+  return std::max(1U, (tokens + kPieceTokens - 1) / kPieceTokens);
+}
+
+bool UpdateServers(Fleet& fleet, const std::vector<ServerInfo>& list) {
+  if (list.empty() && !fleet.servers_.empty()) {
+    return false;
+  }
+  std::set<std::string> listed;
+  for (const ServerInfo& info : list) {
+    listed.insert(info.name_);
+    Server& server = fleet.servers_[info.name_];
+    if (server.info_.address_ != info.address_) {
+      server = Server{};
+    }
+    // A drain answer or a peer's word is newer than the list.
+    const bool was_leaving = server.info_.leaving_ && server.load_.draining_;
+    server.info_ = info;
+    server.info_.leaving_ = info.leaving_ || was_leaving;
+  }
+  for (auto& [name, server] : fleet.servers_) {
+    if (!listed.contains(name)) {
+      server.info_.leaving_ = true;
+    }
+  }
+  RemoveGone(fleet, listed);
+  return true;
+}
+
+std::size_t AssignHomes(Fleet& fleet,
+                        const std::map<std::string, std::string>& live) {
+  std::map<std::string, std::vector<std::string>> by_domain;
+  std::vector<std::string> everywhere;
+  for (const auto& [name, domain] : live) {
+    by_domain[domain].push_back(name);
+    everywhere.push_back(name);
+  }
+  std::size_t moved = 0;
+  std::map<std::string, Cell> cells = MakeCells(fleet);
+  for (auto& [name, cell] : cells) {
+    const auto local = by_domain.find(cell.domain_);
+    const std::vector<std::string>& candidates =
+        local == by_domain.end() ? everywhere : local->second;
+    const int pick = RendezvousPick(name, candidates);
+    cell.home_ = pick < 0 ? "" : candidates[static_cast<std::size_t>(pick)];
+    const auto old = fleet.cells_.find(name);
+    if (old == fleet.cells_.end() || old->second.home_ != cell.home_) {
+      ++moved;
+    }
+  }
+  fleet.cells_ = std::move(cells);
+  return moved;
+}
+
+void TakeLoad(Fleet& fleet,
+              const std::string& name,
+              const LoadReport& report,
+              TimePoint now) {
+  Server& server = fleet.servers_.at(name);
+  server.load_ = report;
+  server.has_load_ = true;
+  server.load_at_ = now;
+  server.info_.leaving_ = server.info_.leaving_ || report.draining_;
+  std::uint32_t foreign = 0;
+  std::set<RequestId> held;
+  for (const HeldRequest& row : report.held_) {
+    held.insert(row.request_);
+    foreign += server.holds_.contains(row.request_) ? 0 : 1;
+  }
+  server.foreign_ = std::min(foreign, report.running_);
+  for (auto it = server.holds_.begin(); it != server.holds_.end();) {
+    Hold& hold = it->second;
+    const bool absent =
+        now - hold.since_ > kHoldCheckAge && !held.contains(it->first);
+    hold.missed_polls_ = absent ? hold.missed_polls_ + 1 : 0;
+    it = hold.missed_polls_ >= kHoldMissedPolls ? server.holds_.erase(it)
+                                                : std::next(it);
+  }
+}
+
+int FreeSlots(const Server& server) {
+  return static_cast<int>(SlotsOf(server)) -
+         static_cast<int>(server.holds_.size() + server.foreign_);
+}
+
+bool IsUsable(const Server& server, TimePoint now) {
+  return !server.info_.leaving_ && now >= server.suspended_until_;
+}
+
+Nanoseconds PrefillTime(const Server& server, const Need& need, TimePoint now) {
+  std::uint32_t tokens = need.prompt_tokens_;
+  if (HasPrefix(server, need, now)) {
+    tokens -= std::min(tokens, need.prefix_tokens_);
+  }
+  const std::uint32_t rate = server.load_.prefill_tokens_per_second_ != 0
+                                 ? server.load_.prefill_tokens_per_second_
+                                 : kDefaultPrefillRate;
+  const double seconds = static_cast<double>(tokens) / rate;
+  return std::chrono::duration_cast<Nanoseconds>(
+      std::chrono::duration<double>(seconds));
+}
+
+tl::expected<Placement, WaitReason> Place(Fleet& fleet,
+                                          const std::string& cell_name,
+                                          const Need& need,
+                                          TimePoint now) {
+  const auto found = fleet.cells_.find(cell_name);
+  if (found == fleet.cells_.end()) {
+    return tl::unexpected(WaitReason::kNoServer);
+  }
+  const Cell& cell = found->second;
+  Placement placement;
+  placement.cell_ = cell_name;
+  PrefillChoice prefill;
+  TimePoint ready = now;
+  if (!need.decode_only_) {
+    prefill = ChoosePrefill(fleet, cell, need, now, placement.weighed_);
+    if (prefill.server_ == nullptr) {
+      return tl::unexpected(WaitReason::kNoServer);
+    }
+    ready = prefill.done_;
+  }
+  if (ready + kTransferAllowance > need.deadline_ && !need.decode_only_) {
+    return tl::unexpected(WaitReason::kTooLate);
+  }
+  Server* decode = ChooseDecode(fleet, cell, need, ready - now, now,
+                                placement.weighed_);
+  if (decode == nullptr) {
+    return tl::unexpected(WaitReason::kNoDecodeSlot);
+  }
+  if (prefill.server_ != nullptr) {
+    prefill.server_->prefill_free_at_ = prefill.done_;
+    placement.prefill_ = prefill.server_->info_.name_;
+  }
+  decode->holds_[need.request_] = Hold{need.pieces_, now,
+                                       need.request_.incarnation_,
+                                       need.owner_name_, 0};
+  placement.decode_ = decode->info_.name_;
+  placement.expected_first_token_ = ready + kTransferAllowance - now;
+  return placement;
+}
+
+void ReleaseHold(Fleet& fleet,
+                 const std::string& name,
+                 const RequestId& request,
+                 TimePoint now) {
+  const auto it = fleet.servers_.find(name);
+  if (it == fleet.servers_.end()) {
+    return;
+  }
+  Server& server = it->second;
+  const auto hold = server.holds_.find(request);
+  if (hold == server.holds_.end()) {
+    return;
+  }
+  const double seconds =
+      std::chrono::duration<double>(now - hold->second.since_).count();
+  server.mean_hold_seconds_ +=
+      kHoldSmoothing * (std::max(seconds, 0.05) - server.mean_hold_seconds_);
+  server.holds_.erase(hold);
+}
+
+void NoteFailure(Fleet& fleet, const std::string& name, TimePoint now) {
+  const auto it = fleet.servers_.find(name);
+  if (it == fleet.servers_.end()) {
+    return;
+  }
+  Server& server = it->second;
+  const std::uint32_t doublings = std::min(server.failures_, 4U);
+  const Milliseconds pause =
+      std::min(kSuspendMaximum, kSuspendAfterFailure * (1U << doublings));
+  ++server.failures_;
+  server.suspended_until_ = now + pause;
+}
+
+void NoteSuccess(Fleet& fleet, const std::string& name) {
+  const auto it = fleet.servers_.find(name);
+  if (it != fleet.servers_.end()) {
+    it->second.failures_ = 0;
+    it->second.suspended_until_ = TimePoint{};
+  }
+}
+
+void NotePrefix(Fleet& fleet,
+                const std::string& name,
+                std::uint64_t prefix_hash,
+                TimePoint now) {
+  const auto it = fleet.servers_.find(name);
+  if (it == fleet.servers_.end() || prefix_hash == 0) {
+    return;
+  }
+  auto& hints = it->second.prefix_hints_;
+  if (hints.size() >= kPrefixHintsPerServer) {
+    std::erase_if(hints, [&](const auto& hint) {
+      return now - hint.second >= kPrefixHintAge / 2;
+    });
+  }
+  if (hints.size() < kPrefixHintsPerServer) {
+    hints[prefix_hash] = now;
+  }
+}
+
+int FreeSlotsOfCell(const Fleet& fleet, const Cell& cell, TimePoint now) {
+  int free = 0;
+  for (const std::string& name : cell.servers_) {
+    const Server& server = fleet.servers_.at(name);
+    if (HasRole(server, ServerRole::kDecode) && IsUsable(server, now)) {
+      free += std::max(0, FreeSlots(server));
+    }
+  }
+  return free;
+}
+
+double SlotReleaseRate(const Fleet& fleet, const Cell& cell, TimePoint now) {
+  double rate = 0;
+  for (const std::string& name : cell.servers_) {
+    const Server& server = fleet.servers_.at(name);
+    if (HasRole(server, ServerRole::kDecode) && IsUsable(server, now)) {
+      rate += static_cast<double>(SlotsOf(server)) / server.mean_hold_seconds_;
+    }
+  }
+  return rate;
+}
+
+}  // namespace siskindrum::core
--- /dev/null
+++ b/packages/core/src/lease.cc
@@ -0,0 +1,465 @@
+// Decode slots: the home of a cell counts and grants them, others ask it.
+
+#include <algorithm>
+
+#include "router_p.h"
+#include "siskindrum/core/limits.h"
+
+namespace siskindrum::core {
+
+namespace {
+
+constexpr std::size_t kMaxCellTries = 4;
+
+struct CellView {
+  const Cell* cell_ = nullptr;
+  bool own_ = false;
+  bool same_domain_ = false;
+  bool home_live_ = false;
+  int room_ = 0;  // Free slots less waiting requests.
+};
+
+const CellDigest* FindDigest(const Member& member, const std::string& cell) {
+  for (const CellDigest& digest : member.row_.cells_) {
+    if (digest.cell_ == cell) {
+      return &digest;
+    }
+  }
+  return nullptr;
+}
+
+std::size_t QueueLength(const Router& router, const std::string& cell) {
+  const auto it = router.queues_.find(cell);
+  return it == router.queues_.end() ? 0 : it->second.waiting_.size();
+}
+
+CellView ViewCell(const Step& step, const Cell& cell) {
+  const Router& router = step.router_;
+  const TimePoint now = step.now_.steady_;
+  CellView view;
+  view.cell_ = &cell;
+  view.own_ = cell.home_ == router.options_.name_;
+  view.same_domain_ = cell.domain_ == router.options_.domain_;
+  if (view.own_) {
+    view.home_live_ = true;
+    view.room_ = FreeSlotsOfCell(router.fleet_, cell, now) -
+                 static_cast<int>(QueueLength(router, cell.name_));
+    return view;
+  }
+  const auto member = router.membership_.members_.find(cell.home_);
+  if (member == router.membership_.members_.end()) {
+    return view;
+  }
+  view.home_live_ = IsLive(member->second, now);
+  if (const CellDigest* digest = FindDigest(member->second, cell.name_)) {
+    view.room_ = digest->free_slots_ - static_cast<int>(digest->waiting_);
+  }
+  return view;
+}
+
+// Higher is better: a live home, then room, own cells first, then the own
+// failure domain, then the most room.
+bool IsBetter(const CellView& a, const CellView& b) {
+  if (a.home_live_ != b.home_live_) {
+    return a.home_live_;
+  }
+  const bool room_a = a.room_ > 0;
+  const bool room_b = b.room_ > 0;
+  if (room_a != room_b) {
+    return room_a;
+  }
+  if (room_a && a.own_ != b.own_) {
+    return a.own_;
+  }
+  if (room_a && a.same_domain_ != b.same_domain_) {
+    return a.same_domain_;
+  }
+  return a.room_ > b.room_;
+}
+
+const Cell* ChooseCell(const Step& step, const Request& request) {
+  const std::string& pool = request.rule_->outcome_.pool_;
+  CellView best;
+  for (const auto& [name, cell] : step.router_.fleet_.cells_) {
+    const bool tried =
+        std::find(request.tried_cells_.begin(), request.tried_cells_.end(),
+                  name) != request.tried_cells_.end();
+    if (cell.service_ != pool || tried) {
+      continue;
+    }
+    const CellView view = ViewCell(step, cell);
+    if (best.cell_ == nullptr || IsBetter(view, best)) {
+      best = view;
+    }
+  }
+  return best.cell_;
+}
+
+LeaseRefuse Refusal(const Need& need, Reason reason, Nanoseconds wait) {
+  return {need.request_, reason, Milliseconds(ToMilliseconds(wait))};
+}
+
+void TellRefusal(Step& step, const Waiting& waiting, const LeaseRefuse& why) {
+  if (waiting.remote_) {
+    Tell(step, waiting.peer_, why);
+    return;
+  }
+  OnLeaseRefuse(step, why);
+}
+
+void TellGrant(Step& step, const Waiting& waiting, const Placement& placement) {
+  Router& router = step.router_;
+  if (waiting.remote_) {
+    ++router.counters_.placed_remote_;
+    Tell(step, waiting.peer_, LeaseGrant{waiting.need_.request_, placement});
+    return;
+  }
+  Request* request = FindRequest(router, waiting.need_.request_);
+  if (request == nullptr) {
+    ReleaseHold(router.fleet_, placement.decode_, waiting.need_.request_,
+                step.now_.steady_);
+    return;
+  }
+  ++router.counters_.placed_home_;
+  OnGranted(step, *request, placement, "", placement.cell_);
+}
+
+// Lets a request wait at this home, or says at once why it should not: a
+// request that cannot meet its target is refused before any prefill.
+void Admit(Step& step, const Cell& cell, Waiting waiting) {
+  Router& router = step.router_;
+  const TimePoint now = step.now_.steady_;
+  WaitQueue& queue = router.queues_[cell.name_];
+  const Need& need = waiting.need_;
+  const Nanoseconds wait =
+      ExpectedWait(queue, need, FreeSlotsOfCell(router.fleet_, cell, now),
+                   SlotReleaseRate(router.fleet_, cell, now));
+  if (now + wait > need.deadline_) {
+    TellRefusal(step, waiting, Refusal(need, Reason::kOverloaded, wait));
+    return;
+  }
+  waiting.since_ = now;
+  const std::string name = cell.name_;
+  const RequestId id = need.request_;
+  const bool remote = waiting.remote_;
+  const std::string peer = waiting.peer_;
+  const Waiting copy = waiting;
+  if (!Enqueue(queue, std::move(waiting))) {
+    TellRefusal(step, copy, Refusal(copy.need_, Reason::kOverloaded, wait));
+    return;
+  }
+  PumpCell(step, name);
+  const auto& left = router.queues_[name].waiting_;
+  const bool still = std::any_of(left.begin(), left.end(), [&](const auto& w) {
+    return w.need_.request_ == id;
+  });
+  if (remote && still) {
+    Tell(step, peer, LeaseQueued{id});
+  }
+}
+
+void AskPeer(Step& step, Request& request, const Cell& cell) {
+  Router& router = step.router_;
+  const TimePoint now = step.now_.steady_;
+  request.state_ = RequestState::kWaiting;
+  request.asked_cell_ = cell.name_;
+  request.asked_home_ = cell.home_;
+  request.ask_answered_ = false;
+  request.asked_at_ = now;
+  LeaseRequest ask;
+  ask.cell_ = cell.name_;
+  ask.need_ = request.need_;
+  ask.time_left_ =
+      std::chrono::floor<Milliseconds>(request.need_.deadline_ - now);
+  // The digest is old by up to a gossip round: count what we ask meanwhile.
+  const auto member = router.membership_.members_.find(cell.home_);
+  if (member != router.membership_.members_.end()) {
+    for (CellDigest& digest : member->second.row_.cells_) {
+      digest.free_slots_ -= digest.cell_ == cell.name_ ? 1 : 0;
+    }
+  }
+  Tell(step, cell.home_, std::move(ask));
+}
+
+// Chooses servers without their home's count: nothing else is left to ask.
+bool PlaceAlone(Step& step, Request& request) {
+  Router& router = step.router_;
+  Need need = request.need_;
+  need.alone_ = true;
+  for (const auto& [name, cell] : router.fleet_.cells_) {
+    if (cell.service_ != request.rule_->outcome_.pool_) {
+      continue;
+    }
+    auto placement = Place(router.fleet_, name, need, step.now_.steady_);
+    if (placement.has_value()) {
+      ++router.counters_.placed_alone_;
+      OnGranted(step, request, *placement, "", name);
+      return true;
+    }
+  }
+  return false;
+}
+
+void FailPlacement(Step& step, Request& request, const LeaseRefuse& why) {
+  Verdict verdict;
+  verdict.run_state_ = request.run_state_;
+  verdict.reason_ = why.reason_;
+  verdict.retry_after_ = why.retry_after_;
+  verdict.detail_ = "pool " + request.rule_->outcome_.pool_ +
+                    " cannot serve it within the target of line " +
+                    std::to_string(request.rule_->line_);
+  FailRequest(step, request, std::move(verdict));
+}
+
+}  // namespace
+
+void SeekCell(Step& step, Request& request) {
+  if (step.router_.options_.policy_ != Policy::kCellHome) {
+    PlaceByBaseline(step, request);
+    return;
+  }
+  const Cell* cell = request.tried_cells_.size() < kMaxCellTries
+                         ? ChooseCell(step, request)
+                         : nullptr;
+  if (cell == nullptr) {
+    const Reason reason = request.tried_cells_.empty() ? Reason::kNoServer
+                                                       : Reason::kOverloaded;
+    FailPlacement(step, request, Refusal(request.need_, reason, Nanoseconds(0)));
+    return;
+  }
+  request.tried_cells_.push_back(cell->name_);
+  if (cell->home_ == step.router_.options_.name_) {
+    request.state_ = RequestState::kWaiting;
+    request.asked_cell_ = cell->name_;
+    request.asked_home_.clear();
+    Waiting waiting;
+    waiting.need_ = request.need_;
+    Admit(step, *cell, std::move(waiting));
+    return;
+  }
+  AskPeer(step, request, *cell);
+}
+
+void PumpCell(Step& step, const std::string& cell) {
+  Router& router = step.router_;
+  const TimePoint now = step.now_.steady_;
+  while (true) {
+    const auto found = router.queues_.find(cell);
+    if (found == router.queues_.end()) {
+      return;
+    }
+    WaitQueue& queue = found->second;
+    const int next = NextWaiting(queue, now);
+    if (next < 0) {
+      return;
+    }
+    const Need& need = queue.waiting_[static_cast<std::size_t>(next)].need_;
+    const auto placement = Place(router.fleet_, cell, need, now);
+    if (placement.has_value()) {
+      const Waiting taken = TakeWaiting(queue, next);
+      TellGrant(step, taken, *placement);
+      continue;
+    }
+    const bool expired = now >= need.deadline_;
+    if (placement.error() == WaitReason::kNoDecodeSlot && !expired) {
+      return;
+    }
+    const Waiting taken = TakeWaiting(queue, next);
+    const Reason reason = placement.error() == WaitReason::kNoServer
+                              ? Reason::kNoServer
+                              : Reason::kDeadline;
+    TellRefusal(step, taken, Refusal(taken.need_, reason, Nanoseconds(0)));
+  }
+}
+
+void PumpAll(Step& step) {
+  std::vector<std::string> names;
+  for (const auto& [name, queue] : step.router_.queues_) {
+    if (!queue.waiting_.empty()) {
+      names.push_back(name);
+    }
+  }
+  for (const std::string& name : names) {
+    PumpCell(step, name);
+  }
+}
+
+void WithdrawAll(Step& step) {
+  Router& router = step.router_;
+  std::vector<Waiting> moved;
+  for (auto& [name, queue] : router.queues_) {
+    const auto cell = router.fleet_.cells_.find(name);
+    const bool own = cell != router.fleet_.cells_.end() &&
+                     cell->second.home_ == router.options_.name_;
+    if (!own) {
+      std::move(queue.waiting_.begin(), queue.waiting_.end(),
+                std::back_inserter(moved));
+      queue = WaitQueue{};
+    }
+  }
+  for (const Waiting& waiting : moved) {
+    Request* request = FindRequest(router, waiting.need_.request_);
+    if (waiting.remote_) {
+      Tell(step, waiting.peer_,
+           Refusal(waiting.need_, Reason::kDraining, Nanoseconds(0)));
+    } else if (request != nullptr) {
+      request->tried_cells_.clear();
+      SeekCell(step, *request);
+    }
+  }
+}
+
+void GiveBack(Step& step, Request& request, bool server_failed) {
+  Router& router = step.router_;
+  const bool waiting = request.state_ == RequestState::kWaiting;
+  const bool plain = request.rule_->outcome_.kind_ == BackendKind::kPlain;
+  const std::string decode =
+      waiting ? "" : (plain ? request.plain_server_ : request.placement_.decode_);
+  const std::string home = waiting ? request.asked_home_ : request.home_;
+  if (plain || home.empty()) {
+    ReleaseHold(router.fleet_, decode, request.id_, step.now_.steady_);
+    if (waiting) {
+      RemoveWaiting(router.queues_[request.asked_cell_], request.id_);
+    }
+    if (!plain) {
+      PumpCell(step, request.asked_cell_);
+    }
+    return;
+  }
+  Tell(step, home,
+       LeaseRelease{request.id_, request.asked_cell_, decode, server_failed});
+}
+
+void CheckAsked(Step& step) {
+  Router& router = step.router_;
+  const TimePoint now = step.now_.steady_;
+  std::vector<RequestId> silent;
+  std::vector<RequestId> expired;
+  for (const auto& [id, request] : router.requests_) {
+    const bool asked = request.state_ == RequestState::kWaiting &&
+                       !request.asked_home_.empty();
+    if (asked && !request.ask_answered_ &&
+        now - request.asked_at_ > kGrantTimeout) {
+      silent.push_back(id);
+    } else if (asked && now >= request.need_.deadline_) {
+      expired.push_back(id);
+    }
+  }
+  for (const RequestId& id : silent) {
+    OnLeaseSendFailed(step, LeaseRequest{"", router.requests_[id].need_, {}});
+  }
+  for (const RequestId& id : expired) {
+    if (Request* request = FindRequest(router, id)) {
+      GiveBack(step, *request, false);
+      FailPlacement(step, *request,
+                    Refusal(request->need_, Reason::kDeadline, Nanoseconds(0)));
+    }
+  }
+}
+
+void OnLeaseRequest(Step& step,
+                    const std::string& from,
+                    const LeaseRequest& message) {
+  Router& router = step.router_;
+  const auto cell = router.fleet_.cells_.find(message.cell_);
+  const bool own = cell != router.fleet_.cells_.end() &&
+                   cell->second.home_ == router.options_.name_;
+  if (!own || router.draining_) {
+    Tell(step, from,
+         Refusal(message.need_, Reason::kDraining, Nanoseconds(0)));
+    return;
+  }
+  Waiting waiting;
+  waiting.need_ = message.need_;
+  waiting.need_.deadline_ = step.now_.steady_ + message.time_left_;
+  waiting.remote_ = true;
+  waiting.peer_ = from;
+  Admit(step, cell->second, std::move(waiting));
+}
+
+void OnLeaseQueued(Step& step, const LeaseQueued& message) {
+  if (Request* request = FindRequest(step.router_, message.request_)) {
+    request->ask_answered_ = true;
+  }
+}
+
+void OnLeaseGrant(Step& step,
+                  const std::string& from,
+                  const LeaseGrant& message) {
+  Router& router = step.router_;
+  Request* request = FindRequest(router, message.request_);
+  const Placement& placement = message.placement_;
+  const bool wanted = request != nullptr &&
+                      request->state_ == RequestState::kWaiting &&
+                      request->asked_home_ == from;
+  const bool known =
+      router.fleet_.servers_.contains(placement.decode_) &&
+      (placement.prefill_.empty() ||
+       router.fleet_.servers_.contains(placement.prefill_));
+  if (!wanted || !known) {
+    Tell(step, from,
+         LeaseRelease{message.request_, placement.cell_, placement.decode_,
+                      false});
+    if (wanted) {
+      SeekCell(step, *request);
+    }
+    return;
+  }
+  OnGranted(step, *request, placement, from, placement.cell_);
+}
+
+void OnLeaseRefuse(Step& step, const LeaseRefuse& message) {
+  Request* request = FindRequest(step.router_, message.request_);
+  if (request == nullptr || request->state_ != RequestState::kWaiting) {
+    return;
+  }
+  const bool may_seek = request->tried_cells_.size() < kMaxCellTries &&
+                        ChooseCell(step, *request) != nullptr &&
+                        step.now_.steady_ < request->need_.deadline_;
+  if (may_seek) {
+    SeekCell(step, *request);
+    return;
+  }
+  FailPlacement(step, *request, message);
+}
+
+void OnLeaseRelease(Step& step, const LeaseRelease& message) {
+  Router& router = step.router_;
+  const auto queue = router.queues_.find(message.cell_);
+  if (queue != router.queues_.end()) {
+    RemoveWaiting(queue->second, message.request_);
+  }
+  if (!message.decode_.empty()) {
+    ReleaseHold(router.fleet_, message.decode_, message.request_,
+                step.now_.steady_);
+  }
+  if (message.server_failed_) {
+    NoteFailure(router.fleet_, message.decode_, step.now_.steady_);
+  }
+  PumpCell(step, message.cell_);
+}
+
+void OnLeaseSendFailed(Step& step, const LeaseRequest& message) {
+  Request* request = FindRequest(step.router_, message.need_.request_);
+  if (request == nullptr || request->state_ != RequestState::kWaiting ||
+      request->asked_home_.empty()) {
+    return;
+  }
+  // A late grant will be given back.
+  Tell(step, request->asked_home_,
+       LeaseRelease{request->id_, request->asked_cell_, "", false});
+  request->asked_home_.clear();
+  const Cell* other = request->tried_cells_.size() < kMaxCellTries
+                          ? ChooseCell(step, *request)
+                          : nullptr;
+  if (other != nullptr) {
+    SeekCell(step, *request);
+    return;
+  }
+  if (!PlaceAlone(step, *request)) {
+    FailPlacement(step, *request,
+                  Refusal(request->need_, Reason::kNoServer, Nanoseconds(0)));
+  }
+}
+
+}  // namespace siskindrum::core
--- /dev/null
+++ b/packages/core/src/lifecycle.cc
@@ -0,0 +1,450 @@
+// Requests to model engines from arrival to end: rule, limit, placement,
+// prefill, decode, and what follows when a step fails.
+
+#include <algorithm>
+
+#include "router_p.h"
+#include "siskindrum/core/limits.h"
+
+namespace siskindrum::core {
+
+namespace {
+
+constexpr Milliseconds kLimitRetryAfter{1000};
+constexpr Milliseconds kDrainRetryAfter{200};
+
+Milliseconds Since(TimePoint then, TimePoint now) {
+  return Milliseconds(ToMilliseconds(now - then));
+}
+
+// Refuses a request that never entered the request table.
+void RefuseArrival(Step& step, const RequestArrived& event, Verdict verdict) {
+  ++step.router_.counters_.failed_not_run_;
+  Log(step, "request_refused",
+      {{"request", ToString(event.request_)},
+       {"organisation", event.shape_.organisation_},
+       {"verdict", ToString(verdict.run_state_)},
+       {"reason", ToString(verdict.reason_)},
+       {"detail", verdict.detail_}});
+  Emit(step, Fail{event.request_, std::move(verdict)});
+}
+
+void AddDecision(Step& step, const Request& request) {
+  Router& router = step.router_;
+  DecisionRecord& record = router.decisions_[request.id_];
+  record.request_ = request.id_;
+  record.configuration_ = request.configuration_;
+  record.rule_ = request.rule_;
+  record.shape_ = request.shape_;
+  router.decision_order_.push_back(request.id_);
+  if (router.decision_order_.size() > kExplainRecords) {
+    router.decisions_.erase(router.decision_order_.front());
+    router.decision_order_.pop_front();
+  }
+}
+
+void FillNeed(Step& step, Request& request) {
+  const RuleOutcome& outcome = request.rule_->outcome_;
+  const RequestShape& shape = request.shape_;
+  Need& need = request.need_;
+  need.request_ = request.id_;
+  need.owner_name_ = step.router_.options_.name_;
+  need.organisation_ = shape.organisation_;
+  need.prompt_tokens_ = shape.prompt_tokens_;
+  need.pieces_ = PiecesFor(shape.prompt_tokens_ + shape.max_tokens_);
+  need.share_ = outcome.share_;
+  need.prefix_hash_ = shape.prefix_hash_;
+  need.prefix_tokens_ = shape.prefix_tokens_;
+  need.priority_ =
+      outcome.has_priority_ ? outcome.priority_ : shape.priority_;
+  need.prefer_ = outcome.prefer_;
+  const Milliseconds wait = outcome.first_token_ > Milliseconds(0)
+                                ? outcome.first_token_
+                                : kDefaultWait;
+  request.deadline_ = request.arrived_at_ + wait;
+  need.deadline_ = request.deadline_;
+}
+
+void NotePrefillWasted(Step& step, const Request& request) {
+  if (request.prefill_started_) {
+    step.router_.counters_.prefill_tokens_wasted_ +=
+        request.need_.prompt_tokens_;
+  }
+}
+
+void CancelEverywhere(Step& step, const Request& request) {
+  const Placement& placement = request.placement_;
+  if (request.prefill_started_ && !placement.prefill_.empty()) {
+    CancelRequestAt(step, request.id_, placement.prefill_);
+  }
+  if (request.state_ == RequestState::kDecoding) {
+    CancelRequestAt(step, request.id_, placement.decode_);
+  }
+}
+
+// Looks for a decode server that can still import the living prefill result.
+void Reimport(Step& step, Request& request) {
+  ++step.router_.counters_.reimports_;
+  ++request.reimports_;
+  ++request.attempt_;
+  request.need_.decode_only_ = true;
+  request.need_.deadline_ = request.handle_until_;
+  request.need_.priority_ = Priority::kHigh;
+  request.tried_cells_.clear();
+  request.state_ = RequestState::kPlacing;
+  SeekCell(step, request);
+}
+
+bool MayRetry(Step& step, Request& request, Verdict& why) {
+  Router& router = step.router_;
+  const bool answering = request.delivered_ > 0;
+  const TimePoint now = step.now_.steady_;
+  if (request.retries_ >= request.rule_->outcome_.retries_) {
+    why.detail_ += " (no retry left by the rule)";
+    return false;
+  }
+  const bool late = now >= request.deadline_;
+  if (late && !answering && request.need_.prefer_ == Preference::kGoodput) {
+    why.detail_ += " (a second prefill would miss the target)";
+    return false;
+  }
+  if (!TakeRetry(router.retry_budget_)) {
+    why.detail_ += " (retry budget is empty)";
+    return false;
+  }
+  return true;
+}
+
+// Starts the request again from a fresh prefill of the prompt and of what the
+// caller already has, or ends it.
+void RetryOrFail(Step& step, Request& request, Verdict verdict) {
+  NotePrefillWasted(step, request);
+  request.prefill_started_ = false;
+  verdict.run_state_ = request.run_state_;
+  if (!MayRetry(step, request, verdict)) {
+    FailRequest(step, request, std::move(verdict));
+    return;
+  }
+  ++request.retries_;
+  ++request.attempt_;
+  request.reimports_ = 0;
+  Need& need = request.need_;
+  if (request.delivered_ > 0) {
+    ++step.router_.counters_.continued_;
+    need.priority_ = Priority::kHigh;
+  }
+  need.decode_only_ = false;
+  need.prompt_tokens_ = request.shape_.prompt_tokens_ + request.delivered_;
+  const bool in_time = step.now_.steady_ < request.deadline_ &&
+                       request.delivered_ == 0;
+  need.deadline_ =
+      in_time ? request.deadline_ : step.now_.steady_ + kDefaultWait;
+  request.tried_cells_.clear();
+  request.state_ = RequestState::kPlacing;
+  SeekCell(step, request);
+}
+
+bool IsServerFault(Reason reason) {
+  return reason == Reason::kConnectFailed || reason == Reason::kConnectionLost ||
+         reason == Reason::kServerError || reason == Reason::kBadAnswer;
+}
+
+void NoteServerEnd(Step& step,
+                   Request& request,
+                   const std::string& server,
+                   const Verdict& verdict) {
+  request.run_state_ = Worse(request.run_state_, verdict.run_state_);
+  request.need_.avoid_.push_back(server);
+  if (IsServerFault(verdict.reason_)) {
+    NoteFailure(step.router_.fleet_, server, step.now_.steady_);
+  }
+  Log(step, "attempt_failed",
+      {{"request", ToString(request.id_)},
+       {"attempt", std::to_string(request.attempt_)},
+       {"server", server},
+       {"verdict", ToString(verdict.run_state_)},
+       {"reason", ToString(verdict.reason_)},
+       {"detail", verdict.detail_}});
+}
+
+void SendDecode(Step& step, Request& request) {
+  const Fleet& fleet = step.router_.fleet_;
+  const auto decode = fleet.servers_.find(request.placement_.decode_);
+  const auto prefill = fleet.servers_.find(request.placement_.prefill_);
+  request.state_ = RequestState::kDecoding;
+  StartDecode action;
+  action.request_ = request.id_;
+  action.attempt_ = request.attempt_;
+  action.server_ = request.placement_.decode_;
+  action.address_ = decode == fleet.servers_.end()
+                        ? ""
+                        : decode->second.info_.address_;
+  action.prefill_server_ = request.placement_.prefill_;
+  action.prefill_address_ = prefill == fleet.servers_.end()
+                                ? ""
+                                : prefill->second.info_.address_;
+  action.handle_ = request.handle_;
+  action.from_position_ = request.delivered_;
+  action.priority_ = request.need_.priority_;
+  Emit(step, std::move(action));
+}
+
+void SendPrefill(Step& step, Request& request) {
+  const Fleet& fleet = step.router_.fleet_;
+  const auto server = fleet.servers_.find(request.placement_.prefill_);
+  request.state_ = RequestState::kPrefilling;
+  request.prefill_started_ = true;
+  step.router_.counters_.prefill_tokens_ += request.need_.prompt_tokens_;
+  StartPrefill action;
+  action.request_ = request.id_;
+  action.attempt_ = request.attempt_;
+  action.server_ = request.placement_.prefill_;
+  action.address_ =
+      server == fleet.servers_.end() ? "" : server->second.info_.address_;
+  action.hold_ = kPrefillHold;
+  action.priority_ = request.need_.priority_;
+  Emit(step, std::move(action));
+}
+
+}  // namespace
+
+Request* FindRequest(Router& router, const RequestId& id) {
+  const auto it = router.requests_.find(id);
+  return it == router.requests_.end() ? nullptr : &it->second;
+}
+
+DecisionRecord* MutableDecision(Router& router, const RequestId& id) {
+  const auto it = router.decisions_.find(id);
+  return it == router.decisions_.end() ? nullptr : &it->second;
+}
+
+Request& AddRequest(Step& step, const RequestArrived& event, const Rule& rule) {
+  Router& router = step.router_;
+  Request& request = router.requests_[event.request_];
+  request.id_ = event.request_;
+  request.shape_ = event.shape_;
+  request.configuration_ = router.configuration_.current_;
+  request.rule_ = &rule;
+  request.arrived_at_ = step.now_.steady_;
+  request.content_type_ = event.content_type_;
+  request.body_ = event.body_;
+  AddDecision(step, request);
+  return request;
+}
+
+void OnArrived(Step& step, const RequestArrived& event) {
+  Router& router = step.router_;
+  ++router.counters_.arrived_;
+  CreditRequest(router.retry_budget_);
+  const RunState not_run = RunState::kNotRun;
+  if (router.draining_) {
+    RefuseArrival(step, event,
+                  {not_run, Reason::kDraining, "this entry is shutting down",
+                   kDrainRetryAfter});
+    return;
+  }
+  if (router.configuration_.current_ == nullptr) {
+    RefuseArrival(step, event,
+                  {not_run, Reason::kNotReady, "no rules are in force yet",
+                   kLimitRetryAfter});
+    return;
+  }
+  const Rule* rule =
+      MatchRule(router.configuration_.current_->rules_, event.shape_);
+  if (rule == nullptr) {
+    RefuseArrival(step, event,
+                  {not_run, Reason::kNoRule, "no rule matches", {}});
+    return;
+  }
+  Emit(step, Accepted{event.request_, rule->line_,
+                      router.configuration_.current_->revision_});
+  const RuleOutcome& outcome = rule->outcome_;
+  if (outcome.action_ == Action::kRefuse) {
+    RefuseArrival(step, event,
+                  {not_run, Reason::kRefusedByRule,
+                   "line " + std::to_string(rule->line_) + " refuses it", {}});
+    return;
+  }
+  if (!TakeFromLimit(router.limits_, event.shape_.organisation_,
+                     outcome.limit_per_second_, router.live_entries_, step.now_.steady_)) {
+    RefuseArrival(step, event,
+                  {not_run, Reason::kOrganisationLimit,
+                   "line " + std::to_string(rule->line_) +
+                       " limits this organisation",
+                   kLimitRetryAfter});
+    return;
+  }
+  Request& request = AddRequest(step, event, *rule);
+  if (outcome.kind_ == BackendKind::kPlain) {
+    BeginPlain(step, request);
+    return;
+  }
+  FillNeed(step, request);
+  SeekCell(step, request);
+}
+
+void OnGranted(Step& step,
+               Request& request,
+               const Placement& placement,
+               const std::string& home,
+               const std::string& home_cell) {
+  const std::string prefill = request.placement_.prefill_;
+  request.placement_ = placement;
+  request.home_ = home;
+  request.asked_cell_ = home_cell;
+  if (DecisionRecord* record = MutableDecision(step.router_, request.id_)) {
+    record->cell_ = home_cell;
+    record->home_ = home.empty() ? step.router_.options_.name_ : home;
+    record->decode_ = placement.decode_;
+    if (!placement.prefill_.empty()) {
+      record->prefill_ = placement.prefill_;
+    }
+    record->weighed_ = placement.weighed_;
+    record->attempts_ = request.attempt_ + 1;
+  }
+  if (request.need_.decode_only_) {
+    request.placement_.prefill_ = prefill;
+    SendDecode(step, request);
+  } else {
+    SendPrefill(step, request);
+  }
+}
+
+void OnPrefillEnded(Step& step, const PrefillEnded& event) {
+  Request* request = FindRequest(step.router_, event.request_);
+  if (request == nullptr || request->attempt_ != event.attempt_ ||
+      request->state_ != RequestState::kPrefilling) {
+    return;
+  }
+  Fleet& fleet = step.router_.fleet_;
+  const std::string server = request->placement_.prefill_;
+  if (!event.ok_) {
+    NoteServerEnd(step, *request, server, event.verdict_);
+    CancelRequestAt(step, request->id_, server);
+    GiveBack(step, *request, false);
+    RetryOrFail(step, *request, event.verdict_);
+    return;
+  }
+  request->run_state_ = Worse(request->run_state_, RunState::kMayHaveRun);
+  request->handle_ = event.handle_;
+  request->handle_until_ = step.now_.steady_ + event.hold_;
+  NoteSuccess(fleet, server);
+  NotePrefix(fleet, server, request->need_.prefix_hash_, step.now_.steady_);
+  SendDecode(step, *request);
+}
+
+void OnFirstToken(Step& step, const FirstToken& event) {
+  Request* request = FindRequest(step.router_, event.request_);
+  if (request == nullptr || request->has_first_token_) {
+    return;
+  }
+  request->has_first_token_ = true;
+  request->first_token_at_ = step.now_.steady_;
+  if (DecisionRecord* record = MutableDecision(step.router_, request->id_)) {
+    record->first_token_ = Since(request->arrived_at_, step.now_.steady_);
+  }
+}
+
+void OnDecodeEnded(Step& step, const DecodeEnded& event) {
+  Request* request = FindRequest(step.router_, event.request_);
+  if (request == nullptr || request->attempt_ != event.attempt_ ||
+      request->state_ != RequestState::kDecoding) {
+    return;
+  }
+  request->delivered_ = event.delivered_;
+  const std::string server = request->placement_.decode_;
+  if (event.ok_) {
+    NoteSuccess(step.router_.fleet_, server);
+    request->run_state_ = RunState::kRan;
+    GiveBack(step, *request, false);
+    ++step.router_.counters_.answered_;
+    EndRequest(step, *request, "answered");
+    return;
+  }
+  NoteServerEnd(step, *request, server, event.verdict_);
+  CancelRequestAt(step, request->id_, server);
+  GiveBack(step, *request, IsServerFault(event.verdict_.reason_));
+  const bool result_lives = !event.imported_ &&
+                            event.verdict_.reason_ != Reason::kEvicted &&
+                            step.now_.steady_ < request->handle_until_;
+  if (result_lives && request->reimports_ < kReimports) {
+    Reimport(step, *request);
+    return;
+  }
+  CancelRequestAt(step, request->id_, request->placement_.prefill_);
+  RetryOrFail(step, *request, event.verdict_);
+}
+
+void OnCallerGone(Step& step, const CallerGone& event) {
+  Request* request = FindRequest(step.router_, event.request_);
+  if (request == nullptr || request->caller_gone_) {
+    return;
+  }
+  ++step.router_.counters_.caller_gone_;
+  if (request->once_ && request->state_ == RequestState::kSendingPlain) {
+    // Its outcome must be known for a repeat of the key.
+    request->caller_gone_ = true;
+    return;
+  }
+  if (request->state_ != RequestState::kPlacing) {
+    GiveBack(step, *request, false);
+  }
+  CancelEverywhere(step, *request);
+  NotePrefillWasted(step, *request);
+  Emit(step, Abort{request->id_});
+  EndRequest(step, *request, "caller_gone");
+}
+
+void FailRequest(Step& step, Request& request, Verdict verdict) {
+  RouterCounters& counters = step.router_.counters_;
+  if (verdict.run_state_ == RunState::kNotRun) {
+    ++counters.failed_not_run_;
+  } else {
+    ++counters.failed_may_have_run_;
+  }
+  if (request.for_peer_) {
+    CallAnswer answer;
+    answer.request_ = request.peer_request_;
+    answer.run_state_ = verdict.run_state_;
+    answer.reason_ = verdict.reason_;
+    Tell(step, request.peer_, std::move(answer));
+  }
+  const std::string outcome = std::string("failed_") + ToString(verdict.reason_);
+  Emit(step, Fail{request.id_, std::move(verdict)});
+  EndRequest(step, request, outcome);
+}
+
+void EndRequest(Step& step, Request& request, const std::string& outcome) {
+  Router& router = step.router_;
+  const TimePoint now = step.now_.steady_;
+  if (DecisionRecord* record = MutableDecision(router, request.id_)) {
+    record->outcome_ = outcome;
+    record->total_ = Since(request.arrived_at_, now);
+  }
+  const std::string first_token =
+      request.has_first_token_
+          ? std::to_string(
+                Since(request.arrived_at_, request.first_token_at_).count())
+          : "-";
+  Log(step, "request_done",
+      {{"request", ToString(request.id_)},
+       {"organisation", request.shape_.organisation_},
+       {"rule_line", std::to_string(request.rule_->line_)},
+       {"revision", std::to_string(request.configuration_->revision_)},
+       {"outcome", outcome},
+       {"verdict", ToString(request.run_state_)},
+       {"prefill_server", request.placement_.prefill_},
+       {"decode_server", request.rule_->outcome_.kind_ == BackendKind::kPlain
+                             ? request.plain_server_
+                             : request.placement_.decode_},
+       {"attempts", std::to_string(request.attempt_ + 1)},
+       {"ttft_ms", first_token},
+       {"total_ms", std::to_string(Since(request.arrived_at_, now).count())}});
+  if (request.for_peer_) {
+    router.forwarded_.erase(request.peer_request_);
+  }
+  const RequestId id = request.id_;
+  router.requests_.erase(id);
+}
+
+}  // namespace siskindrum::core
--- /dev/null
+++ b/packages/core/src/membership.cc
@@ -0,0 +1,165 @@
+#include "siskindrum/core/membership.h"
+
+#include <algorithm>
+
+#include "siskindrum/core/limits.h"
+
+namespace siskindrum::core {
+
+namespace {
+
+constexpr std::size_t kForeignTargets = 1;  // Gossip targets in other domains.
+
+
+// Returns true when the change matters to homes.
+bool MergeRow(Member& member, const MemberRow& row, TimePoint now) {
+  const MemberRow& old = member.row_;
+  if (row.incarnation_ < old.incarnation_ ||
+      (row.incarnation_ == old.incarnation_ && row.counter_ <= old.counter_)) {
+    return false;
+  }
+  const bool replaced = row.incarnation_ != old.incarnation_;
+  const bool changed =
+      replaced || row.leaving_ != old.leaving_ || !IsLive(member, now);
+  member.row_ = row;
+  member.advanced_at_ = now;
+  member.heard_ = true;
+  return changed;
+}
+
+void PickSome(std::vector<std::string>& from,
+              std::size_t count,
+              std::mt19937_64& random,
+              std::vector<std::string>& into) {
+  for (std::size_t i = 0; i < count && !from.empty(); ++i) {
+    const std::size_t pick = random() % from.size();
+    into.push_back(from[pick]);
+    from.erase(from.begin() + static_cast<std::ptrdiff_t>(pick));
+  }
+}
+
+}  // namespace
+
+void UpdateEntries(Membership& membership,
+                   const std::vector<EntryInfo>& list,
+                   TimePoint now) {
+  for (auto& [name, member] : membership.members_) {
+    member.listed_ = false;
+  }
+  for (const EntryInfo& info : list) {
+    if (info.name_ == membership.self_.name_) {
+      continue;
+    }
+    const auto [it, is_new] = membership.members_.try_emplace(info.name_);
+    Member& member = it->second;
+    member.listed_ = true;
+    // What an entry says of itself is newer than the list.
+    if (!member.heard_) {
+      member.row_.name_ = info.name_;
+      member.row_.address_ = info.address_;
+      member.row_.domain_ = info.domain_;
+    }
+    if (is_new) {
+      member.advanced_at_ = now;
+    }
+  }
+}
+
+bool MergeRows(Membership& membership,
+               const std::vector<MemberRow>& rows,
+               TimePoint now) {
+  bool changed = false;
+  for (const MemberRow& row : rows) {
+    if (row.name_ == membership.self_.name_) {
+      membership.replaced_ = membership.replaced_ ||
+                             row.incarnation_ > membership.self_.incarnation_;
+      continue;
+    }
+    if (row.name_.empty()) {
+      continue;
+    }
+    changed = MergeRow(membership.members_[row.name_], row, now) || changed;
+  }
+  return changed;
+}
+
+bool IsLive(const Member& member, TimePoint now) {
+  return member.heard_ && !member.row_.leaving_ &&
+         now - member.advanced_at_ < kMemberSuspect;
+}
+
+std::map<std::string, std::string> LiveEntries(const Membership& membership,
+                                               TimePoint now) {
+  std::map<std::string, std::string> live;
+  if (!membership.self_.leaving_) {
+    live[membership.self_.name_] = membership.self_.domain_;
+  }
+  for (const auto& [name, member] : membership.members_) {
+    if (IsLive(member, now)) {
+      live[name] = member.row_.domain_;
+    }
+  }
+  if (live.empty()) {
+    // The last one leaving serves its own requests to their end.
+    live[membership.self_.name_] = membership.self_.domain_;
+  }
+  return live;
+}
+
+std::vector<MemberRow> GossipRows(const Membership& membership, TimePoint now) {
+  std::vector<const Member*> others;
+  for (const auto& [name, member] : membership.members_) {
+    if (member.heard_ && now - member.advanced_at_ < kMemberSuspect) {
+      others.push_back(&member);
+    }
+  }
+  std::sort(others.begin(), others.end(), [](const Member* a, const Member* b) {
+    return a->advanced_at_ > b->advanced_at_;
+  });
+  others.resize(std::min(others.size(), kGossipRows - 1));
+  std::vector<MemberRow> rows{membership.self_};
+  for (const Member* member : others) {
+    rows.push_back(member->row_);
+  }
+  return rows;
+}
+
+std::vector<std::string> GossipTargets(const Membership& membership,
+                                       TimePoint now,
+                                       std::mt19937_64& random) {
+  std::vector<std::string> near;
+  std::vector<std::string> far;
+  for (const auto& [name, member] : membership.members_) {
+    const bool known = member.listed_ || IsLive(member, now);
+    if (known && !member.row_.address_.empty()) {
+      const bool same = member.row_.domain_ == membership.self_.domain_;
+      (same ? near : far).push_back(name);
+    }
+  }
+  std::vector<std::string> targets;
+  const std::size_t near_count =
+      std::min(near.size(), kGossipFanOut - kForeignTargets);
+  PickSome(near, near_count, random, targets);
+  PickSome(far, kGossipFanOut - targets.size(), random, targets);
+  return targets;
+}
+
+bool IsProvedGone(const Membership& membership,
+                  const std::string& name,
+                  Incarnation incarnation) {
+  if (name == membership.self_.name_) {
+    return incarnation < membership.self_.incarnation_;
+  }
+  const auto it = membership.members_.find(name);
+  return it != membership.members_.end() && it->second.heard_ &&
+         incarnation < it->second.row_.incarnation_;
+}
+
+void ForgetMembers(Membership& membership, TimePoint now) {
+  std::erase_if(membership.members_, [&](const auto& entry) {
+    return !entry.second.listed_ &&
+           now - entry.second.advanced_at_ > kMemberForget;
+  });
+}
+
+}  // namespace siskindrum::core
--- /dev/null
+++ b/packages/core/src/plain.cc
@@ -0,0 +1,494 @@
+// Calls to plain services. A call that may not be repeated is decided by the
+// entry that holds the seat of its key; that incarnation alone may send it.
+
+#include <algorithm>
+#include <cctype>
+
+#include "router_p.h"
+#include "siskindrum/core/limits.h"
+
+namespace siskindrum::core {
+
+namespace {
+
+std::string LowerCase(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return text;
+}
+
+std::string PickPlainServer(Step& step, const Request& request) {
+  Router& router = step.router_;
+  const auto& avoid = request.need_.avoid_;
+  std::string best;
+  std::size_t best_load = 0;
+  bool best_near = false;
+  for (const auto& [name, server] : router.fleet_.servers_) {
+    const bool avoided =
+        std::find(avoid.begin(), avoid.end(), name) != avoid.end();
+    if (server.info_.service_ != request.rule_->outcome_.pool_ || avoided ||
+        !IsUsable(server, step.now_.steady_)) {
+      continue;
+    }
+    const std::size_t load = server.holds_.size();
+    const bool near = server.info_.domain_ == router.options_.domain_;
+    if (best.empty() || load < best_load || (load == best_load && near && !best_near)) {
+      best = name;
+      best_load = load;
+      best_near = near;
+    }
+  }
+  return best;
+}
+
+Verdict Refused(Reason reason, const std::string& detail) {
+  return {RunState::kNotRun, reason, detail, Milliseconds(0)};
+}
+
+void SendToServer(Step& step, Request& request) {
+  Router& router = step.router_;
+  const std::string name = PickPlainServer(step, request);
+  if (name.empty()) {
+    Verdict verdict = Refused(Reason::kNoServer,
+                              "no server of " + request.rule_->outcome_.pool_ +
+                                  " can be used");
+    verdict.run_state_ = request.run_state_;
+    if (request.once_) {
+      FinishCall(router.calls_, request.shape_.idempotency_key_, request.id_,
+                 verdict.run_state_, nullptr, step.now_.steady_);
+    }
+    FailRequest(step, request, std::move(verdict));
+    return;
+  }
+  Server& server = router.fleet_.servers_.at(name);
+  server.holds_[request.id_] = Hold{0, step.now_.steady_, request.id_.incarnation_,
+                                    router.options_.name_, 0};
+  request.plain_server_ = name;
+  request.state_ = RequestState::kSendingPlain;
+  if (DecisionRecord* record = MutableDecision(router, request.id_)) {
+    record->decode_ = name;
+    record->home_ = router.options_.name_;
+    record->attempts_ = request.attempt_ + 1;
+  }
+  SendPlain action;
+  action.request_ = request.id_;
+  action.attempt_ = request.attempt_;
+  action.server_ = name;
+  action.address_ = server.info_.address_;
+  action.shape_ = request.shape_;
+  action.content_type_ = request.content_type_;
+  action.body_ = request.body_;
+  action.timeout_ = request.rule_->outcome_.timeout_;
+  action.once_ = request.once_;
+  if (request.rule_->outcome_.fencing_ == Fencing::kChecked) {
+    action.fence_ = router.options_.incarnation_;
+  }
+  action.decided_at_ = step.now_.steady_;
+  Emit(step, std::move(action));
+}
+
+void AnswerRequest(Step& step,
+                   Request& request,
+                   const PlainAnswer& answer,
+                   bool repeated) {
+  ++step.router_.counters_.answered_;
+  request.run_state_ = RunState::kRan;
+  if (request.for_peer_) {
+    CallAnswer reply;
+    reply.request_ = request.peer_request_;
+    reply.run_state_ = RunState::kRan;
+    reply.has_answer_ = true;
+    reply.repeated_ = repeated;
+    reply.answer_ = answer;
+    reply.server_ = request.plain_server_;
+    Tell(step, request.peer_, std::move(reply));
+  }
+  Emit(step, AnswerPlain{request.id_, answer, repeated});
+  EndRequest(step, request, repeated ? "answered_again" : "answered");
+}
+
+// Decides a keyed call as the holder of its seat.
+void DecideCall(Step& step, Request& request) {
+  Router& router = step.router_;
+  if (IsSettling(step) || router.membership_.replaced_ || router.drained_) {
+    FailRequest(step, request,
+                Refused(Reason::kNotReady,
+                        "this entry cannot vouch for keys at present"));
+    return;
+  }
+  const CallJudgement judgement = JudgeCall(
+      router.calls_, request.shape_.idempotency_key_, request.id_, step.now_);
+  switch (judgement.decision_) {
+    case CallDecision::kSend:
+      SendToServer(step, request);
+      return;
+    case CallDecision::kWait:
+      request.state_ = RequestState::kWaitingCall;
+      return;
+    case CallDecision::kRepeatAnswer: {
+      ++router.counters_.calls_repeated_;
+      const PlainAnswer answer = judgement.record_->answer_;
+      AnswerRequest(step, request, answer, true);
+      return;
+    }
+    case CallDecision::kRefuseNotRun:
+      FailRequest(step, request,
+                  Refused(judgement.reason_,
+                          "the key was not used and will not be; take a new "
+                          "UUIDv7 key"));
+      return;
+    default: {
+      Verdict verdict;
+      verdict.run_state_ = RunState::kMayHaveRun;
+      verdict.reason_ = judgement.reason_;
+      verdict.detail_ = "the key may have been used before; it is not sent";
+      FailRequest(step, request, std::move(verdict));
+    }
+  }
+}
+
+void ForwardCall(Step& step, Request& request, const Seat& seat) {
+  request.state_ = RequestState::kForwarded;
+  request.call_home_ = seat.name_;
+  request.forwarded_at_ = step.now_.steady_;
+  if (DecisionRecord* record = MutableDecision(step.router_, request.id_)) {
+    record->home_ = seat.name_;
+  }
+  CallForward forward;
+  forward.request_ = request.id_;
+  forward.shape_ = request.shape_;
+  forward.content_type_ = request.content_type_;
+  forward.body_ = request.body_;
+  Emit(step, SendPeer{seat.name_, seat.address_, std::move(forward)});
+}
+
+// Requests that waited for the end of another with the same key.
+void WakeWaiting(Step& step, const std::string& key) {
+  std::vector<RequestId> woken;
+  for (const auto& [id, request] : step.router_.requests_) {
+    if (request.state_ == RequestState::kWaitingCall &&
+        request.shape_.idempotency_key_ == key) {
+      woken.push_back(id);
+    }
+  }
+  for (const RequestId& id : woken) {
+    if (Request* request = FindRequest(step.router_, id)) {
+      DecideCall(step, *request);
+    }
+  }
+}
+
+bool HoldsSeat(const Router& router, const Seat& seat) {
+  return seat.address_ == router.options_.peer_address_;
+}
+
+void BeginCall(Step& step, Request& request) {
+  Router& router = step.router_;
+  if (request.shape_.idempotency_key_.empty()) {
+    // Without a key nobody can repeat it: this request is its only sender.
+    SendToServer(step, request);
+    return;
+  }
+  WallTime birth;
+  if (!KeyBirth(request.shape_.idempotency_key_, &birth)) {
+    FailRequest(step, request,
+                Refused(Reason::kKeyMalformed,
+                        "Idempotency-Key must be a UUIDv7, which carries the "
+                        "time of its birth"));
+    return;
+  }
+  const Seat* seat = HomeSeat(request.configuration_->rules_,
+                              request.shape_.idempotency_key_);
+  if (seat == nullptr) {
+    FailRequest(step, request,
+                Refused(Reason::kKeyHomeUnreachable,
+                        "the rules name no seat that could decide the key"));
+    return;
+  }
+  if (HoldsSeat(router, *seat)) {
+    DecideCall(step, request);
+    return;
+  }
+  if (request.for_peer_) {
+    FailRequest(step, request,
+                Refused(Reason::kKeyHomeUnreachable,
+                        "another seat decides this key"));
+    return;
+  }
+  ForwardCall(step, request, *seat);
+}
+
+void EndOnce(Step& step, const Request& request, const PlainEnded& event) {
+  const RunState state = event.result_.has_value()
+                             ? RunState::kRan
+                             : Worse(request.run_state_,
+                                     event.result_.error().run_state_);
+  FinishCall(step.router_.calls_, request.shape_.idempotency_key_, request.id_,
+             state, event.result_.has_value() ? &*event.result_ : nullptr,
+             step.now_.steady_);
+}
+
+bool MayRepeat(Step& step, const Request& request, const Verdict& verdict) {
+  const bool proved = verdict.run_state_ == RunState::kNotRun &&
+                      verdict.reason_ != Reason::kSendTooOld;
+  return !request.caller_gone_ && (proved || !request.once_) &&
+         request.retries_ < request.rule_->outcome_.retries_ &&
+         TakeRetry(step.router_.retry_budget_);
+}
+
+}  // namespace
+
+void BeginPlain(Step& step, Request& request) {
+  std::string& key = request.shape_.idempotency_key_;
+  key = LowerCase(key);
+  request.once_ = request.for_peer_ ||
+                  request.rule_->outcome_.repeat_ == Repeat::kNever;
+  request.need_.request_ = request.id_;
+  if (request.once_) {
+    BeginCall(step, request);
+  } else {
+    SendToServer(step, request);
+  }
+}
+
+void OnPlainEnded(Step& step, const PlainEnded& event) {
+  Router& router = step.router_;
+  Request* request = FindRequest(router, event.request_);
+  if (request == nullptr || request->attempt_ != event.attempt_ ||
+      request->state_ != RequestState::kSendingPlain) {
+    return;
+  }
+  const std::string server = request->plain_server_;
+  const std::string key = request->shape_.idempotency_key_;
+  ReleaseHold(router.fleet_, server, request->id_, step.now_.steady_);
+  if (event.result_.has_value()) {
+    NoteSuccess(router.fleet_, server);
+    const bool once = request->once_;
+    if (once) {
+      EndOnce(step, *request, event);
+    }
+    AnswerRequest(step, *request, *event.result_, false);
+    if (once) {
+      WakeWaiting(step, key);
+    }
+    return;
+  }
+  Verdict verdict = event.result_.error();
+  request->run_state_ = Worse(request->run_state_, verdict.run_state_);
+  if (verdict.reason_ != Reason::kSendTooOld) {
+    request->need_.avoid_.push_back(server);
+    NoteFailure(router.fleet_, server, step.now_.steady_);
+  }
+  Log(step, "attempt_failed",
+      {{"request", ToString(request->id_)},
+       {"server", server},
+       {"verdict", ToString(verdict.run_state_)},
+       {"reason", ToString(verdict.reason_)},
+       {"detail", verdict.detail_}});
+  if (MayRepeat(step, *request, verdict)) {
+    ++request->retries_;
+    ++request->attempt_;
+    SendToServer(step, *request);
+    return;
+  }
+  verdict.run_state_ = request->run_state_;
+  const bool once = request->once_;
+  if (once) {
+    EndOnce(step, *request, event);
+  }
+  FailRequest(step, *request, std::move(verdict));
+  if (once) {
+    WakeWaiting(step, key);
+  }
+}
+
+void OnCallForward(Step& step,
+                   const std::string& from,
+                   const CallForward& message) {
+  Router& router = step.router_;
+  if (router.forwarded_.contains(message.request_)) {
+    return;  // Asked again while it runs; the answer will come.
+  }
+  CallAnswer refusal;
+  refusal.request_ = message.request_;
+  refusal.reason_ = Reason::kNotReady;
+  const Rule* rule =
+      router.configuration_.current_ == nullptr
+          ? nullptr
+          : MatchRule(router.configuration_.current_->rules_, message.shape_);
+  if (router.draining_ || rule == nullptr ||
+      rule->outcome_.kind_ != BackendKind::kPlain) {
+    refusal.reason_ = router.draining_ ? Reason::kDraining : Reason::kNotReady;
+    Tell(step, from, std::move(refusal));
+    return;
+  }
+  RequestArrived arrival;
+  arrival.request_ = NextRequestId(router);
+  arrival.shape_ = message.shape_;
+  arrival.content_type_ = message.content_type_;
+  arrival.body_ = message.body_;
+  Request& request = AddRequest(step, arrival, *rule);
+  request.for_peer_ = true;
+  request.peer_ = from;
+  request.peer_request_ = message.request_;
+  router.forwarded_[message.request_] = request.id_;
+  BeginPlain(step, request);
+}
+
+void OnCallAnswer(Step& step, const CallAnswer& message) {
+  Request* request = FindRequest(step.router_, message.request_);
+  if (request == nullptr || request->state_ != RequestState::kForwarded) {
+    return;
+  }
+  request->plain_server_ = message.server_;
+  if (message.has_answer_) {
+    AnswerRequest(step, *request, message.answer_, message.repeated_);
+    return;
+  }
+  Verdict verdict;
+  verdict.run_state_ = message.run_state_;
+  verdict.reason_ = message.reason_;
+  verdict.detail_ = "seat " + request->call_home_ + " decided it";
+  FailRequest(step, *request, std::move(verdict));
+}
+
+void OnForwardFailed(Step& step,
+                     const CallForward& message,
+                     const Verdict& verdict) {
+  Request* request = FindRequest(step.router_, message.request_);
+  if (request == nullptr || request->state_ != RequestState::kForwarded) {
+    return;
+  }
+  if (verdict.run_state_ != RunState::kNotRun) {
+    request->run_state_ = Worse(request->run_state_, verdict.run_state_);
+  }
+  if (request->run_state_ == RunState::kNotRun && !request->forward_sent_) {
+    FailRequest(step, *request,
+                Refused(Reason::kKeyHomeUnreachable,
+                        "seat " + request->call_home_ +
+                            " cannot be reached; take a new key"));
+  }
+}
+
+void CheckForwards(Step& step) {
+  Router& router = step.router_;
+  const TimePoint now = step.now_.steady_;
+  std::vector<RequestId> late;
+  for (auto& [id, request] : router.requests_) {
+    if (request.state_ != RequestState::kForwarded ||
+        now - request.forwarded_at_ < kForwardRetry) {
+      continue;
+    }
+    if (now - request.arrived_at_ > request.rule_->outcome_.timeout_) {
+      late.push_back(id);
+      continue;
+    }
+    // The home answers a repeat of the same key from its ledger.
+    request.forward_sent_ = true;
+    const Seat* seat = HomeSeat(request.configuration_->rules_,
+                                request.shape_.idempotency_key_);
+    if (seat != nullptr) {
+      ForwardCall(step, request, *seat);
+    }
+  }
+  for (const RequestId& id : late) {
+    Verdict verdict;
+    verdict.run_state_ = RunState::kMayHaveRun;
+    verdict.reason_ = Reason::kKeyHomeUnreachable;
+    verdict.detail_ = "the seat of the key gave no answer in time";
+    if (Request* request = FindRequest(router, id)) {
+      FailRequest(step, *request, std::move(verdict));
+    }
+  }
+}
+
+void TakeSeat(Step& step, const Configuration* before) {
+  Router& router = step.router_;
+  const RuleSet& rules = router.configuration_.current_->rules_;
+  std::string own;
+  for (const Seat& seat : rules.seats_) {
+    if (HoldsSeat(router, seat)) {
+      own = seat.name_;
+    }
+  }
+  const auto same = [](const Seat& a, const Seat& b) {
+    return a.name_ == b.name_ && a.address_ == b.address_;
+  };
+  const bool changed =
+      before != nullptr &&
+      !std::equal(rules.seats_.begin(), rules.seats_.end(),
+                  before->rules_.seats_.begin(), before->rules_.seats_.end(),
+                  same);
+  if (changed) {
+    // A changed table moves keys between seats: vouch only for later ones.
+    router.calls_.floor_ =
+        std::max(router.calls_.floor_, FreshFloor(step.now_.wall_));
+  }
+  router.calls_.seat_ = own;
+}
+
+void CloseSeat(Step& step) {
+  Router& router = step.router_;
+  if (router.calls_.seat_.empty() || router.membership_.replaced_) {
+    return;
+  }
+  SeatClosing closing;
+  closing.seat_ = router.calls_.seat_;
+  closing.interval_ = {router.calls_.floor_, step.now_.wall_};
+  closing.records_ = ClosingRecords(router.calls_);
+  for (const auto& [name, member] : router.membership_.members_) {
+    if (IsLive(member, step.now_.steady_)) {
+      Tell(step, name, closing);
+    }
+  }
+  Log(step, "seat_closed",
+      {{"seat", closing.seat_},
+       {"keys", std::to_string(closing.records_.size())}});
+}
+
+void OnSeatClosing(Step& step, const SeatClosing& message) {
+  Router& router = step.router_;
+  if (message.seat_ == router.calls_.seat_ && !router.calls_.seat_.empty()) {
+    TakeClosing(router.calls_, message.interval_, message.records_,
+                step.now_.steady_);
+    return;
+  }
+  auto& kept = router.closings_[message.seat_];
+  const auto same = [&](const SeatClosing& known) {
+    return known.interval_.until_ == message.interval_.until_;
+  };
+  if (std::none_of(kept.begin(), kept.end(), same)) {
+    kept.push_back(message);
+  }
+  if (kept.size() > kClosedIntervals) {
+    kept.erase(kept.begin());
+  }
+}
+
+void OnSeatQuery(Step& step, const std::string& from, const SeatQuery& message) {
+  const auto it = step.router_.closings_.find(message.seat_);
+  if (it == step.router_.closings_.end()) {
+    return;
+  }
+  for (const SeatClosing& closing : it->second) {
+    Tell(step, from, closing);
+  }
+}
+
+void AskClosings(Step& step) {
+  constexpr Milliseconds kAskFor{10000};
+  Router& router = step.router_;
+  const TimePoint now = step.now_.steady_;
+  if (router.calls_.seat_.empty() || now - router.started_at_ > kAskFor ||
+      now < router.next_closing_query_) {
+    return;
+  }
+  router.next_closing_query_ = now + Milliseconds(1000);
+  for (const auto& [name, member] : router.membership_.members_) {
+    if (IsLive(member, now)) {
+      Tell(step, name, SeatQuery{router.calls_.seat_});
+    }
+  }
+}
+
+}  // namespace siskindrum::core
--- /dev/null
+++ b/packages/rules/include/siskindrum/rules/rules.h
@@ -0,0 +1,46 @@
+#ifndef SISKINDRUM_RULES_RULES_H_
+#define SISKINDRUM_RULES_RULES_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "siskindrum/core/configuration.h"
+#include "siskindrum/core/rule.h"
+
+namespace siskindrum::rules {
+
+// One error or warning of a rules file.
+struct Problem {
+  int line_ = 0;    // One-based.
+  int column_ = 0;  // One-based, in bytes.
+  std::string message_;
+};
+
+struct ParsedRules {
+  core::RuleSet rules_;
+  std::vector<Problem> warnings_;
+};
+
+// Largest rules file that is read, in bytes: what the service can hold.
+inline constexpr std::size_t kMaxRulesBytes = 1024 * 1024;
+
+// Parses a rules file. One bad line refuses the whole file; every bad line is
+// reported. Thread-safe: yes.
+tl::expected<ParsedRules, std::vector<Problem>> ParseRules(
+    const std::string& text);
+
+// Parses a published rules file into a configuration; the error names line and
+// column. Thread-safe: yes.
+tl::expected<std::shared_ptr<const core::Configuration>, std::string>
+MakeConfiguration(std::uint64_t revision, const std::string& text);
+
+// Writes "FILE:LINE:COLUMN: MESSAGE". Thread-safe: yes.
+std::string Describe(const std::string& file, const Problem& problem);
+
+}  // namespace siskindrum::rules
+
+#endif  // SISKINDRUM_RULES_RULES_H_
--- /dev/null
+++ b/packages/telemetry/include/siskindrum/telemetry/metrics.h
@@ -0,0 +1,63 @@
+#ifndef SISKINDRUM_TELEMETRY_METRICS_H_
+#define SISKINDRUM_TELEMETRY_METRICS_H_
+
+#include <memory>
+#include <string>
+
+#include "siskindrum/core/router.h"
+#include "siskindrum/core/types.h"
+
+namespace siskindrum::telemetry {
+
+// Durations that the metrics keep as histograms.
+enum class Timing {
+  kFirstToken,     // Arrival to first token.
+  kBetweenTokens,  // Between two tokens of one answer.
+  kRequest,        // Arrival to end.
+  kPrefill,
+  kDecision,       // One event handled by the core.
+  kCount
+};
+
+// Counts that are not the core's own.
+enum class Counter {
+  kTokens,
+  kRingFull,
+  kDroppedTokens,
+  kCallersRefused,
+  kPeerFramesRefused,
+  kPeerBytesOut,
+  kPeerBytesIn,
+  kPlatformCalls,
+  kCount
+};
+
+// Histograms and counters of one process.
+class Metrics {
+ public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+
+  // Adds one duration. Thread-safe: yes.
+  void Observe(Timing timing, core::Nanoseconds duration);
+
+  // Adds to a counter. Thread-safe: yes.
+  void Add(Counter counter, std::uint64_t count = 1);
+
+  // Value of a counter. Thread-safe: yes.
+  std::uint64_t Get(Counter counter) const;
+
+  // Writes all in the text format of Prometheus, with the router's counters.
+  // Thread-safe: yes, as long as nothing changes `counters` meanwhile.
+  std::string ToText(const core::RouterCounters& counters) const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace siskindrum::telemetry
+
+#endif  // SISKINDRUM_TELEMETRY_METRICS_H_
--- /dev/null
+++ b/packages/telemetry/src/easylogging.cc
@@ -0,0 +1,2 @@
+// Compiles the logging library once.
+#include <easylogging++.cc>
