--- /dev/null
+++ b/packages/ctl/src/commands_p.h
@@ -0,0 +1,26 @@
+#ifndef SISKINDRUM_CTL_COMMANDS_P_H_
+#define SISKINDRUM_CTL_COMMANDS_P_H_
+
+#include <string>
+#include <vector>
+
+namespace siskindrum::ctl {
+
+using Arguments = std::vector<std::string>;
+
+inline constexpr int kExitGood = 0;
+inline constexpr int kExitBad = 1;    // The thing asked about is bad.
+inline constexpr int kExitUsage = 2;  // The command was given wrongly.
+
+// Each runs one command and returns the exit code of the process.
+int CheckCommand(const Arguments& arguments);
+int ExplainCommand(const Arguments& arguments);
+int DumpCommand(const Arguments& arguments);
+int StatusCommand(const Arguments& arguments);
+int KeyCommand(const Arguments& arguments);
+int ExperimentCommand(const Arguments& arguments);
+int LoadCommand(const Arguments& arguments);
+
+}  // namespace siskindrum::ctl
+
+#endif  // SISKINDRUM_CTL_COMMANDS_P_H_
--- a/packages/model/include/siskindrum/model/engine.h
+++ b/packages/model/include/siskindrum/model/engine.h
@@ -86,6 +86,7 @@
   RequestId request_;
   std::uint32_t attempt_ = 0;
   std::uint32_t position_ = 0;
+  std::uint32_t computed_ = 0;  // Tokens that a prefill did not find cached.
 };
 
 enum class Refusal { kFull, kRefusing, kEvicted, kCount };
--- a/packages/model/src/engine.cc
+++ b/packages/model/src/engine.cc
@@ -71,7 +71,8 @@
 void FinishPrefill(Engine& engine, std::vector<ModelEvent>& events) {
   const TimePoint at = engine.prefill_ends_;
   const PrefillJob job = engine.prefills_.front();
-  engine.prefill_tokens_done_ += UncachedTokens(engine, job);
+  const std::uint32_t computed = UncachedTokens(engine, job);
+  engine.prefill_tokens_done_ += computed;
   engine.prefills_.pop_front();
   engine.prefilling_ = false;
   RememberPrefix(engine, job.prefix_hash_);
@@ -79,7 +80,7 @@
       job.request_, job.owner_, job.tokens_,
       at + engine.settings_.evict_after_, at, false};
   events.push_back(
-      {ModelEventKind::kPrefillDone, job.request_, job.attempt_, 0});
+      {ModelEventKind::kPrefillDone, job.request_, job.attempt_, 0, computed});
   StartNextPrefill(engine, at);
 }
 
@@ -110,12 +111,12 @@
     }
     if (stream.position_ < stream.end_position_) {
       events.push_back({ModelEventKind::kToken, stream.request_,
-                        stream.attempt_, stream.position_});
+                        stream.attempt_, stream.position_, 0});
       ++stream.position_;
     }
     if (stream.position_ >= stream.end_position_) {
       events.push_back({ModelEventKind::kFinished, stream.request_,
-                        stream.attempt_, stream.position_});
+                        stream.attempt_, stream.position_, 0});
       it = engine.streams_.erase(it);
     } else {
       ++it;
