Choose cells by the expected wait, told with every answer

Cause: a cell was chosen by free decode slots; requests queued behind long prefills while other failure domains had idle prefill servers. Ruled out: faster gossip alone (the digest did not carry the prefill wait). Change: a cell's digest tells the wait for a newcomer; homes send it with each grant, refusal and queueing; askers add what they ask for meanwhile.

--- a/packages/core/include/siskindrum/core/fleet.h
+++ b/packages/core/include/siskindrum/core/fleet.h
@@ -186,6 +186,13 @@
 // of past holds. Thread-safe: no.
 double SlotReleaseRate(const Fleet& fleet, const Cell& cell, TimePoint now);
 
+// Time until the first usable prefill server of the cell is free; a long time
+// without one. Thread-safe: no.
+Nanoseconds PrefillWait(const Fleet& fleet, const Cell& cell, TimePoint now);
+
+// Prefill tokens a second of the cell's usable servers. Thread-safe: no.
+std::uint32_t PrefillRate(const Fleet& fleet, const Cell& cell, TimePoint now);
+
 // Expected prefill time of a need at a server. Thread-safe: no.
 Nanoseconds PrefillTime(const Server& server, const Need& need, TimePoint now);
 
--- a/packages/core/include/siskindrum/core/membership.h
+++ b/packages/core/include/siskindrum/core/membership.h
@@ -19,11 +19,13 @@
   bool leaving_ = false;
 };
 
-// Free decode slots and waiting requests of a cell, as its home says.
+// Room in a cell, as its home says.
 struct CellDigest {
   std::string cell_;
   std::int32_t free_slots_ = 0;
   std::uint32_t waiting_ = 0;
+  std::uint32_t wait_ms_ = 0;       // Until a newcomer's prefill would begin.
+  std::uint32_t prefill_rate_ = 0;  // Tokens a second of all its servers.
 };
 
 // What entries tell each other about one entry.
--- a/packages/core/include/siskindrum/core/peer_message.h
+++ b/packages/core/include/siskindrum/core/peer_message.h
@@ -50,17 +50,20 @@
 
 struct LeaseQueued {
   RequestId request_;
+  CellDigest digest_;  // Fresher than gossip, as in the other answers.
 };
 
 struct LeaseGrant {
   RequestId request_;
   Placement placement_;
+  CellDigest digest_;
 };
 
 struct LeaseRefuse {
   RequestId request_;
   Reason reason_ = Reason::kOverloaded;
   Milliseconds retry_after_{0};
+  CellDigest digest_;
 };
 
 // Gives a slot back, or withdraws a request that waits.
--- a/packages/core/src/fleet.cc
+++ b/packages/core/src/fleet.cc
@@ -39,6 +39,12 @@
              : kDefaultSlots;
 }
 
+std::uint32_t RateOf(const Server& server) {
+  return server.load_.prefill_tokens_per_second_ != 0
+             ? server.load_.prefill_tokens_per_second_
+             : kDefaultPrefillRate;
+}
+
 std::uint32_t PiecesHeld(const Server& server) {
   std::uint32_t sum = 0;
   for (const auto& [id, hold] : server.holds_) {
@@ -261,10 +267,7 @@
   if (HasPrefix(server, need, now)) {
     tokens -= std::min(tokens, need.prefix_tokens_);
   }
-  const std::uint32_t rate = server.load_.prefill_tokens_per_second_ != 0
-                                 ? server.load_.prefill_tokens_per_second_
-                                 : kDefaultPrefillRate;
-  const double seconds = static_cast<double>(tokens) / rate;
+  const double seconds = static_cast<double>(tokens) / RateOf(server);
   return std::chrono::duration_cast<Nanoseconds>(
       std::chrono::duration<double>(seconds));
 }
@@ -380,6 +383,30 @@
   return free;
 }
 
+Nanoseconds PrefillWait(const Fleet& fleet, const Cell& cell, TimePoint now) {
+  constexpr Nanoseconds kNever = std::chrono::minutes(1);
+  Nanoseconds least = kNever;
+  for (const std::string& name : cell.servers_) {
+    const Server& server = fleet.servers_.at(name);
+    if (HasRole(server, ServerRole::kPrefill) && IsUsable(server, now)) {
+      const Nanoseconds wait = server.prefill_free_at_ - now;
+      least = std::min(least, std::max(wait, Nanoseconds(0)));
+    }
+  }
+  return least;
+}
+
+std::uint32_t PrefillRate(const Fleet& fleet, const Cell& cell, TimePoint now) {
+  std::uint32_t rate = 0;
+  for (const std::string& name : cell.servers_) {
+    const Server& server = fleet.servers_.at(name);
+    if (HasRole(server, ServerRole::kPrefill) && IsUsable(server, now)) {
+      rate += RateOf(server);
+    }
+  }
+  return rate;
+}
+
 double SlotReleaseRate(const Fleet& fleet, const Cell& cell, TimePoint now) {
   double rate = 0;
   for (const std::string& name : cell.servers_) {
--- a/packages/core/src/lease.cc
+++ b/packages/core/src/lease.cc
@@ -11,16 +11,19 @@
 
 constexpr std::size_t kMaxCellTries = 4;
 
+// Time that a peer's answer and a far failure domain cost a request.
+constexpr Nanoseconds kPeerCost = Milliseconds(4);
+constexpr Nanoseconds kDomainCost = Milliseconds(4);
+constexpr std::uint32_t kUnknownRate = 20000;  // Prefill tokens a second.
+
 struct CellView {
   const Cell* cell_ = nullptr;
-  bool own_ = false;
-  bool same_domain_ = false;
   bool home_live_ = false;
-  int room_ = 0;  // Free slots less waiting requests.
+  Nanoseconds wait_{0};  // Until a prefill could begin there.
 };
 
-const CellDigest* FindDigest(const Member& member, const std::string& cell) {
-  for (const CellDigest& digest : member.row_.cells_) {
+CellDigest* FindDigest(MemberRow& row, const std::string& cell) {
+  for (CellDigest& digest : row.cells_) {
     if (digest.cell_ == cell) {
       return &digest;
     }
@@ -28,53 +31,46 @@
   return nullptr;
 }
 
-std::size_t QueueLength(const Router& router, const std::string& cell) {
-  const auto it = router.queues_.find(cell);
-  return it == router.queues_.end() ? 0 : it->second.waiting_.size();
+CellDigest* FindDigest(Router& router, const Cell& cell) {
+  const auto member = router.membership_.members_.find(cell.home_);
+  return member == router.membership_.members_.end()
+             ? nullptr
+             : FindDigest(member->second.row_, cell.name_);
+}
+
+// Takes what a home just said of its cell.
+void TakeDigest(Router& router, const CellDigest& digest) {
+  const auto cell = router.fleet_.cells_.find(digest.cell_);
+  if (cell == router.fleet_.cells_.end()) {
+    return;
+  }
+  if (CellDigest* known = FindDigest(router, cell->second)) {
+    *known = digest;
+  }
 }
 
 CellView ViewCell(const Step& step, const Cell& cell) {
-  const Router& router = step.router_;
-  const TimePoint now = step.now_.steady_;
+  Router& router = step.router_;
   CellView view;
   view.cell_ = &cell;
-  view.own_ = cell.home_ == router.options_.name_;
-  view.same_domain_ = cell.domain_ == router.options_.domain_;
-  if (view.own_) {
+  if (cell.home_ == router.options_.name_) {
     view.home_live_ = true;
-    view.room_ = FreeSlotsOfCell(router.fleet_, cell, now) -
-                 static_cast<int>(QueueLength(router, cell.name_));
-    return view;
-  }
-  const auto member = router.membership_.members_.find(cell.home_);
-  if (member == router.membership_.members_.end()) {
-    return view;
-  }
-  view.home_live_ = IsLive(member->second, now);
-  if (const CellDigest* digest = FindDigest(member->second, cell.name_)) {
-    view.room_ = digest->free_slots_ - static_cast<int>(digest->waiting_);
-  }
+    view.wait_ = Milliseconds(DigestCell(step, cell).wait_ms_);
+  } else {
+    const auto member = router.membership_.members_.find(cell.home_);
+    view.home_live_ = member != router.membership_.members_.end() &&
+                      IsLive(member->second, step.now_.steady_);
+    const CellDigest* digest = FindDigest(router, cell);
+    view.wait_ = kPeerCost + Milliseconds(digest == nullptr ? 0
+                                                            : digest->wait_ms_);
+  }
+  view.wait_ += cell.domain_ == router.options_.domain_ ? Nanoseconds(0)
+                                                        : kDomainCost;
   return view;
 }
 
-// Higher is better: a live home, then room, own cells first, then the own
-// failure domain, then the most room.
 bool IsBetter(const CellView& a, const CellView& b) {
-  if (a.home_live_ != b.home_live_) {
-    return a.home_live_;
-  }
-  const bool room_a = a.room_ > 0;
-  const bool room_b = b.room_ > 0;
-  if (room_a != room_b) {
-    return room_a;
-  }
-  if (room_a && a.own_ != b.own_) {
-    return a.own_;
-  }
-  if (room_a && a.same_domain_ != b.same_domain_) {
-    return a.same_domain_;
-  }
-  return a.room_ > b.room_;
+  return a.home_live_ != b.home_live_ ? a.home_live_ : a.wait_ < b.wait_;
 }
 
 const Cell* ChooseCell(const Step& step, const Request& request) {
@@ -96,22 +92,30 @@
 }
 
 LeaseRefuse Refusal(const Need& need, Reason reason, Nanoseconds wait) {
-  return {need.request_, reason, Milliseconds(ToMilliseconds(wait))};
+  return {need.request_, reason, Milliseconds(ToMilliseconds(wait)), {}};
 }
 
-void TellRefusal(Step& step, const Waiting& waiting, const LeaseRefuse& why) {
+void TellRefusal(Step& step,
+                 const Cell& cell,
+                 const Waiting& waiting,
+                 LeaseRefuse why) {
   if (waiting.remote_) {
-    Tell(step, waiting.peer_, why);
+    why.digest_ = DigestCell(step, cell);
+    Tell(step, waiting.peer_, std::move(why));
     return;
   }
   OnLeaseRefuse(step, why);
 }
 
-void TellGrant(Step& step, const Waiting& waiting, const Placement& placement) {
+void TellGrant(Step& step,
+               const Cell& cell,
+               const Waiting& waiting,
+               const Placement& placement) {
   Router& router = step.router_;
   if (waiting.remote_) {
     ++router.counters_.placed_remote_;
-    Tell(step, waiting.peer_, LeaseGrant{waiting.need_.request_, placement});
+    Tell(step, waiting.peer_,
+         LeaseGrant{waiting.need_.request_, placement, DigestCell(step, cell)});
     return;
   }
   Request* request = FindRequest(router, waiting.need_.request_);
@@ -135,7 +139,8 @@
       ExpectedWait(queue, need, FreeSlotsOfCell(router.fleet_, cell, now),
                    SlotReleaseRate(router.fleet_, cell, now));
   if (now + wait > need.deadline_) {
-    TellRefusal(step, waiting, Refusal(need, Reason::kOverloaded, wait));
+    TellRefusal(step, cell, waiting,
+                Refusal(need, Reason::kOverloaded, wait));
     return;
   }
   waiting.since_ = now;
@@ -145,7 +150,8 @@
   const std::string peer = waiting.peer_;
   const Waiting copy = waiting;
   if (!Enqueue(queue, std::move(waiting))) {
-    TellRefusal(step, copy, Refusal(copy.need_, Reason::kOverloaded, wait));
+    TellRefusal(step, cell, copy,
+                Refusal(copy.need_, Reason::kOverloaded, wait));
     return;
   }
   PumpCell(step, name);
@@ -154,7 +160,7 @@
     return w.need_.request_ == id;
   });
   if (remote && still) {
-    Tell(step, peer, LeaseQueued{id});
+    Tell(step, peer, LeaseQueued{id, DigestCell(step, cell)});
   }
 }
 
@@ -171,12 +177,12 @@
   ask.need_ = request.need_;
   ask.time_left_ =
       std::chrono::floor<Milliseconds>(request.need_.deadline_ - now);
-  // The digest is old by up to a gossip round: count what we ask meanwhile.
-  const auto member = router.membership_.members_.find(cell.home_);
-  if (member != router.membership_.members_.end()) {
-    for (CellDigest& digest : member->second.row_.cells_) {
-      digest.free_slots_ -= digest.cell_ == cell.name_ ? 1 : 0;
-    }
+  // The digest is old: count what we ask for meanwhile.
+  if (CellDigest* digest = FindDigest(router, cell)) {
+    const std::uint32_t rate =
+        digest->prefill_rate_ == 0 ? kUnknownRate : digest->prefill_rate_;
+    digest->wait_ms_ += static_cast<std::uint32_t>(
+        std::uint64_t{request.need_.prompt_tokens_} * 1000 / rate);
   }
   Tell(step, cell.home_, std::move(ask));
 }
@@ -213,6 +219,29 @@
 
 }  // namespace
 
+CellDigest DigestCell(const Step& step, const Cell& cell) {
+  const Router& router = step.router_;
+  const TimePoint now = step.now_.steady_;
+  const auto queue = router.queues_.find(cell.name_);
+  const std::size_t waiting =
+      queue == router.queues_.end() ? 0 : queue->second.waiting_.size();
+  const int free = FreeSlotsOfCell(router.fleet_, cell, now);
+  CellDigest digest;
+  digest.cell_ = cell.name_;
+  digest.free_slots_ = free;
+  digest.waiting_ = static_cast<std::uint32_t>(waiting);
+  digest.prefill_rate_ = PrefillRate(router.fleet_, cell, now);
+  const double missing = static_cast<double>(waiting) + 1.0 - free;
+  const double rate = SlotReleaseRate(router.fleet_, cell, now);
+  const double slot_ms =
+      missing <= 0 || rate <= 0 ? 0 : 1000.0 * missing / rate;
+  const auto prefill_ms =
+      ToMilliseconds(PrefillWait(router.fleet_, cell, now));
+  digest.wait_ms_ = static_cast<std::uint32_t>(
+      std::max(slot_ms, static_cast<double>(prefill_ms)));
+  return digest;
+}
+
 void SeekCell(Step& step, Request& request) {
   if (step.router_.options_.policy_ != Policy::kCellHome) {
     PlaceByBaseline(step, request);
@@ -257,7 +286,7 @@
     const auto placement = Place(router.fleet_, cell, need, now);
     if (placement.has_value()) {
       const Waiting taken = TakeWaiting(queue, next);
-      TellGrant(step, taken, *placement);
+      TellGrant(step, router.fleet_.cells_.at(cell), taken, *placement);
       continue;
     }
     const bool expired = now >= need.deadline_;
@@ -268,7 +297,9 @@
     const Reason reason = placement.error() == WaitReason::kNoServer
                               ? Reason::kNoServer
                               : Reason::kDeadline;
-    TellRefusal(step, taken, Refusal(taken.need_, reason, Nanoseconds(0)));
+    const auto home = router.fleet_.cells_.find(cell);
+    TellRefusal(step, home == router.fleet_.cells_.end() ? Cell{} : home->second,
+                taken, Refusal(taken.need_, reason, Nanoseconds(0)));
   }
 }
 
@@ -378,6 +409,7 @@
 }
 
 void OnLeaseQueued(Step& step, const LeaseQueued& message) {
+  TakeDigest(step.router_, message.digest_);
   if (Request* request = FindRequest(step.router_, message.request_)) {
     request->ask_answered_ = true;
   }
@@ -387,6 +419,7 @@
                   const std::string& from,
                   const LeaseGrant& message) {
   Router& router = step.router_;
+  TakeDigest(router, message.digest_);
   Request* request = FindRequest(router, message.request_);
   const Placement& placement = message.placement_;
   const bool wanted = request != nullptr &&
@@ -409,6 +442,7 @@
 }
 
 void OnLeaseRefuse(Step& step, const LeaseRefuse& message) {
+  TakeDigest(step.router_, message.digest_);
   Request* request = FindRequest(step.router_, message.request_);
   if (request == nullptr || request->state_ != RequestState::kWaiting) {
     return;
--- a/packages/core/src/relay.cc
+++ b/packages/core/src/relay.cc
@@ -25,16 +25,7 @@
     if (cell.home_ != self.name_) {
       continue;
     }
-    const auto queue = router.queues_.find(name);
-    CellDigest digest;
-    digest.cell_ = name;
-    digest.free_slots_ =
-        FreeSlotsOfCell(router.fleet_, cell, step.now_.steady_);
-    digest.waiting_ =
-        queue == router.queues_.end()
-            ? 0
-            : static_cast<std::uint32_t>(queue->second.waiting_.size());
-    self.cells_.push_back(std::move(digest));
+    self.cells_.push_back(DigestCell(step, cell));
     for (const std::string& server : cell.servers_) {
       const Server& state = router.fleet_.servers_.at(server);
       if (state.load_.draining_) {
--- a/packages/core/src/router_p.h
+++ b/packages/core/src/router_p.h
@@ -30,6 +30,7 @@
 Request& AddRequest(Step& step, const RequestArrived& event, const Rule& rule);
 
 // --- lease.cc: decode slots, asked of and granted by the homes of cells.
+CellDigest DigestCell(const Step& step, const Cell& cell);
 void SeekCell(Step& step, Request& request);
 void PumpCell(Step& step, const std::string& cell);
 void PumpAll(Step& step);
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -108,12 +108,15 @@
 }
 
 Json Put(const CellDigest& row) {
-  return Json::array({row.cell_, row.free_slots_, row.waiting_});
+  return Json::array({row.cell_, row.free_slots_, row.waiting_, row.wait_ms_,
+                      row.prefill_rate_});
 }
 void Take(const Json& json, CellDigest& row) {
   row.cell_ = json.at(0).get<std::string>();
   row.free_slots_ = json.at(1).get<std::int32_t>();
   row.waiting_ = json.at(2).get<std::uint32_t>();
+  row.wait_ms_ = json.at(3).get<std::uint32_t>();
+  row.prefill_rate_ = json.at(4).get<std::uint32_t>();
 }
 
 Json Put(const MemberRow& row) {
@@ -306,28 +309,32 @@
 }
 
 Json Put(const LeaseQueued& m) {
-  return Json::array({Put(m.request_)});
+  return Json::array({Put(m.request_), Put(m.digest_)});
 }
 void Take(const Json& json, LeaseQueued& m) {
   Take(json.at(0), m.request_);
+  Take(json.at(1), m.digest_);
 }
 
 Json Put(const LeaseGrant& m) {
-  return Json::array({Put(m.request_), Put(m.placement_)});
+  return Json::array({Put(m.request_), Put(m.placement_), Put(m.digest_)});
 }
 void Take(const Json& json, LeaseGrant& m) {
   Take(json.at(0), m.request_);
   Take(json.at(1), m.placement_);
+  Take(json.at(2), m.digest_);
 }
 
 Json Put(const LeaseRefuse& m) {
   return Json::array(
-      {Put(m.request_), PutEnum(m.reason_), m.retry_after_.count()});
+      {Put(m.request_), PutEnum(m.reason_), m.retry_after_.count(),
+       Put(m.digest_)});
 }
 void Take(const Json& json, LeaseRefuse& m) {
   Take(json.at(0), m.request_);
   m.reason_ = TakeEnum<Reason>(json.at(1));
   m.retry_after_ = Milliseconds(json.at(2).get<std::int64_t>());
+  Take(json.at(3), m.digest_);
 }
 
 Json Put(const LeaseRelease& m) {
