--- a/packages/core/include/siskindrum/core/fleet.h
+++ b/packages/core/include/siskindrum/core/fleet.h
@@ -73,12 +73,12 @@
   std::unordered_map<std::uint64_t, TimePoint> prefix_hints_;
 };
 
-// Servers of one service in one failure domain whose capacity one entry, the
-// home, counts alone.
+// Servers of one service whose capacity one entry, the home, counts alone: all
+// of a small service, a part of one failure domain's of a large one.
 struct Cell {
   std::string name_;
   std::string service_;
-  std::string domain_;
+  std::string domain_;  // Empty when its servers are in several.
   std::vector<std::string> servers_;
   std::string home_;  // Entry name; empty: none is live.
 };
--- a/packages/core/src/fleet.cc
+++ b/packages/core/src/fleet.cc
@@ -140,9 +140,19 @@
 // Groups usable and leaving servers alike, so that a server that starts to
 // leave does not move the others.
 std::map<std::string, Cell> MakeCells(const Fleet& fleet) {
-  std::map<std::string, std::vector<std::string>> groups;
+  std::map<std::string, std::vector<std::string>> services;
   for (const auto& [name, server] : fleet.servers_) {
-    groups[server.info_.service_ + "/" + server.info_.domain_].push_back(name);
+    services[server.info_.service_].push_back(name);
+  }
+  // A small service is one cell, so that one home sees all of it; a large one
+  // is divided by failure domain first.
+  std::map<std::string, std::vector<std::string>> groups;
+  for (const auto& [service, names] : services) {
+    for (const std::string& name : names) {
+      const std::string& domain = fleet.servers_.at(name).info_.domain_;
+      groups[names.size() <= kCellServers ? service : service + "/" + domain]
+          .push_back(name);
+    }
   }
   std::map<std::string, Cell> cells;
   for (const auto& [group, names] : groups) {
@@ -155,7 +165,9 @@
       Cell& cell = cells[ids[static_cast<std::size_t>(RendezvousPick(name, ids))]];
       const ServerInfo& info = fleet.servers_.at(name).info_;
       cell.service_ = info.service_;
-      cell.domain_ = info.domain_;
+      cell.domain_ = cell.servers_.empty() || cell.domain_ == info.domain_
+                         ? info.domain_
+                         : "";
       cell.servers_.push_back(name);
     }
   }
--- a/packages/core/src/lease.cc
+++ b/packages/core/src/lease.cc
@@ -64,8 +64,9 @@
     view.wait_ = kPeerCost + Milliseconds(digest == nullptr ? 0
                                                             : digest->wait_ms_);
   }
-  view.wait_ += cell.domain_ == router.options_.domain_ ? Nanoseconds(0)
-                                                        : kDomainCost;
+  const bool far =
+      !cell.domain_.empty() && cell.domain_ != router.options_.domain_;
+  view.wait_ += far ? kDomainCost : Nanoseconds(0);
   return view;
 }
 
--- a/packages/ctl/include/siskindrum/ctl/scenario.h
+++ b/packages/ctl/include/siskindrum/ctl/scenario.h
@@ -84,7 +84,8 @@
   std::string message_;
 };
 
-// Reads a scenario file; "rules" names a rules file beside it. Thread-safe: yes.
+// Reads a scenario file. "rules" names a rules file and "base" a scenario to lay
+// this one over, both relative to the file. Thread-safe: yes.
 tl::expected<Scenario, ScenarioError> LoadScenario(const std::string& file);
 
 // Writes "FILE: FIELD: MESSAGE". Thread-safe: yes.
--- a/packages/ctl/src/scenario.cc
+++ b/packages/ctl/src/scenario.cc
@@ -1,5 +1,6 @@
 #include "siskindrum/ctl/scenario.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <set>
@@ -231,6 +232,32 @@
   }
 }
 
+// Lays a scenario over the one that it names as its base.
+bool ApplyBase(const std::string& file, Json* json) {
+  const auto named = json->find("base");
+  if (named == json->end()) {
+    return true;
+  }
+  if (!named->is_string()) {
+    return false;
+  }
+  const auto path =
+      std::filesystem::path(file).parent_path() / named->get<std::string>();
+  std::string text;
+  if (!std::filesystem::is_regular_file(path) ||
+      !ReadFile(path.string(), &text)) {
+    return false;
+  }
+  Json base = Json::parse(text, nullptr, false);
+  if (!base.is_object() || base.contains("base")) {
+    return false;
+  }
+  json->erase("base");
+  base.merge_patch(*json);
+  *json = std::move(base);
+  return true;
+}
+
 }  // namespace
 
 tl::expected<Scenario, ScenarioError> LoadScenario(const std::string& file) {
@@ -241,11 +268,16 @@
     error.message_ = "the file cannot be read";
     return tl::unexpected(error);
   }
-  const Json json = Json::parse(text, nullptr, false);
+  Json json = Json::parse(text, nullptr, false);
   if (!json.is_object()) {
     error.message_ = "expected one JSON object";
     return tl::unexpected(error);
   }
+  if (!ApplyBase(file, &json)) {
+    error.field_ = "base";
+    error.message_ = "expected the name of a scenario file beside this one";
+    return tl::unexpected(error);
+  }
   Scenario scenario;
   Reader reader{json, "", error};
   ReadScenario(reader, file, scenario);
