Remember released holds; prefer servers of the own failure domain

Cause: a report 2 s late still listed ended requests, which were counted as foreign, so slots stood empty; streams across domains were lost in a cut. Ruled out: trusting the home's own count alone (another entry's streams after a takeover would not be seen). Change: holds given back are remembered for 10 s; near servers rank higher by 30 ms of prefill or 4 slots; the experiment's balancer checks readiness.

--- a/packages/core/include/siskindrum/core/fleet.h
+++ b/packages/core/include/siskindrum/core/fleet.h
@@ -66,6 +66,8 @@
   TimePoint load_at_{};
   std::uint32_t foreign_ = 0;  // Requests held there that no hold stands for.
   std::unordered_map<RequestId, Hold, RequestIdHash> holds_;
+  // Holds given back lately: a late report may still list them.
+  std::unordered_map<RequestId, TimePoint, RequestIdHash> released_;
   TimePoint prefill_free_at_{};
   std::uint32_t failures_ = 0;
   TimePoint suspended_until_{};
@@ -92,6 +94,7 @@
 struct Need {
   RequestId request_;
   std::string owner_name_;
+  std::string owner_domain_;  // Servers there are preferred.
   std::string organisation_;
   std::uint32_t prompt_tokens_ = 0;
   std::uint32_t pieces_ = 0;
--- a/packages/core/include/siskindrum/core/limits.h
+++ b/packages/core/include/siskindrum/core/limits.h
@@ -19,6 +19,10 @@
 inline constexpr Milliseconds kSuspendMaximum{8000};
 inline constexpr Milliseconds kHoldCheckAge{3000};    // Before a hold may be dropped.
 inline constexpr int kHoldMissedPolls = 3;
+inline constexpr Milliseconds kReleasedMemory{10000};  // Beyond any lag of load.
+// What a server in the caller's entry's own failure domain is worth.
+inline constexpr Milliseconds kNearPrefill{30};
+inline constexpr double kNearSlots = 4.0;
 inline constexpr Milliseconds kPrefixHintAge{20000};
 inline constexpr std::size_t kPrefixHintsPerServer = 256;
 
--- a/packages/core/src/fleet.cc
+++ b/packages/core/src/fleet.cc
@@ -71,8 +71,13 @@
 struct PrefillChoice {
   Server* server_ = nullptr;
   TimePoint done_{};
+  TimePoint rank_{};  // The earliest wins.
 };
 
+bool IsNear(const Server& server, const Need& need) {
+  return server.info_.domain_ == need.owner_domain_;
+}
+
 PrefillChoice ChoosePrefill(Fleet& fleet,
                             const Cell& cell,
                             const Need& need,
@@ -91,8 +96,10 @@
                            " ms" +
                            (HasPrefix(server, need, now) ? ", prefix cached"
                                                          : "")});
-    if (best.server_ == nullptr || done < best.done_) {
-      best = {&server, done};
+    const TimePoint rank =
+        IsNear(server, need) ? done : done + Nanoseconds(kNearPrefill);
+    if (best.server_ == nullptr || rank < best.rank_) {
+      best = {&server, done, rank};
     }
   }
   return best;
@@ -105,7 +112,7 @@
                      TimePoint now,
                      std::vector<Candidate>& weighed) {
   Server* best = nullptr;
-  double best_free = 0;
+  double best_rank = 0;
   for (const std::string& name : cell.servers_) {
     Server& server = fleet.servers_.at(name);
     if (!Suits(server, ServerRole::kDecode, need, now)) {
@@ -122,9 +129,10 @@
     weighed.push_back({name, "decode",
                        std::to_string(FreeSlots(server)) + " slots free" +
                            (memory ? "" : ", no memory")});
-    if (memory && free >= 1.0 && (best == nullptr || free > best_free)) {
+    const double rank = IsNear(server, need) ? free + kNearSlots : free;
+    if (memory && free >= 1.0 && (best == nullptr || rank > best_rank)) {
       best = &server;
-      best_free = free;
+      best_rank = rank;
     }
   }
   return best;
@@ -248,11 +256,16 @@
   server.has_load_ = true;
   server.load_at_ = now;
   server.info_.leaving_ = server.info_.leaving_ || report.draining_;
+  std::erase_if(server.released_, [&](const auto& row) {
+    return now - row.second > kReleasedMemory;
+  });
   std::uint32_t foreign = 0;
   std::set<RequestId> held;
   for (const HeldRequest& row : report.held_) {
     held.insert(row.request_);
-    foreign += server.holds_.contains(row.request_) ? 0 : 1;
+    const bool known = server.holds_.contains(row.request_) ||
+                       server.released_.contains(row.request_);
+    foreign += known ? 0 : 1;
   }
   server.foreign_ = std::min(foreign, report.running_);
   for (auto it = server.holds_.begin(); it != server.holds_.end();) {
@@ -342,6 +355,7 @@
   server.mean_hold_seconds_ +=
       kHoldSmoothing * (std::max(seconds, 0.05) - server.mean_hold_seconds_);
   server.holds_.erase(hold);
+  server.released_[request] = now;
 }
 
 void NoteFailure(Fleet& fleet, const std::string& name, TimePoint now) {
--- a/packages/core/src/lifecycle.cc
+++ b/packages/core/src/lifecycle.cc
@@ -49,6 +49,7 @@
   Need& need = request.need_;
   need.request_ = request.id_;
   need.owner_name_ = step.router_.options_.name_;
+  need.owner_domain_ = step.router_.options_.domain_;
   need.organisation_ = shape.organisation_;
   need.prompt_tokens_ = shape.prompt_tokens_;
   need.pieces_ = PiecesFor(shape.prompt_tokens_ + shape.max_tokens_);
--- a/packages/ctl/src/experiment.cc
+++ b/packages/ctl/src/experiment.cc
@@ -434,8 +434,10 @@
 std::size_t Simulation::PickEntry() {
   for (std::size_t tries = 0; tries < entries_.size(); ++tries) {
     const std::size_t index = next_entry_++ % entries_.size();
-    // The balancer sees dead and leaving entries, not frozen ones.
-    if (!entries_[index]->dead_ && !entries_[index]->leaving_) {
+    // The balancer's health check sees dead, leaving and not yet ready
+    // entries, but not frozen ones.
+    const SimEntry& entry = *entries_[index];
+    if (!entry.dead_ && !entry.leaving_ && core::IsReady(entry.router_)) {
       return index;
     }
   }
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -164,7 +164,7 @@
                       need.prompt_tokens_, need.pieces_, need.share_,
                       need.prefix_hash_, need.prefix_tokens_,
                       PutEnum(need.priority_), PutEnum(need.prefer_),
-                      need.decode_only_, need.avoid_});
+                      need.decode_only_, need.avoid_, need.owner_domain_});
 }
 void Take(const Json& json, Need& need) {
   Take(json.at(0), need.request_);
@@ -179,6 +179,7 @@
   need.prefer_ = TakeEnum<Preference>(json.at(9));
   need.decode_only_ = json.at(10).get<bool>();
   need.avoid_ = json.at(11).get<std::vector<std::string>>();
+  need.owner_domain_ = json.at(12).get<std::string>();
 }
 
 Json Put(const ServerInfo& info) {
