Wait for a home that leaves or has no report yet

Cause: requests were refused while homes moved in a rolling replacement: the old home refused, the new one had no load report, and no other cell was left. Ruled out: handing the ledger of slots over (the engines' own reports bring it within a poll, and a killed home could not hand anything over). Change: such refusals are looked at again after 20 ms until the deadline; a home without reports lets requests wait; ticks look at attended requests only.

--- a/packages/core/include/siskindrum/core/fleet.h
+++ b/packages/core/include/siskindrum/core/fleet.h
@@ -124,7 +124,13 @@
   std::vector<Candidate> weighed_;
 };
 
-enum class WaitReason { kNoServer, kNoDecodeSlot, kPrefillBusy, kTooLate, kCount };
+enum class WaitReason {
+  kNoServer,
+  kNoReport,  // Usable servers have not told their load yet.
+  kNoDecodeSlot,
+  kTooLate,
+  kCount
+};
 
 // Memory pieces of a request with this many tokens. Thread-safe: yes.
 std::uint32_t PiecesFor(std::uint32_t tokens);
--- a/packages/core/include/siskindrum/core/limits.h
+++ b/packages/core/include/siskindrum/core/limits.h
@@ -28,6 +28,7 @@
 
 inline constexpr Milliseconds kDefaultWait{30000};    // Without a first token target.
 inline constexpr Milliseconds kGrantTimeout{250};     // Until a silent home is passed over.
+inline constexpr Milliseconds kSeekAgain{20};         // After a home that left.
 inline constexpr Milliseconds kPumpInterval{10};
 inline constexpr std::size_t kQueueLimit = 4096;      // Waiting requests per cell.
 
--- a/packages/core/include/siskindrum/core/router.h
+++ b/packages/core/include/siskindrum/core/router.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -67,6 +68,7 @@
   std::string asked_home_;
   bool ask_answered_ = false;
   TimePoint asked_at_{};
+  TimePoint seek_at_{};     // While placing: when to look again.
   std::vector<std::string> tried_cells_;
   std::string handle_;
   TimePoint handle_until_{};
@@ -164,8 +166,9 @@
   std::map<std::string, std::vector<SeatClosing>> closings_;  // By seat.
   TimePoint next_closing_query_{};
   std::unordered_map<RequestId, Request, RequestIdHash> requests_;
+  // Requests that wait for a peer, looked at with every tick.
+  std::set<RequestId> attended_;
   std::map<CancelKey, PendingCancel> cancels_;
-  std::map<CancelKey, TimePoint> unclaimed_;  // Holds without a known owner.
   std::map<RequestId, RequestId> forwarded_;  // Peer's request to ours.
   std::unordered_map<RequestId, DecisionRecord, RequestIdHash> decisions_;
   std::deque<RequestId> decision_order_;
--- a/packages/core/src/fleet.cc
+++ b/packages/core/src/fleet.cc
@@ -68,6 +68,20 @@
   return it != server.prefix_hints_.end() && now - it->second < kPrefixHintAge;
 }
 
+// Why no server of a role suits: none may be used, or none has reported yet.
+WaitReason WhyNone(const Fleet& fleet,
+                   const Cell& cell,
+                   ServerRole role,
+                   TimePoint now) {
+  for (const std::string& name : cell.servers_) {
+    const Server& server = fleet.servers_.at(name);
+    if (HasRole(server, role) && IsUsable(server, now) && !server.has_load_) {
+      return WaitReason::kNoReport;
+    }
+  }
+  return WaitReason::kNoServer;
+}
+
 struct PrefillChoice {
   Server* server_ = nullptr;
   TimePoint done_{};
@@ -313,7 +327,7 @@
   if (!need.decode_only_) {
     prefill = ChoosePrefill(fleet, cell, need, now, placement.weighed_);
     if (prefill.server_ == nullptr) {
-      return tl::unexpected(WaitReason::kNoServer);
+      return tl::unexpected(WhyNone(fleet, cell, ServerRole::kPrefill, now));
     }
     ready = prefill.done_;
   }
--- a/packages/core/src/lease.cc
+++ b/packages/core/src/lease.cc
@@ -173,6 +173,7 @@
   request.asked_home_ = cell.home_;
   request.ask_answered_ = false;
   request.asked_at_ = now;
+  router.attended_.insert(request.id_);
   LeaseRequest ask;
   ask.cell_ = cell.name_;
   ask.need_ = request.need_;
@@ -291,7 +292,9 @@
       continue;
     }
     const bool expired = now >= need.deadline_;
-    if (placement.error() == WaitReason::kNoDecodeSlot && !expired) {
+    const bool may_wait = placement.error() == WaitReason::kNoDecodeSlot ||
+                          placement.error() == WaitReason::kNoReport;
+    if (may_wait && !expired) {
       return;
     }
     const Waiting taken = TakeWaiting(queue, next);
@@ -365,23 +368,25 @@
 void CheckAsked(Step& step) {
   Router& router = step.router_;
   const TimePoint now = step.now_.steady_;
-  std::vector<RequestId> silent;
-  std::vector<RequestId> expired;
-  for (const auto& [id, request] : router.requests_) {
-    const bool asked = request.state_ == RequestState::kWaiting &&
-                       !request.asked_home_.empty();
-    if (asked && !request.ask_answered_ &&
-        now - request.asked_at_ > kGrantTimeout) {
-      silent.push_back(id);
-    } else if (asked && now >= request.need_.deadline_) {
-      expired.push_back(id);
-    }
-  }
-  for (const RequestId& id : silent) {
-    OnLeaseSendFailed(step, LeaseRequest{"", router.requests_[id].need_, {}});
-  }
-  for (const RequestId& id : expired) {
-    if (Request* request = FindRequest(router, id)) {
+  const std::vector<RequestId> attended(router.attended_.begin(),
+                                        router.attended_.end());
+  for (const RequestId& id : attended) {
+    Request* request = FindRequest(router, id);
+    if (request == nullptr) {
+      router.attended_.erase(id);
+    } else if (request->state_ == RequestState::kPlacing) {
+      if (now >= request->seek_at_) {
+        SeekCell(step, *request);
+      }
+    } else if (request->state_ != RequestState::kWaiting ||
+               request->asked_home_.empty()) {
+      if (request->state_ != RequestState::kForwarded) {
+        router.attended_.erase(id);
+      }
+    } else if (!request->ask_answered_ &&
+               now - request->asked_at_ > kGrantTimeout) {
+      OnLeaseSendFailed(step, LeaseRequest{"", request->need_, {}});
+    } else if (now >= request->need_.deadline_) {
       GiveBack(step, *request, false);
       FailPlacement(step, *request,
                     Refusal(request->need_, Reason::kDeadline, Nanoseconds(0)));
@@ -448,6 +453,15 @@
   if (request == nullptr || request->state_ != RequestState::kWaiting) {
     return;
   }
+  if (message.reason_ == Reason::kDraining &&
+      step.now_.steady_ < request->need_.deadline_) {
+    // The home has left or has not taken over yet: views are about to agree.
+    std::erase(request->tried_cells_, request->asked_cell_);
+    request->state_ = RequestState::kPlacing;
+    request->seek_at_ = step.now_.steady_ + kSeekAgain;
+    step.router_.attended_.insert(request->id_);
+    return;
+  }
   const bool may_seek = request->tried_cells_.size() < kMaxCellTries &&
                         ChooseCell(step, *request) != nullptr &&
                         step.now_.steady_ < request->need_.deadline_;
--- a/packages/core/src/plain.cc
+++ b/packages/core/src/plain.cc
@@ -149,6 +149,7 @@
 
 void ForwardCall(Step& step, Request& request, const Seat& seat) {
   request.state_ = RequestState::kForwarded;
+  step.router_.attended_.insert(request.id_);
   request.call_home_ = seat.name_;
   request.forwarded_at_ = step.now_.steady_;
   if (DecisionRecord* record = MutableDecision(step.router_, request.id_)) {
@@ -374,21 +375,22 @@
   Router& router = step.router_;
   const TimePoint now = step.now_.steady_;
   std::vector<RequestId> late;
-  for (auto& [id, request] : router.requests_) {
-    if (request.state_ != RequestState::kForwarded ||
-        now - request.forwarded_at_ < kForwardRetry) {
+  for (const RequestId& id : router.attended_) {
+    Request* request = FindRequest(router, id);
+    if (request == nullptr || request->state_ != RequestState::kForwarded ||
+        now - request->forwarded_at_ < kForwardRetry) {
       continue;
     }
-    if (now - request.arrived_at_ > request.rule_->outcome_.timeout_) {
+    if (now - request->arrived_at_ > request->rule_->outcome_.timeout_) {
       late.push_back(id);
       continue;
     }
     // The home answers a repeat of the same key from its ledger.
-    request.forward_sent_ = true;
-    const Seat* seat = HomeSeat(request.configuration_->rules_,
-                                request.shape_.idempotency_key_);
+    request->forward_sent_ = true;
+    const Seat* seat = HomeSeat(request->configuration_->rules_,
+                                request->shape_.idempotency_key_);
     if (seat != nullptr) {
-      ForwardCall(step, request, *seat);
+      ForwardCall(step, *request, *seat);
     }
   }
   for (const RequestId& id : late) {
