--- a/packages/core/include/siskindrum/core/call.h
+++ b/packages/core/include/siskindrum/core/call.h
@@ -66,7 +66,7 @@
   kSend,             // First time: send it, the record is written.
   kWait,             // Another request is sending it.
   kRepeatAnswer,     // Finished: give the first answer.
-  kRefuseNotRun,     // Not run, and this incarnation did not send it.
+  kRefuseNotRun,     // Proved: the key was never used and will not be.
   kRefuseMayHaveRun, // Unknown; never send.
   kCount
 };
--- a/packages/core/include/siskindrum/core/peer_message.h
+++ b/packages/core/include/siskindrum/core/peer_message.h
@@ -98,7 +98,9 @@
   RunState run_state_ = RunState::kNotRun;
   Reason reason_ = Reason::kNone;
   bool has_answer_ = false;
-  bool repeated_ = false;  // The answer of an earlier request.
+  bool repeated_ = false;    // The answer of an earlier request.
+  bool key_unused_ = false;  // As in Verdict.
+  bool vouched_ = false;     // Decided from the seat's ledger.
   PlainAnswer answer_;
   std::string server_;
 };
--- a/packages/core/include/siskindrum/core/router.h
+++ b/packages/core/include/siskindrum/core/router.h
@@ -84,7 +84,7 @@
   bool caller_gone_ = false;
   bool prefill_started_ = false;
   TimePoint forwarded_at_{};
-  bool forward_sent_ = false;
+  bool forward_sent_ = false;  // An earlier ask may have been taken.
   RunState run_state_ = RunState::kNotRun;
 };
 
--- a/packages/core/include/siskindrum/core/verdict.h
+++ b/packages/core/include/siskindrum/core/verdict.h
@@ -45,6 +45,10 @@
   Reason reason_ = Reason::kNone;
   std::string detail_;
   Milliseconds retry_after_{0};  // Zero: no advice.
+  // Proved that no request ran with this idempotency key, nor ever will: the
+  // caller needs a new one. The run state speaks of this request alone; unless
+  // the key is proved unused, the caller repeats it with the same key.
+  bool key_unused_ = false;
 };
 
 // Returns "not_run", "may_have_run" or "ran". Thread-safe: yes.
--- a/packages/core/src/call.cc
+++ b/packages/core/src/call.cc
@@ -83,10 +83,14 @@
     }
     return {CallDecision::kRefuseMayHaveRun, Reason::kKeyUnknownPast, nullptr};
   }
-  // A key from the future would outlive this incarnation's floor.
-  if (birth > now.wall_ + kClockAllowance) {
+  // A key from the future would outlive this incarnation's floor. Another clock
+  // may have taken it, unless it is beyond any.
+  if (birth > now.wall_ + 2 * kClockAllowance) {
     return {CallDecision::kRefuseNotRun, Reason::kKeyMalformed, nullptr};
   }
+  if (birth > now.wall_ + kClockAllowance) {
+    return {CallDecision::kRefuseMayHaveRun, Reason::kKeyMalformed, nullptr};
+  }
   CallRecord& record = ledger.records_[key];
   record.request_ = request;
   record.changed_at_ = now.steady_;
--- a/packages/core/src/lifecycle.cc
+++ b/packages/core/src/lifecycle.cc
@@ -408,6 +408,9 @@
     answer.request_ = request.peer_request_;
     answer.run_state_ = verdict.run_state_;
     answer.reason_ = verdict.reason_;
+    answer.key_unused_ = verdict.key_unused_;
+    answer.vouched_ = verdict.reason_ != Reason::kNotReady &&
+                      verdict.reason_ != Reason::kKeyHomeUnreachable;
     Tell(step, request.peer_, std::move(answer));
   }
   const std::string outcome = std::string("failed_") + ToString(verdict.reason_);
--- a/packages/core/src/plain.cc
+++ b/packages/core/src/plain.cc
@@ -42,7 +42,12 @@
 }
 
 Verdict Refused(Reason reason, const std::string& detail) {
-  return {RunState::kNotRun, reason, detail, Milliseconds(0)};
+  return {RunState::kNotRun, reason, detail, Milliseconds(0), false};
+}
+
+// A refusal that proves the key unused.
+Verdict KeyUnused(Reason reason, const std::string& detail) {
+  return {RunState::kNotRun, reason, detail, Milliseconds(0), true};
 }
 
 void SendToServer(Step& step, Request& request) {
@@ -110,10 +115,15 @@
 // Decides a keyed call as the holder of its seat.
 void DecideCall(Step& step, Request& request) {
   Router& router = step.router_;
-  if (IsSettling(step) || router.membership_.replaced_ || router.drained_) {
+  const bool unsure = IsSettling(step) || router.membership_.replaced_ ||
+                      router.draining_;
+  const bool known =
+      router.calls_.records_.contains(request.shape_.idempotency_key_);
+  if (unsure && !known) {
     FailRequest(step, request,
                 Refused(Reason::kNotReady,
-                        "this entry cannot vouch for keys at present"));
+                        "this entry cannot vouch for keys at present; repeat "
+                        "it with the same key"));
     return;
   }
   const CallJudgement judgement = JudgeCall(
@@ -132,10 +142,16 @@
       return;
     }
     case CallDecision::kRefuseNotRun:
-      FailRequest(step, request,
-                  Refused(judgement.reason_,
-                          "the key was not used and will not be; take a new "
-                          "UUIDv7 key"));
+      if (judgement.reason_ == Reason::kKeyClosed) {
+        FailRequest(step, request,
+                    KeyUnused(judgement.reason_,
+                              "the key was never used and will not be; take "
+                              "a new one"));
+      } else {
+        FailRequest(step, request,
+                    Refused(judgement.reason_,
+                            "the key was born in the future"));
+      }
       return;
     default: {
       Verdict verdict;
@@ -193,7 +209,7 @@
   WallTime birth;
   if (!KeyBirth(request.shape_.idempotency_key_, &birth)) {
     FailRequest(step, request,
-                Refused(Reason::kKeyMalformed,
+                KeyUnused(Reason::kKeyMalformed,
                         "Idempotency-Key must be a UUIDv7, which carries the "
                         "time of its birth"));
     return;
@@ -317,9 +333,13 @@
       router.configuration_.current_ == nullptr
           ? nullptr
           : MatchRule(router.configuration_.current_->rules_, message.shape_);
-  if (router.draining_ || rule == nullptr ||
+  // Repeats of a known key are answered while draining, too.
+  const bool closed =
+      router.draining_ && !router.calls_.records_.contains(
+                              LowerCase(message.shape_.idempotency_key_));
+  if (closed || rule == nullptr ||
       rule->outcome_.kind_ != BackendKind::kPlain) {
-    refusal.reason_ = router.draining_ ? Reason::kDraining : Reason::kNotReady;
+    refusal.reason_ = closed ? Reason::kDraining : Reason::kNotReady;
     Tell(step, from, std::move(refusal));
     return;
   }
@@ -341,6 +361,11 @@
   if (request == nullptr || request->state_ != RequestState::kForwarded) {
     return;
   }
+  const bool refused = !message.has_answer_ && !message.vouched_ &&
+                       message.run_state_ == RunState::kNotRun;
+  if (refused && request->forward_sent_) {
+    return;  // Proves nothing of the earlier ask: ask on until the timeout.
+  }
   request->plain_server_ = message.server_;
   if (message.has_answer_) {
     AnswerRequest(step, *request, message.answer_, message.repeated_);
@@ -349,6 +374,7 @@
   Verdict verdict;
   verdict.run_state_ = message.run_state_;
   verdict.reason_ = message.reason_;
+  verdict.key_unused_ = message.key_unused_;
   verdict.detail_ = "seat " + request->call_home_ + " decided it";
   FailRequest(step, *request, std::move(verdict));
 }
@@ -367,7 +393,7 @@
     FailRequest(step, *request,
                 Refused(Reason::kKeyHomeUnreachable,
                         "seat " + request->call_home_ +
-                            " cannot be reached; take a new key"));
+                            " cannot be reached; repeat it with the same key"));
   }
 }
 
--- /dev/null
+++ b/packages/core/test/call_test.cc
@@ -0,0 +1,142 @@
+#include <boost/test/unit_test.hpp>
+
+#include "siskindrum/core/call.h"
+#include "siskindrum/core/limits.h"
+
+namespace siskindrum::core {
+namespace {
+
+struct CallLedgerFixture {
+  CallLedger ledger_;
+  Now now_{TimePoint{} + std::chrono::hours(1),
+           WallTime(std::chrono::seconds(1'700'000'000))};
+  RequestId first_{1, 1};
+  RequestId second_{1, 2};
+
+  CallLedgerFixture() {
+    ledger_.seat_ = "seat";
+    ledger_.floor_ = now_.wall_;
+    Pass(Milliseconds(5000));
+  }
+  void Pass(Milliseconds time) {
+    now_.steady_ += time;
+    now_.wall_ += time;
+  }
+  std::string KeyBornAt(WallTime birth) const {
+    const auto ms =
+        static_cast<unsigned long long>(birth.time_since_epoch().count());
+    char buffer[64];
+    std::snprintf(buffer, sizeof(buffer), "%08llx-%04llx-7abc-8000-000000000001",
+                  ms >> 16, ms & 0xFFFFULL);
+    return buffer;
+  }
+  CallDecision Judge(const std::string& key, const RequestId& request) {
+    return JudgeCall(ledger_, key, request, now_).decision_;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(CallLedgerTest, CallLedgerFixture)
+
+BOOST_AUTO_TEST_CASE(KeyBirth_WhenNotVersionSeven_IsRefused) {
+  WallTime birth;
+  BOOST_TEST(!KeyBirth("", &birth));
+  BOOST_TEST(!KeyBirth("booking-17", &birth));
+  BOOST_TEST(!KeyBirth("018bcfe5-6800-4abc-8000-000000000001", &birth));
+  BOOST_TEST(!KeyBirth("018bcfe5x6800-7abc-8000-000000000001", &birth));
+  BOOST_TEST(KeyBirth(KeyBornAt(now_.wall_), &birth));
+  BOOST_TEST((birth == now_.wall_));
+}
+
+BOOST_AUTO_TEST_CASE(JudgeCall_WhenKeyIsNew_SendsOnce) {
+  const std::string key = KeyBornAt(now_.wall_);
+  BOOST_TEST((Judge(key, first_) == CallDecision::kSend));
+  BOOST_TEST((Judge(key, second_) == CallDecision::kWait));
+}
+
+BOOST_AUTO_TEST_CASE(JudgeCall_WhenKeyWasAnswered_RepeatsFirstAnswer) {
+  const std::string key = KeyBornAt(now_.wall_);
+  Judge(key, first_);
+  const PlainAnswer answer{201, "text/plain", "booked"};
+  FinishCall(ledger_, key, first_, RunState::kRan, &answer, now_.steady_);
+  const CallJudgement repeat = JudgeCall(ledger_, key, second_, now_);
+  BOOST_TEST((repeat.decision_ == CallDecision::kRepeatAnswer));
+  BOOST_TEST(repeat.record_->answer_.body_ == "booked");
+}
+
+BOOST_AUTO_TEST_CASE(JudgeCall_WhenOutcomeIsUnknown_NeverSendsAgain) {
+  const std::string key = KeyBornAt(now_.wall_);
+  Judge(key, first_);
+  FinishCall(ledger_, key, first_, RunState::kMayHaveRun, nullptr,
+             now_.steady_);
+  BOOST_TEST((Judge(key, second_) == CallDecision::kRefuseMayHaveRun));
+}
+
+BOOST_AUTO_TEST_CASE(JudgeCall_WhenFirstSendProvedNotRun_SendsAgain) {
+  const std::string key = KeyBornAt(now_.wall_);
+  Judge(key, first_);
+  FinishCall(ledger_, key, first_, RunState::kNotRun, nullptr, now_.steady_);
+  BOOST_TEST((Judge(key, second_) == CallDecision::kSend));
+}
+
+BOOST_AUTO_TEST_CASE(JudgeCall_WhenKeyIsOlderThanFloor_NeverSends) {
+  const CallJudgement judgement = JudgeCall(
+      ledger_, KeyBornAt(ledger_.floor_), first_, now_);
+  BOOST_TEST((judgement.decision_ == CallDecision::kRefuseMayHaveRun));
+  BOOST_TEST((judgement.reason_ == Reason::kKeyUnknownPast));
+}
+
+BOOST_AUTO_TEST_CASE(JudgeCall_WhenKeyIsFromTheFuture_NeverSends) {
+  const std::string near =
+      KeyBornAt(now_.wall_ + kClockAllowance + Milliseconds(1));
+  BOOST_TEST((Judge(near, first_) == CallDecision::kRefuseMayHaveRun));
+  const std::string far =
+      KeyBornAt(now_.wall_ + 2 * kClockAllowance + Milliseconds(1));
+  BOOST_TEST((Judge(far, first_) == CallDecision::kRefuseNotRun));
+}
+
+BOOST_AUTO_TEST_CASE(JudgeCall_WhenEarlierHolderClosedItsSeat_TellsNotRun) {
+  const WallTime from = ledger_.floor_ - std::chrono::minutes(2);
+  const WallTime until = ledger_.floor_ - std::chrono::minutes(1);
+  const std::string run = KeyBornAt(from + Milliseconds(10));
+  const std::string fresh = KeyBornAt(from + Milliseconds(20));
+  TakeClosing(ledger_, {from, until},
+              {{run, CallState::kAnswered, {200, "", "first"}, true}},
+              now_.steady_);
+  BOOST_TEST((Judge(run, first_) == CallDecision::kRepeatAnswer));
+  const CallJudgement judgement = JudgeCall(ledger_, fresh, first_, now_);
+  BOOST_TEST((judgement.decision_ == CallDecision::kRefuseNotRun));
+  BOOST_TEST((judgement.reason_ == Reason::kKeyClosed));
+  const std::string between = KeyBornAt(until + Milliseconds(1));
+  BOOST_TEST((Judge(between, first_) == CallDecision::kRefuseMayHaveRun));
+}
+
+BOOST_AUTO_TEST_CASE(TrimCalls_WhenRecordsAreOld_RaisesTheFloorPastThem) {
+  const std::string key = KeyBornAt(now_.wall_);
+  Judge(key, first_);
+  const PlainAnswer answer{200, "", ""};
+  FinishCall(ledger_, key, first_, RunState::kRan, &answer, now_.steady_);
+  Pass(kCallRecordAge + Milliseconds(1));
+  TrimCalls(ledger_, now_);
+  BOOST_TEST(ledger_.records_.empty());
+  BOOST_TEST((Judge(key, second_) == CallDecision::kRefuseMayHaveRun));
+}
+
+BOOST_AUTO_TEST_CASE(TrimCalls_WhenACallIsOpen_KeepsIt) {
+  const std::string key = KeyBornAt(now_.wall_);
+  Judge(key, first_);
+  Pass(kCallRecordAge * 2);
+  TrimCalls(ledger_, now_);
+  BOOST_TEST(ledger_.records_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ClosingRecords_WhenACallIsOpen_ListsItAsUnknown) {
+  Judge(KeyBornAt(now_.wall_), first_);
+  const auto rows = ClosingRecords(ledger_);
+  BOOST_REQUIRE(rows.size() == 1U);
+  BOOST_TEST((rows[0].state_ == CallState::kUnknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace siskindrum::core
--- /dev/null
+++ b/packages/core/test/world_test.cc
@@ -0,0 +1,419 @@
+// The fakes of World; the tests that use it are in the files beside this one.
+
+#include "world.h"
+
+#include <cstdio>
+
+#include "siskindrum/core/limits.h"
+#include "siskindrum/rules/rules.h"
+
+namespace siskindrum::core {
+
+namespace {
+constexpr Milliseconds kRound{10};
+constexpr Milliseconds kReportEvery{200};
+constexpr std::size_t kNoNode = SIZE_MAX;
+}  // namespace
+
+World::World() {
+  now_.steady_ = TimePoint{} + std::chrono::hours(1);
+  now_.wall_ = WallTime(std::chrono::seconds(1'700'000'000));
+}
+
+void World::AddEntry(const std::string& name, const std::string& domain) {
+  Node node;
+  node.name_ = name;
+  node.domain_ = domain;
+  node.address_ = name + ":1";
+  nodes_.push_back(std::move(node));
+  entries_.push_back({name, name + ":1", domain, false});
+}
+
+void World::AddServer(const std::string& name,
+                      const std::string& service,
+                      const std::string& domain,
+                      ServerRole role) {
+  servers_.push_back({name, name + ":2", service, domain, role, false});
+}
+
+void World::Begin(const std::string& rules) {
+  rules_text_ = rules;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    StartEntry(i);
+  }
+  Settle(Milliseconds(4000));
+  flights_.clear();
+  log_.clear();
+  actions_.clear();
+}
+
+void World::StartEntry(std::size_t index) {
+  Node& node = nodes_[index];
+  RouterOptions options;
+  options.name_ = node.name_;
+  options.domain_ = node.domain_;
+  options.peer_address_ = node.address_;
+  options.incarnation_ = next_incarnation_++;
+  options.seed_ = 7;
+  owners_[options.incarnation_] = node.name_;
+  node.router_ = MakeRouter(options, now_);
+  node.alive_ = true;
+  node.frozen_ = false;
+  node.drained_ = false;
+  node.highest_revision_ = 0;
+  Give(index, ListSeen{list_version_, servers_, entries_});
+  Publish(index, revision_, rules_text_);
+}
+
+void World::Publish(std::size_t index, std::uint64_t revision,
+                    const std::string& rules) {
+  auto made = rules::MakeConfiguration(revision, rules);
+  if (made.has_value()) {
+    Give(index, ConfigurationSeen{*made, "service"});
+  } else {
+    Give(index, ConfigurationRefused{revision, made.error(), "service"});
+  }
+}
+
+void World::Give(std::size_t index, const Event& event) {
+  Node& node = nodes_[index];
+  if (!node.alive_ || node.frozen_) {
+    return;
+  }
+  std::vector<RouterAction> actions;
+  HandleEvent(node.router_, event, now_, actions);
+  for (const RouterAction& action : actions) {
+    Take(index, action);
+  }
+  const auto& current = node.router_.configuration_.current_;
+  node.highest_revision_ = std::max(
+      node.highest_revision_, current == nullptr ? 0 : current->revision_);
+}
+
+void World::Take(std::size_t index, const RouterAction& action) {
+  actions_.push_back(action);
+  Flight flight;
+  flight.entry_ = index;
+  flight.incarnation_ = nodes_[index].router_.options_.incarnation_;
+  if (const auto* peer = std::get_if<SendPeer>(&action)) {
+    flight.kind_ = Flight::Kind::kPeer;
+    flight.peer_ = *peer;
+    flight.sent_ = true;
+  } else if (const auto* plain = std::get_if<SendPlain>(&action)) {
+    flight.kind_ = Flight::Kind::kPlain;
+    flight.plain_ = *plain;
+  } else if (const auto* prefill = std::get_if<StartPrefill>(&action)) {
+    flight.kind_ = Flight::Kind::kPrefill;
+    flight.prefill_ = *prefill;
+  } else if (const auto* decode = std::get_if<StartDecode>(&action)) {
+    flight.kind_ = Flight::Kind::kDecode;
+    flight.decode_ = *decode;
+  } else if (const auto* cancel = std::get_if<CancelAt>(&action)) {
+    flight.kind_ = Flight::Kind::kCancel;
+    flight.cancel_ = *cancel;
+  } else {
+    if (const auto* fail = std::get_if<Fail>(&action)) {
+      Told& told = told_[fail->request_];
+      ++told.answers_;
+      told.verdict_ = fail->verdict_;
+    } else if (const auto* answer = std::get_if<AnswerPlain>(&action)) {
+      Told& told = told_[answer->request_];
+      ++told.answers_;
+      told.has_answer_ = true;
+      told.repeated_ = answer->repeated_;
+      told.plain_ = answer->answer_;
+    } else if (const auto* accepted = std::get_if<Accepted>(&action)) {
+      told_[accepted->request_].rule_line_ = accepted->rule_line_;
+    } else if (const auto* log = std::get_if<LogEvent>(&action)) {
+      log_.push_back(*log);
+    } else if (std::holds_alternative<Drained>(action)) {
+      nodes_[index].drained_ = true;
+    }
+    return;
+  }
+  flights_.push_back(std::move(flight));
+}
+
+RequestId World::Ask(std::size_t index, RequestShape shape,
+                     const std::string& body) {
+  Node& node = nodes_[index];
+  RequestArrived arrived;
+  arrived.request_ = NextRequestId(node.router_);
+  shape.domain_ = node.domain_;
+  arrived.body_ = body;
+  arrived.shape_ = std::move(shape);
+  Told& told = told_[arrived.request_];
+  told.entry_ = index;
+  told.key_ = arrived.shape_.idempotency_key_;
+  Give(index, arrived);
+  return arrived.request_;
+}
+
+RequestId World::Call(std::size_t index, const std::string& key) {
+  RequestShape shape;
+  shape.service_ = "desk";
+  shape.path_ = "/desk/bookings";
+  shape.idempotency_key_ = key;
+  return Ask(index, std::move(shape), "booking");
+}
+
+void World::Pass(Milliseconds time) {
+  now_.steady_ += time;
+  now_.wall_ += time;
+}
+
+void World::Tick() {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    Give(i, core::Tick{});
+  }
+}
+
+std::size_t World::FindNode(const std::string& name_or_address) const {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (nodes_[i].name_ == name_or_address ||
+        nodes_[i].address_ == name_or_address) {
+      return i;
+    }
+  }
+  return kNoNode;
+}
+
+void World::Reply(std::size_t index, Incarnation incarnation,
+                  const Event& event, Flight::Kind kind) {
+  Flight flight;
+  flight.kind_ = kind;
+  flight.entry_ = index;
+  flight.incarnation_ = incarnation;
+  flight.sent_ = true;
+  flight.reply_ = event;
+  flights_.push_back(std::move(flight));
+}
+
+void World::DeliverPeer(Flight flight) {
+  const std::size_t to = FindNode(flight.peer_.address_);
+  const Node& sender = nodes_[flight.entry_];
+  const bool cut = to != kNoNode && (cut_.contains(sender.name_) ||
+                                     cut_.contains(nodes_[to].name_));
+  if (to != kNoNode && nodes_[to].frozen_ && !cut) {
+    flights_.push_back(std::move(flight));  // Lies in its socket.
+    return;
+  }
+  if (to == kNoNode || cut || !nodes_[to].alive_) {
+    PeerSendFailed failed;
+    failed.peer_ = flight.peer_.peer_;
+    failed.body_ = flight.peer_.body_;
+    failed.verdict_.reason_ = Reason::kConnectFailed;
+    Reply(flight.entry_, flight.incarnation_, failed,
+          Flight::Kind::kPlainReply);
+    return;
+  }
+  if (const auto* body =
+          std::get_if<ConfigurationBody>(&flight.peer_.body_)) {
+    auto made = rules::MakeConfiguration(body->revision_, body->text_);
+    Give(to, ConfigurationSeen{*made, sender.name_});
+    return;
+  }
+  Give(to, PeerSeen{{sender.name_, flight.incarnation_, flight.peer_.body_}});
+}
+
+void World::DeliverPlain(const Flight& flight) {
+  const SendPlain& plain = flight.plain_;
+  PlainEnded ended;
+  ended.request_ = plain.request_;
+  ended.attempt_ = plain.attempt_;
+  // The process checks the age of its decision right before it writes.
+  if (plain.once_ && now_.steady_ - plain.decided_at_ > kSendMaxAge) {
+    ended.result_ = tl::unexpected(Verdict{
+        RunState::kNotRun, Reason::kSendTooOld, "", Milliseconds(0)});
+  } else {
+    const std::string& key = plain.shape_.idempotency_key_;
+    const int run = ++runs_by_request_[plain.request_];
+    if (!key.empty()) {
+      ++runs_by_key_[key];
+    }
+    ended.result_ = PlainAnswer{
+        200, "text/plain",
+        "run " + std::to_string(run) + " of " + ToString(plain.request_)};
+  }
+  Reply(flight.entry_, flight.incarnation_, ended, Flight::Kind::kPlainReply);
+}
+
+bool World::DeliverOne(std::size_t at) {
+  if (at >= flights_.size()) {
+    return false;
+  }
+  Flight flight = flights_[at];
+  flights_.erase(flights_.begin() + static_cast<std::ptrdiff_t>(at));
+  const Node& node = nodes_[flight.entry_];
+  const bool same = node.alive_ && node.router_.options_.incarnation_ ==
+                                       flight.incarnation_;
+  if (same && node.frozen_ && flight.kind_ != Flight::Kind::kPeer) {
+    flights_.push_back(std::move(flight));  // Its process sleeps.
+    return false;
+  }
+  switch (flight.kind_) {
+    case Flight::Kind::kPeer:
+      DeliverPeer(std::move(flight));
+      break;
+    case Flight::Kind::kPlain:
+      DeliverPlain(flight);
+      break;
+    case Flight::Kind::kPrefill: {
+      ++runs_by_request_[flight.prefill_.request_];
+      held_[flight.prefill_.server_].insert(flight.prefill_.request_);
+      PrefillEnded ended;
+      ended.request_ = flight.prefill_.request_;
+      ended.attempt_ = flight.prefill_.attempt_;
+      ended.ok_ = true;
+      ended.handle_ = "h";
+      ended.hold_ = kPrefillHold;
+      Reply(flight.entry_, flight.incarnation_, ended,
+            Flight::Kind::kPrefillReply);
+      break;
+    }
+    case Flight::Kind::kDecode: {
+      ++runs_by_request_[flight.decode_.request_];
+      held_[flight.decode_.prefill_server_].erase(flight.decode_.request_);
+      held_[flight.decode_.server_].insert(flight.decode_.request_);
+      DecodeEnded ended;
+      ended.request_ = flight.decode_.request_;
+      ended.attempt_ = flight.decode_.attempt_;
+      ended.ok_ = true;
+      ended.imported_ = true;
+      ended.delivered_ = 10;
+      Reply(flight.entry_, flight.incarnation_, ended,
+            Flight::Kind::kDecodeReply);
+      break;
+    }
+    case Flight::Kind::kCancel:
+      held_[flight.cancel_.server_].erase(flight.cancel_.request_);
+      if (same) {
+        Give(flight.entry_, CancelEnded{flight.cancel_.request_,
+                                        flight.cancel_.server_, true});
+      }
+      break;
+    default:
+      if (const auto* ended = std::get_if<DecodeEnded>(&flight.reply_);
+          ended != nullptr && ended->ok_) {
+        for (auto& [engine, requests] : held_) {
+          requests.erase(ended->request_);
+        }
+        if (same) {
+          ++told_[ended->request_].answers_;
+          told_[ended->request_].has_answer_ = true;
+        }
+      }
+      if (same) {
+        Give(flight.entry_, flight.reply_);
+      }
+  }
+  return true;
+}
+
+void World::Lose(std::size_t at, RunState verdict) {
+  if (at >= flights_.size()) {
+    return;
+  }
+  const Flight flight = flights_[at];
+  const bool not_run = verdict == RunState::kNotRun;
+  const Verdict lost{
+      verdict, not_run ? Reason::kConnectFailed : Reason::kConnectionLost, "",
+      Milliseconds(0)};
+  Event event;
+  if (flight.kind_ == Flight::Kind::kPlain) {
+    event = PlainEnded{flight.plain_.request_, flight.plain_.attempt_,
+                       tl::unexpected(lost)};
+  } else if (flight.kind_ == Flight::Kind::kPrefill) {
+    PrefillEnded ended;
+    ended.request_ = flight.prefill_.request_;
+    ended.attempt_ = flight.prefill_.attempt_;
+    ended.verdict_ = lost;
+    event = ended;
+  } else if (flight.kind_ == Flight::Kind::kDecode) {
+    DecodeEnded ended;
+    ended.request_ = flight.decode_.request_;
+    ended.attempt_ = flight.decode_.attempt_;
+    ended.verdict_ = lost;
+    event = ended;
+  } else if (flight.kind_ == Flight::Kind::kCancel) {
+    event = CancelEnded{flight.cancel_.request_, flight.cancel_.server_, false};
+  } else if (flight.kind_ != Flight::Kind::kPeer) {
+    return;
+  }
+  flights_.erase(flights_.begin() + static_cast<std::ptrdiff_t>(at));
+  if (flight.kind_ != Flight::Kind::kPeer) {
+    Reply(flight.entry_, flight.incarnation_, event,
+          Flight::Kind::kPlainReply);
+  }
+}
+
+void World::ReportLoads() {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    for (const ServerInfo& info : servers_) {
+      if (info.role_ == ServerRole::kPlain) {
+        continue;
+      }
+      LoadReport report;
+      report.slots_ = kDefaultSlots;
+      report.running_ = static_cast<std::uint32_t>(held_[info.name_].size());
+      for (const RequestId& id : held_[info.name_]) {
+        report.held_.push_back(
+            {id, owners_[id.incarnation_], Milliseconds(0)});
+      }
+      Give(i, LoadSeen{info.name_, report});
+    }
+  }
+}
+
+void World::Settle(Milliseconds time) {
+  const TimePoint end = now_.steady_ + time;
+  TimePoint next_report = now_.steady_;
+  while (now_.steady_ < end) {
+    if (reports_ && now_.steady_ >= next_report) {
+      ReportLoads();
+      next_report = now_.steady_ + kReportEvery;
+    }
+    for (std::size_t left = flights_.size(); left > 0; --left) {
+      DeliverOne(0);
+    }
+    Tick();
+    Pass(kRound);
+  }
+}
+
+void World::Kill(std::size_t index) {
+  nodes_[index].alive_ = false;
+}
+
+void World::Replace(std::size_t index) {
+  StartEntry(index);
+}
+
+void World::Freeze(std::size_t index) {
+  nodes_[index].frozen_ = true;
+}
+
+void World::Thaw(std::size_t index) {
+  nodes_[index].frozen_ = false;
+}
+
+std::string World::Key(std::uint64_t number) const {
+  const auto ms = static_cast<unsigned long long>(
+      now_.wall_.time_since_epoch().count());
+  char buffer[64];
+  std::snprintf(buffer, sizeof(buffer), "%08llx-%04llx-7000-8000-%012llx",
+                ms >> 16, ms & 0xFFFFULL,
+                static_cast<unsigned long long>(number));
+  return buffer;
+}
+
+bool World::HasLog(const std::string& event) const {
+  for (const LogEvent& line : log_) {
+    if (line.event_ == event) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace siskindrum::core
--- a/packages/entry/src/callers.cc
+++ b/packages/entry/src/callers.cc
@@ -58,6 +58,9 @@
   response.status = StatusOf(verdict);
   response.set_header("X-Siskindrum-Verdict",
                       core::ToString(verdict.run_state_));
+  if (verdict.key_unused_) {
+    response.set_header("X-Siskindrum-Key", "unused");
+  }
   response.set_header("X-Siskindrum-Reason", core::ToString(verdict.reason_));
   if (verdict.run_state_ == core::RunState::kNotRun &&
       (response.status == 503 || response.status == 429)) {
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -378,7 +378,8 @@
 Json Put(const CallAnswer& m) {
   return Json::array({Put(m.request_), PutEnum(m.run_state_),
                       PutEnum(m.reason_), m.has_answer_, m.repeated_,
-                      Put(m.answer_), m.server_});
+                      Put(m.answer_), m.server_, m.key_unused_,
+                      m.vouched_});
 }
 void Take(const Json& json, CallAnswer& m) {
   Take(json.at(0), m.request_);
@@ -388,6 +389,8 @@
   m.repeated_ = json.at(4).get<bool>();
   Take(json.at(5), m.answer_);
   m.server_ = json.at(6).get<std::string>();
+  m.key_unused_ = json.at(7).get<bool>();
+  m.vouched_ = json.at(8).get<bool>();
 }
 
 Json Put(const SeatClosing& m) {
