--- a/packages/backend/src/engine.cc
+++ b/packages/backend/src/engine.cc
@@ -155,7 +155,9 @@
   return reader.pending_.size() <= kMaxLineBytes;
 }
 
-DecodeEnd Decode(HttpCall& call, const DecodeOrder& order, const LineSink& sink) {
+DecodeEnd Decode(HttpCall& call,
+                 const DecodeOrder& order,
+                 const LineSink& sink) {
   HttpRequest http;
   http.address_ = order.address_;
   http.path_ = "/engine/decode";
@@ -277,13 +279,12 @@
   }
   TakeUnsigned(json, "free_pieces", &report.free_pieces_);
   TakeUnsigned(json, "total_pieces", &report.total_pieces_);
-  TakeUnsigned(json, "prefill_backlog_tokens",
-               &report.prefill_backlog_tokens_);
+  TakeUnsigned(json, "prefill_backlog_tokens", &report.prefill_backlog_tokens_);
   TakeUnsigned(json, "prefill_tokens_per_second",
                &report.prefill_tokens_per_second_);
   const auto draining = json.find("draining");
-  report.draining_ = draining != json.end() && draining->is_boolean() &&
-                     draining->get<bool>();
+  report.draining_ =
+      draining != json.end() && draining->is_boolean() && draining->get<bool>();
   const auto held = json.find("held");
   if (held == json.end() || !held->is_array()) {
     return report;
--- a/packages/backend/src/http_call.cc
+++ b/packages/backend/src/http_call.cc
@@ -62,10 +62,9 @@
     const BodySink& sink) {
   const auto [host, port] = SplitAddress(request.address_);
   if (port == 0) {
-    return tl::unexpected(core::Verdict{core::RunState::kNotRun,
-                                        core::Reason::kConnectFailed,
-                                        "server has no address",
-                                        core::Milliseconds(0)});
+    return tl::unexpected(
+        core::Verdict{core::RunState::kNotRun, core::Reason::kConnectFailed,
+                      "server has no address", core::Milliseconds(0)});
   }
   httplib::Client client(host, port);
   client.set_tcp_nodelay(true);
--- a/packages/backend/src/plain.cc
+++ b/packages/backend/src/plain.cc
@@ -46,16 +46,16 @@
     return tl::unexpected(answer.error());
   }
   if (answer->not_run_) {
-    return tl::unexpected(Verdict{RunState::kNotRun, Reason::kServerRefused,
-                                  absl::StrCat(order.address_,
-                                               " refused it before acting"),
-                                  core::Milliseconds(0)});
+    return tl::unexpected(
+        Verdict{RunState::kNotRun, Reason::kServerRefused,
+                absl::StrCat(order.address_, " refused it before acting"),
+                core::Milliseconds(0)});
   }
   if (IsGatewayError(answer->status_) && !order.once_) {
-    return tl::unexpected(Verdict{RunState::kMayHaveRun, Reason::kServerError,
-                                  absl::StrCat(order.address_, " answered ",
-                                               answer->status_),
-                                  core::Milliseconds(0)});
+    return tl::unexpected(
+        Verdict{RunState::kMayHaveRun, Reason::kServerError,
+                absl::StrCat(order.address_, " answered ", answer->status_),
+                core::Milliseconds(0)});
   }
   return core::PlainAnswer{answer->status_, answer->content_type_,
                            std::move(answer->body_)};
--- a/packages/core/include/siskindrum/core/call.h
+++ b/packages/core/include/siskindrum/core/call.h
@@ -63,11 +63,11 @@
 };
 
 enum class CallDecision {
-  kSend,             // First time: send it, the record is written.
-  kWait,             // Another request is sending it.
-  kRepeatAnswer,     // Finished: give the first answer.
-  kRefuseNotRun,     // Proved: the key was never used and will not be.
-  kRefuseMayHaveRun, // Unknown; never send.
+  kSend,              // First time: send it, the record is written.
+  kWait,              // Another request is sending it.
+  kRepeatAnswer,      // Finished: give the first answer.
+  kRefuseNotRun,      // Proved: the key was never used and will not be.
+  kRefuseMayHaveRun,  // Unknown; never send.
   kCount
 };
 
--- a/packages/core/include/siskindrum/core/event.h
+++ b/packages/core/include/siskindrum/core/event.h
@@ -156,8 +156,8 @@
   std::string content_type_;
   std::string body_;
   Milliseconds timeout_{0};
-  bool once_ = false;         // May not be repeated.
-  std::uint64_t fence_ = 0;   // Fencing number; zero: none is sent.
+  bool once_ = false;        // May not be repeated.
+  std::uint64_t fence_ = 0;  // Fencing number; zero: none is sent.
   TimePoint decided_at_{};
 };
 
--- a/packages/core/include/siskindrum/core/membership.h
+++ b/packages/core/include/siskindrum/core/membership.h
@@ -34,8 +34,8 @@
   std::string address_;
   std::string domain_;
   Incarnation incarnation_ = 0;
-  std::uint64_t counter_ = 0;  // Rises with each gossip round of that entry.
-  std::uint64_t revision_ = 0;      // Of the configuration in force there.
+  std::uint64_t counter_ = 0;   // Rises with each gossip round of that entry.
+  std::uint64_t revision_ = 0;  // Of the configuration in force there.
   std::uint64_t list_version_ = 0;  // Of the instance list known there.
   bool leaving_ = false;
   std::vector<CellDigest> cells_;
--- a/packages/core/include/siskindrum/core/router.h
+++ b/packages/core/include/siskindrum/core/router.h
@@ -22,25 +22,19 @@
 namespace siskindrum::core {
 
 enum class RequestState {
-  kPlacing,     // Looks for a cell.
-  kWaiting,     // Queued at a cell's home.
+  kPlacing,  // Looks for a cell.
+  kWaiting,  // Queued at a cell's home.
   kPrefilling,
   kDecoding,
   kSendingPlain,
-  kForwarded,   // At the home of its key.
-  kWaitingCall, // Another request sends the same key.
+  kForwarded,    // At the home of its key.
+  kWaitingCall,  // Another request sends the same key.
   kCount
 };
 
 // How servers are chosen. All but kCellHome are kept as baselines for the
 // experiment command.
-enum class Policy {
-  kCellHome,
-  kRoundRobin,
-  kLeastLoad,
-  kTwoChoices,
-  kCount
-};
+enum class Policy { kCellHome, kRoundRobin, kLeastLoad, kTwoChoices, kCount };
 
 // Returns the policy's name on the command line. Thread-safe: yes.
 const char* ToString(Policy policy);
@@ -68,16 +62,16 @@
   std::string asked_home_;
   bool ask_answered_ = false;
   TimePoint asked_at_{};
-  TimePoint seek_at_{};     // While placing: when to look again.
+  TimePoint seek_at_{};  // While placing: when to look again.
   std::vector<std::string> tried_cells_;
   std::string handle_;
   TimePoint handle_until_{};
 
-  bool once_ = false;       // May not be repeated.
+  bool once_ = false;  // May not be repeated.
   std::string content_type_;
   std::string body_;
   std::string plain_server_;
-  bool for_peer_ = false;   // Forwarded here by `peer_`.
+  bool for_peer_ = false;  // Forwarded here by `peer_`.
   std::string peer_;
   RequestId peer_request_;
   std::string call_home_;  // Seat that was asked.
--- a/packages/core/include/siskindrum/core/types.h
+++ b/packages/core/include/siskindrum/core/types.h
@@ -63,13 +63,13 @@
   std::string model_;
   std::string method_ = "POST";
   std::string path_;
-  std::string domain_;                // Failure domain of the entry.
-  std::uint32_t prompt_tokens_ = 0;   // Estimate.
-  std::uint32_t max_tokens_ = 0;      // Upper bound of the answer.
-  std::uint64_t prefix_hash_ = 0;     // Identity of the prompt's prefix; 0: none.
-  std::uint32_t prefix_tokens_ = 0;   // Length of that prefix.
+  std::string domain_;               // Failure domain of the entry.
+  std::uint32_t prompt_tokens_ = 0;  // Estimate.
+  std::uint32_t max_tokens_ = 0;     // Upper bound of the answer.
+  std::uint64_t prefix_hash_ = 0;  // Identity of the prompt's prefix; 0: none.
+  std::uint32_t prefix_tokens_ = 0;  // Length of that prefix.
   Priority priority_ = Priority::kNormal;
-  std::string idempotency_key_;       // Empty: none given.
+  std::string idempotency_key_;  // Empty: none given.
 };
 
 }  // namespace siskindrum::core
--- a/packages/core/src/baseline.cc
+++ b/packages/core/src/baseline.cc
@@ -50,11 +50,10 @@
     Server* b = servers[router.random_() % count];
     return ReportedLoad(*a, role) <= ReportedLoad(*b, role) ? a : b;
   }
-  return *std::min_element(servers.begin(), servers.end(),
-                           [&](const Server* a, const Server* b) {
-                             return ReportedLoad(*a, role) <
-                                    ReportedLoad(*b, role);
-                           });
+  return *std::min_element(
+      servers.begin(), servers.end(), [&](const Server* a, const Server* b) {
+        return ReportedLoad(*a, role) < ReportedLoad(*b, role);
+      });
 }
 
 }  // namespace
@@ -65,7 +64,8 @@
   Server* prefill = request.need_.decode_only_
                         ? nullptr
                         : Choose(step, request, ServerRole::kPrefill);
-  if (decode == nullptr || (prefill == nullptr && !request.need_.decode_only_)) {
+  if (decode == nullptr ||
+      (prefill == nullptr && !request.need_.decode_only_)) {
     Verdict verdict;
     verdict.run_state_ = request.run_state_;
     verdict.reason_ = Reason::kNoServer;
--- a/packages/core/src/fleet.cc
+++ b/packages/core/src/fleet.cc
@@ -105,11 +105,10 @@
     }
     const TimePoint start = std::max(now, server.prefill_free_at_);
     const TimePoint done = start + PrefillTime(server, need, now);
-    weighed.push_back({name, "prefill",
-                       "ready in " + std::to_string(ToMilliseconds(done - now)) +
-                           " ms" +
-                           (HasPrefix(server, need, now) ? ", prefix cached"
-                                                         : "")});
+    weighed.push_back(
+        {name, "prefill",
+         "ready in " + std::to_string(ToMilliseconds(done - now)) + " ms" +
+             (HasPrefix(server, need, now) ? ", prefix cached" : "")});
     const TimePoint rank =
         IsNear(server, need) ? done : done + Nanoseconds(kNearPrefill);
     if (best.server_ == nullptr || rank < best.rank_) {
@@ -132,10 +131,9 @@
     if (!Suits(server, ServerRole::kDecode, need, now)) {
       continue;
     }
-    const bool memory = !server.has_load_ ||
-                        server.load_.total_pieces_ == UINT32_MAX ||
-                        PiecesHeld(server) + need.pieces_ <=
-                            server.load_.total_pieces_;
+    const bool memory =
+        !server.has_load_ || server.load_.total_pieces_ == UINT32_MAX ||
+        PiecesHeld(server) + need.pieces_ <= server.load_.total_pieces_;
     double free = FreeSlots(server);
     if (need.prefer_ == Preference::kGoodput) {
       free += kOvercommit * ExpectedReleases(server, horizon);
@@ -184,7 +182,8 @@
       ids.push_back(group + "/" + std::to_string(i));
     }
     for (const std::string& name : names) {
-      Cell& cell = cells[ids[static_cast<std::size_t>(RendezvousPick(name, ids))]];
+      Cell& cell =
+          cells[ids[static_cast<std::size_t>(RendezvousPick(name, ids))]];
       const ServerInfo& info = fleet.servers_.at(name).info_;
       cell.service_ = info.service_;
       cell.domain_ = cell.servers_.empty() || cell.domain_ == info.domain_
@@ -334,8 +333,8 @@
   if (ready + kTransferAllowance > need.deadline_ && !need.decode_only_) {
     return tl::unexpected(WaitReason::kTooLate);
   }
-  Server* decode = ChooseDecode(fleet, cell, need, ready - now, now,
-                                placement.weighed_);
+  Server* decode =
+      ChooseDecode(fleet, cell, need, ready - now, now, placement.weighed_);
   if (decode == nullptr) {
     return tl::unexpected(WaitReason::kNoDecodeSlot);
   }
@@ -343,9 +342,8 @@
     prefill.server_->prefill_free_at_ = prefill.done_;
     placement.prefill_ = prefill.server_->info_.name_;
   }
-  decode->holds_[need.request_] = Hold{need.pieces_, now,
-                                       need.request_.incarnation_,
-                                       need.owner_name_, 0};
+  decode->holds_[need.request_] =
+      Hold{need.pieces_, now, need.request_.incarnation_, need.owner_name_, 0};
   placement.decode_ = decode->info_.name_;
   placement.expected_first_token_ = ready + kTransferAllowance - now;
   return placement;
--- a/packages/core/src/lease.cc
+++ b/packages/core/src/lease.cc
@@ -61,8 +61,8 @@
     view.home_live_ = member != router.membership_.members_.end() &&
                       IsLive(member->second, step.now_.steady_);
     const CellDigest* digest = FindDigest(router, cell);
-    view.wait_ = kPeerCost + Milliseconds(digest == nullptr ? 0
-                                                            : digest->wait_ms_);
+    view.wait_ =
+        kPeerCost + Milliseconds(digest == nullptr ? 0 : digest->wait_ms_);
   }
   const bool far =
       !cell.domain_.empty() && cell.domain_ != router.options_.domain_;
@@ -140,8 +140,7 @@
       ExpectedWait(queue, need, FreeSlotsOfCell(router.fleet_, cell, now),
                    SlotReleaseRate(router.fleet_, cell, now));
   if (now + wait > need.deadline_) {
-    TellRefusal(step, cell, waiting,
-                Refusal(need, Reason::kOverloaded, wait));
+    TellRefusal(step, cell, waiting, Refusal(need, Reason::kOverloaded, wait));
     return;
   }
   waiting.since_ = now;
@@ -237,8 +236,7 @@
   const double rate = SlotReleaseRate(router.fleet_, cell, now);
   const double slot_ms =
       missing <= 0 || rate <= 0 ? 0 : 1000.0 * missing / rate;
-  const auto prefill_ms =
-      ToMilliseconds(PrefillWait(router.fleet_, cell, now));
+  const auto prefill_ms = ToMilliseconds(PrefillWait(router.fleet_, cell, now));
   digest.wait_ms_ = static_cast<std::uint32_t>(
       std::max(slot_ms, static_cast<double>(prefill_ms)));
   return digest;
@@ -253,9 +251,10 @@
                          ? ChooseCell(step, request)
                          : nullptr;
   if (cell == nullptr) {
-    const Reason reason = request.tried_cells_.empty() ? Reason::kNoServer
-                                                       : Reason::kOverloaded;
-    FailPlacement(step, request, Refusal(request.need_, reason, Nanoseconds(0)));
+    const Reason reason =
+        request.tried_cells_.empty() ? Reason::kNoServer : Reason::kOverloaded;
+    FailPlacement(step, request,
+                  Refusal(request.need_, reason, Nanoseconds(0)));
     return;
   }
   request.tried_cells_.push_back(cell->name_);
@@ -302,7 +301,8 @@
                               ? Reason::kNoServer
                               : Reason::kDeadline;
     const auto home = router.fleet_.cells_.find(cell);
-    TellRefusal(step, home == router.fleet_.cells_.end() ? Cell{} : home->second,
+    TellRefusal(step,
+                home == router.fleet_.cells_.end() ? Cell{} : home->second,
                 taken, Refusal(taken.need_, reason, Nanoseconds(0)));
   }
 }
@@ -349,7 +349,8 @@
   const bool waiting = request.state_ == RequestState::kWaiting;
   const bool plain = request.rule_->outcome_.kind_ == BackendKind::kPlain;
   const std::string decode =
-      waiting ? "" : (plain ? request.plain_server_ : request.placement_.decode_);
+      waiting ? ""
+              : (plain ? request.plain_server_ : request.placement_.decode_);
   const std::string home = waiting ? request.asked_home_ : request.home_;
   if (plain || home.empty()) {
     ReleaseHold(router.fleet_, decode, request.id_, step.now_.steady_);
@@ -402,8 +403,7 @@
   const bool own = cell != router.fleet_.cells_.end() &&
                    cell->second.home_ == router.options_.name_;
   if (!own || router.draining_) {
-    Tell(step, from,
-         Refusal(message.need_, Reason::kDraining, Nanoseconds(0)));
+    Tell(step, from, Refusal(message.need_, Reason::kDraining, Nanoseconds(0)));
     return;
   }
   Waiting waiting;
@@ -431,10 +431,9 @@
   const bool wanted = request != nullptr &&
                       request->state_ == RequestState::kWaiting &&
                       request->asked_home_ == from;
-  const bool known =
-      router.fleet_.servers_.contains(placement.decode_) &&
-      (placement.prefill_.empty() ||
-       router.fleet_.servers_.contains(placement.prefill_));
+  const bool known = router.fleet_.servers_.contains(placement.decode_) &&
+                     (placement.prefill_.empty() ||
+                      router.fleet_.servers_.contains(placement.prefill_));
   if (!wanted || !known) {
     Tell(step, from,
          LeaseRelease{message.request_, placement.cell_, placement.decode_,
--- a/packages/core/src/lifecycle.cc
+++ b/packages/core/src/lifecycle.cc
@@ -56,8 +56,7 @@
   need.share_ = outcome.share_;
   need.prefix_hash_ = shape.prefix_hash_;
   need.prefix_tokens_ = shape.prefix_tokens_;
-  need.priority_ =
-      outcome.has_priority_ ? outcome.priority_ : shape.priority_;
+  need.priority_ = outcome.has_priority_ ? outcome.priority_ : shape.priority_;
   need.prefer_ = outcome.prefer_;
   const Milliseconds wait = outcome.first_token_ > Milliseconds(0)
                                 ? outcome.first_token_
@@ -136,8 +135,8 @@
   }
   need.decode_only_ = false;
   need.prompt_tokens_ = request.shape_.prompt_tokens_ + request.delivered_;
-  const bool in_time = step.now_.steady_ < request.deadline_ &&
-                       request.delivered_ == 0;
+  const bool in_time =
+      step.now_.steady_ < request.deadline_ && request.delivered_ == 0;
   need.deadline_ =
       in_time ? request.deadline_ : step.now_.steady_ + kDefaultWait;
   request.tried_cells_.clear();
@@ -146,8 +145,9 @@
 }
 
 bool IsServerFault(Reason reason) {
-  return reason == Reason::kConnectFailed || reason == Reason::kConnectionLost ||
-         reason == Reason::kServerError || reason == Reason::kBadAnswer;
+  return reason == Reason::kConnectFailed ||
+         reason == Reason::kConnectionLost || reason == Reason::kServerError ||
+         reason == Reason::kBadAnswer;
 }
 
 void NoteServerEnd(Step& step,
@@ -177,13 +177,11 @@
   action.request_ = request.id_;
   action.attempt_ = request.attempt_;
   action.server_ = request.placement_.decode_;
-  action.address_ = decode == fleet.servers_.end()
-                        ? ""
-                        : decode->second.info_.address_;
+  action.address_ =
+      decode == fleet.servers_.end() ? "" : decode->second.info_.address_;
   action.prefill_server_ = request.placement_.prefill_;
-  action.prefill_address_ = prefill == fleet.servers_.end()
-                                ? ""
-                                : prefill->second.info_.address_;
+  action.prefill_address_ =
+      prefill == fleet.servers_.end() ? "" : prefill->second.info_.address_;
   action.handle_ = request.handle_;
   action.from_position_ = request.delivered_;
   action.priority_ = request.need_.priority_;
@@ -262,17 +260,20 @@
   const RuleOutcome& outcome = rule->outcome_;
   if (outcome.action_ == Action::kRefuse) {
     RefuseArrival(step, event,
-                  {not_run, Reason::kRefusedByRule,
-                   "line " + std::to_string(rule->line_) + " refuses it", {}});
+                  {not_run,
+                   Reason::kRefusedByRule,
+                   "line " + std::to_string(rule->line_) + " refuses it",
+                   {}});
     return;
   }
   if (!TakeFromLimit(router.limits_, event.shape_.organisation_,
-                     outcome.limit_per_second_, router.live_entries_, step.now_.steady_)) {
-    RefuseArrival(step, event,
-                  {not_run, Reason::kOrganisationLimit,
-                   "line " + std::to_string(rule->line_) +
-                       " limits this organisation",
-                   kLimitRetryAfter});
+                     outcome.limit_per_second_, router.live_entries_,
+                     step.now_.steady_)) {
+    RefuseArrival(
+        step, event,
+        {not_run, Reason::kOrganisationLimit,
+         "line " + std::to_string(rule->line_) + " limits this organisation",
+         kLimitRetryAfter});
     return;
   }
   Request& request = AddRequest(step, event, *rule);
@@ -413,7 +414,8 @@
                       verdict.reason_ != Reason::kKeyHomeUnreachable;
     Tell(step, request.peer_, std::move(answer));
   }
-  const std::string outcome = std::string("failed_") + ToString(verdict.reason_);
+  const std::string outcome =
+      std::string("failed_") + ToString(verdict.reason_);
   Emit(step, Fail{request.id_, std::move(verdict)});
   EndRequest(step, request, outcome);
 }
--- a/packages/core/src/limit.cc
+++ b/packages/core/src/limit.cc
@@ -18,8 +18,9 @@
   if (per_second == 0) {
     return true;
   }
-  const double rate = static_cast<double>(per_second) /
-                      static_cast<double>(std::max<std::size_t>(1, live_entries));
+  const double rate =
+      static_cast<double>(per_second) /
+      static_cast<double>(std::max<std::size_t>(1, live_entries));
   const double burst = std::max(1.0, rate * kBurstSeconds);
   const auto [it, is_new] = limits.buckets_.try_emplace(organisation);
   Bucket& bucket = it->second;
--- a/packages/core/src/membership.cc
+++ b/packages/core/src/membership.cc
@@ -10,7 +10,6 @@
 
 constexpr std::size_t kForeignTargets = 1;  // Gossip targets in other domains.
 
-
 // Returns true when the change matters to homes.
 bool MergeRow(Member& member, const MemberRow& row, TimePoint now) {
   const MemberRow& old = member.row_;
--- a/packages/core/src/plain.cc
+++ b/packages/core/src/plain.cc
@@ -32,7 +32,8 @@
     }
     const std::size_t load = server.holds_.size();
     const bool near = server.info_.domain_ == router.options_.domain_;
-    if (best.empty() || load < best_load || (load == best_load && near && !best_near)) {
+    if (best.empty() || load < best_load ||
+        (load == best_load && near && !best_near)) {
       best = name;
       best_load = load;
       best_near = near;
@@ -54,9 +55,9 @@
   Router& router = step.router_;
   const std::string name = PickPlainServer(step, request);
   if (name.empty()) {
-    Verdict verdict = Refused(Reason::kNoServer,
-                              "no server of " + request.rule_->outcome_.pool_ +
-                                  " can be used");
+    Verdict verdict = Refused(
+        Reason::kNoServer,
+        "no server of " + request.rule_->outcome_.pool_ + " can be used");
     verdict.run_state_ = request.run_state_;
     if (request.once_) {
       FinishCall(router.calls_, request.shape_.idempotency_key_, request.id_,
@@ -66,8 +67,8 @@
     return;
   }
   Server& server = router.fleet_.servers_.at(name);
-  server.holds_[request.id_] = Hold{0, step.now_.steady_, request.id_.incarnation_,
-                                    router.options_.name_, 0};
+  server.holds_[request.id_] = Hold{
+      0, step.now_.steady_, request.id_.incarnation_, router.options_.name_, 0};
   request.plain_server_ = name;
   request.state_ = RequestState::kSendingPlain;
   if (DecisionRecord* record = MutableDecision(router, request.id_)) {
@@ -115,8 +116,8 @@
 // Decides a keyed call as the holder of its seat.
 void DecideCall(Step& step, Request& request) {
   Router& router = step.router_;
-  const bool unsure = IsSettling(step) || router.membership_.replaced_ ||
-                      router.draining_;
+  const bool unsure =
+      IsSettling(step) || router.membership_.replaced_ || router.draining_;
   const bool known =
       router.calls_.records_.contains(request.shape_.idempotency_key_);
   if (unsure && !known) {
@@ -148,9 +149,9 @@
                               "the key was never used and will not be; take "
                               "a new one"));
       } else {
-        FailRequest(step, request,
-                    Refused(judgement.reason_,
-                            "the key was born in the future"));
+        FailRequest(
+            step, request,
+            Refused(judgement.reason_, "the key was born in the future"));
       }
       return;
     default: {
@@ -210,12 +211,12 @@
   if (!KeyBirth(request.shape_.idempotency_key_, &birth)) {
     FailRequest(step, request,
                 KeyUnused(Reason::kKeyMalformed,
-                        "Idempotency-Key must be a UUIDv7, which carries the "
-                        "time of its birth"));
+                          "Idempotency-Key must be a UUIDv7, which carries the "
+                          "time of its birth"));
     return;
   }
-  const Seat* seat = HomeSeat(request.configuration_->rules_,
-                              request.shape_.idempotency_key_);
+  const Seat* seat =
+      HomeSeat(request.configuration_->rules_, request.shape_.idempotency_key_);
   if (seat == nullptr) {
     FailRequest(step, request,
                 Refused(Reason::kKeyHomeUnreachable,
@@ -227,19 +228,19 @@
     return;
   }
   if (request.for_peer_) {
-    FailRequest(step, request,
-                Refused(Reason::kKeyHomeUnreachable,
-                        "another seat decides this key"));
+    FailRequest(
+        step, request,
+        Refused(Reason::kKeyHomeUnreachable, "another seat decides this key"));
     return;
   }
   ForwardCall(step, request, *seat);
 }
 
 void EndOnce(Step& step, const Request& request, const PlainEnded& event) {
-  const RunState state = event.result_.has_value()
-                             ? RunState::kRan
-                             : Worse(request.run_state_,
-                                     event.result_.error().run_state_);
+  const RunState state =
+      event.result_.has_value()
+          ? RunState::kRan
+          : Worse(request.run_state_, event.result_.error().run_state_);
   FinishCall(step.router_.calls_, request.shape_.idempotency_key_, request.id_,
              state, event.result_.has_value() ? &*event.result_ : nullptr,
              step.now_.steady_);
@@ -258,8 +259,8 @@
 void BeginPlain(Step& step, Request& request) {
   std::string& key = request.shape_.idempotency_key_;
   key = LowerCase(key);
-  request.once_ = request.for_peer_ ||
-                  request.rule_->outcome_.repeat_ == Repeat::kNever;
+  request.once_ =
+      request.for_peer_ || request.rule_->outcome_.repeat_ == Repeat::kNever;
   request.need_.request_ = request.id_;
   if (request.once_) {
     BeginCall(step, request);
@@ -443,10 +444,9 @@
     return a.name_ == b.name_ && a.address_ == b.address_;
   };
   const bool changed =
-      before != nullptr &&
-      !std::equal(rules.seats_.begin(), rules.seats_.end(),
-                  before->rules_.seats_.begin(), before->rules_.seats_.end(),
-                  same);
+      before != nullptr && !std::equal(rules.seats_.begin(), rules.seats_.end(),
+                                       before->rules_.seats_.begin(),
+                                       before->rules_.seats_.end(), same);
   if (changed) {
     // A changed table moves keys between seats: vouch only for later ones.
     router.calls_.floor_ =
@@ -493,7 +493,9 @@
   }
 }
 
-void OnSeatQuery(Step& step, const std::string& from, const SeatQuery& message) {
+void OnSeatQuery(Step& step,
+                 const std::string& from,
+                 const SeatQuery& message) {
   const auto it = step.router_.closings_.find(message.seat_);
   if (it == step.router_.closings_.end()) {
     return;
--- a/packages/core/src/queue.cc
+++ b/packages/core/src/queue.cc
@@ -43,10 +43,10 @@
     const Waiting& b = queue.waiting_[static_cast<std::size_t>(best)];
     const int priority_a = EffectivePriority(a, now);
     const int priority_b = EffectivePriority(b, now);
-    const bool before =
-        priority_a != priority_b    ? priority_a > priority_b
-        : a.start_tag_ != b.start_tag_ ? a.start_tag_ < b.start_tag_
-                                       : a.order_ < b.order_;
+    const bool before = priority_a != priority_b ? priority_a > priority_b
+                        : a.start_tag_ != b.start_tag_
+                            ? a.start_tag_ < b.start_tag_
+                            : a.order_ < b.order_;
     if (before) {
       best = static_cast<int>(i);
     }
--- a/packages/core/src/relay.cc
+++ b/packages/core/src/relay.cc
@@ -37,7 +37,8 @@
 
 // Watchers are the first entries of the failure domain by hash, so that the
 // calls to the service do not grow with the fleet.
-bool ShouldWatch(const Step& step, const std::map<std::string, std::string>& live) {
+bool ShouldWatch(const Step& step,
+                 const std::map<std::string, std::string>& live) {
   const Router& router = step.router_;
   const std::uint64_t own = Hash64(router.options_.name_);
   std::size_t before = 0;
@@ -127,7 +128,8 @@
     return;
   }
   Log(step,
-      offer == Offer::kTaken ? "configuration_taken" : "configuration_not_taken",
+      offer == Offer::kTaken ? "configuration_taken"
+                             : "configuration_not_taken",
       {{"revision", std::to_string(offered->revision_)},
        {"source", source},
        {"outcome", ToString(offer)}});
--- a/packages/core/src/router.cc
+++ b/packages/core/src/router.cc
@@ -18,30 +18,29 @@
 void OnPeerSeen(Step& step, const PeerMessage& message) {
   ++step.router_.counters_.peer_messages_;
   const std::string& from = message.from_;
-  std::visit(
-      Overloaded{
-          [&](const Gossip& m) { OnGossip(step, from, m); },
-          [&](const ConfigurationRequest& m) {
-            OnConfigurationRequest(step, from, m);
-          },
-          // The text is parsed outside the core and comes back as
-          // ConfigurationSeen.
-          [](const ConfigurationBody&) {},
-          [&](const ListRequest& m) { OnListRequest(step, from, m); },
-          [&](const ListBody& m) { OnListBody(step, from, m); },
-          [&](const LeaseRequest& m) { OnLeaseRequest(step, from, m); },
-          [&](const LeaseQueued& m) { OnLeaseQueued(step, m); },
-          [&](const LeaseGrant& m) { OnLeaseGrant(step, from, m); },
-          [&](const LeaseRefuse& m) { OnLeaseRefuse(step, m); },
-          [&](const LeaseRelease& m) { OnLeaseRelease(step, m); },
-          [&](const OwnerQuery& m) { OnOwnerQuery(step, from, m); },
-          [&](const OwnerAnswer& m) { OnOwnerAnswer(step, m); },
-          [&](const CallForward& m) { OnCallForward(step, from, m); },
-          [&](const CallAnswer& m) { OnCallAnswer(step, m); },
-          [&](const SeatClosing& m) { OnSeatClosing(step, m); },
-          [&](const SeatQuery& m) { OnSeatQuery(step, from, m); },
-      },
-      message.body_);
+  std::visit(Overloaded{
+                 [&](const Gossip& m) { OnGossip(step, from, m); },
+                 [&](const ConfigurationRequest& m) {
+                   OnConfigurationRequest(step, from, m);
+                 },
+                 // The text is parsed outside the core and comes back as
+                 // ConfigurationSeen.
+                 [](const ConfigurationBody&) {},
+                 [&](const ListRequest& m) { OnListRequest(step, from, m); },
+                 [&](const ListBody& m) { OnListBody(step, from, m); },
+                 [&](const LeaseRequest& m) { OnLeaseRequest(step, from, m); },
+                 [&](const LeaseQueued& m) { OnLeaseQueued(step, m); },
+                 [&](const LeaseGrant& m) { OnLeaseGrant(step, from, m); },
+                 [&](const LeaseRefuse& m) { OnLeaseRefuse(step, m); },
+                 [&](const LeaseRelease& m) { OnLeaseRelease(step, m); },
+                 [&](const OwnerQuery& m) { OnOwnerQuery(step, from, m); },
+                 [&](const OwnerAnswer& m) { OnOwnerAnswer(step, m); },
+                 [&](const CallForward& m) { OnCallForward(step, from, m); },
+                 [&](const CallAnswer& m) { OnCallAnswer(step, m); },
+                 [&](const SeatClosing& m) { OnSeatClosing(step, m); },
+                 [&](const SeatQuery& m) { OnSeatQuery(step, from, m); },
+             },
+             message.body_);
 }
 
 void OnPeerSendFailed(Step& step, const PeerSendFailed& event) {
--- a/packages/core/src/router_p.h
+++ b/packages/core/src/router_p.h
@@ -21,8 +21,11 @@
 void OnPrefillEnded(Step& step, const PrefillEnded& event);
 void OnFirstToken(Step& step, const FirstToken& event);
 void OnDecodeEnded(Step& step, const DecodeEnded& event);
-void OnGranted(Step& step, Request& request, const Placement& placement,
-               const std::string& home, const std::string& home_cell);
+void OnGranted(Step& step,
+               Request& request,
+               const Placement& placement,
+               const std::string& home,
+               const std::string& home_cell);
 Request* FindRequest(Router& router, const RequestId& id);
 void FailRequest(Step& step, Request& request, Verdict verdict);
 void EndRequest(Step& step, Request& request, const std::string& outcome);
@@ -64,7 +67,8 @@
 void OnListSeen(Step& step, const ListSeen& event, const std::string& source);
 void OnConfigurationSeen(Step& step, const ConfigurationSeen& event);
 void OnGossip(Step& step, const std::string& from, const Gossip& message);
-void OnConfigurationRequest(Step& step, const std::string& from,
+void OnConfigurationRequest(Step& step,
+                            const std::string& from,
                             const ConfigurationRequest& message);
 void OnListRequest(Step& step, const std::string& from, const ListRequest& m);
 void OnListBody(Step& step, const std::string& from, const ListBody& message);
@@ -74,7 +78,8 @@
 void EndStart(Step& step);
 
 // --- sweep.cc: engine memory of requests that are gone.
-void CancelRequestAt(Step& step, const RequestId& request,
+void CancelRequestAt(Step& step,
+                     const RequestId& request,
                      const std::string& server);
 void OnCancelEnded(Step& step, const CancelEnded& event);
 void RepeatCancels(Step& step);
--- a/packages/core/src/sweep.cc
+++ b/packages/core/src/sweep.cc
@@ -18,7 +18,9 @@
   Emit(step, CancelAt{key.request_, key.server_, pending.address_});
 }
 
-void Sweep(Step& step, const std::string& server, const HeldRequest& held,
+void Sweep(Step& step,
+           const std::string& server,
+           const HeldRequest& held,
            const char* why) {
   ++step.router_.counters_.swept_;
   Log(step, "hold_swept",
@@ -48,7 +50,9 @@
   return reachable ? OwnerView::kAsk : OwnerView::kUnreachable;
 }
 
-void CheckHeld(Step& step, const std::string& server, const LoadReport& report) {
+void CheckHeld(Step& step,
+               const std::string& server,
+               const LoadReport& report) {
   std::map<std::string, std::vector<RequestId>> to_ask;
   const Server& state = step.router_.fleet_.servers_.at(server);
   for (const HeldRequest& held : report.held_) {
@@ -151,9 +155,9 @@
   for (const RequestId& id : m.requests_) {
     // A newer incarnation's requests are not ours to deny.
     const Incarnation own = step.router_.options_.incarnation_;
-    const bool denied = id.incarnation_ < own ||
-                        (id.incarnation_ == own &&
-                         !step.router_.requests_.contains(id));
+    const bool denied =
+        id.incarnation_ < own ||
+        (id.incarnation_ == own && !step.router_.requests_.contains(id));
     if (denied) {
       answer.denied_.push_back(id);
     }
@@ -168,7 +172,8 @@
     return;
   }
   for (const RequestId& id : message.denied_) {
-    Sweep(step, message.server_, HeldRequest{id, "", {}}, "its owner denied it");
+    Sweep(step, message.server_, HeldRequest{id, "", {}},
+          "its owner denied it");
     ReleaseHold(step.router_.fleet_, message.server_, id, step.now_.steady_);
   }
 }
--- a/packages/core/src/types.cc
+++ b/packages/core/src/types.cc
@@ -20,8 +20,7 @@
   }
   const char* begin = text.data();
   const char* end = begin + text.size();
-  const auto head =
-      std::from_chars(begin, begin + dash, id->incarnation_, 16);
+  const auto head = std::from_chars(begin, begin + dash, id->incarnation_, 16);
   const auto tail = std::from_chars(begin + dash + 1, end, id->sequence_, 10);
   return head.ec == std::errc() && head.ptr == begin + dash &&
          tail.ec == std::errc() && tail.ptr == end;
--- a/packages/ctl/include/siskindrum/ctl/scenario.h
+++ b/packages/ctl/include/siskindrum/ctl/scenario.h
@@ -28,16 +28,16 @@
 
 // One kind of request.
 struct TrafficClass {
-  std::string organisation_;          // Prefix of the organisations' names.
+  std::string organisation_;  // Prefix of the organisations' names.
   std::uint32_t organisations_ = 1;
-  double weight_ = 1.0;               // Share of all arrivals.
+  double weight_ = 1.0;  // Share of all arrivals.
   Span prompt_tokens_{200, 2000};
   Span answer_tokens_{50, 150};
-  std::uint32_t max_tokens_ = 256;    // As the caller states it.
+  std::uint32_t max_tokens_ = 256;  // As the caller states it.
   core::Priority priority_ = core::Priority::kNormal;
-  std::uint32_t prefixes_ = 0;        // Shared prompt prefixes; zero: none.
+  std::uint32_t prefixes_ = 0;  // Shared prompt prefixes; zero: none.
   std::uint32_t prefix_tokens_ = 0;
-  double cancel_share_ = 0.0;         // Of its requests, at a random moment.
+  double cancel_share_ = 0.0;  // Of its requests, at a random moment.
 };
 
 enum class FaultKind {
@@ -84,8 +84,8 @@
   std::string message_;
 };
 
-// Reads a scenario file. "rules" names a rules file and "base" a scenario to lay
-// this one over, both relative to the file. Thread-safe: yes.
+// Reads a scenario file. "rules" names a rules file and "base" a scenario to
+// lay this one over, both relative to the file. Thread-safe: yes.
 tl::expected<Scenario, ScenarioError> LoadScenario(const std::string& file);
 
 // Writes "FILE: FIELD: MESSAGE". Thread-safe: yes.
--- a/packages/ctl/src/load_command.cc
+++ b/packages/ctl/src/load_command.cc
@@ -89,7 +89,9 @@
   }
 }
 
-bool AskEntry(const LoadOptions& options, std::uint64_t number, Seen& seen,
+bool AskEntry(const LoadOptions& options,
+              std::uint64_t number,
+              Seen& seen,
               bool* refused) {
   backend::HttpCall call;
   backend::HttpRequest http;
@@ -97,11 +99,12 @@
   http.path_ = "/v1/completions";
   http.headers_ = {
       {"Siskindrum-Organisation", absl::StrCat("shop-", number % 50)}};
-  http.body_ = Json{{"model", options.model_},
-                    {"prompt", MakePrompt(number, options.prompt_)},
-                    {"max_tokens", options.answer_},
-                    {"stream", true}}
-                   .dump();
+  http.body_ = Json{
+      {"model", options.model_},
+      {"prompt", MakePrompt(number, options.prompt_)},
+      {"max_tokens", options.answer_},
+      {"stream",
+       true}}.dump();
   http.silence_timeout_ = std::chrono::seconds(30);
   std::string pending;
   const auto answer = call.Run(http, [&](const char* data, std::size_t size) {
@@ -150,7 +153,8 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-void RunOne(const LoadOptions& options, std::uint64_t number,
+void RunOne(const LoadOptions& options,
+            std::uint64_t number,
             LoadResult& result) {
   Seen seen;
   bool refused = false;
@@ -183,9 +187,9 @@
   const Clock::time_point begun = Clock::now();
   double at = gap(random);
   while (at < options.seconds_) {
-    std::this_thread::sleep_until(
-        begun + std::chrono::duration_cast<Clock::duration>(
-                    std::chrono::duration<double>(at)));
+    std::this_thread::sleep_until(begun +
+                                  std::chrono::duration_cast<Clock::duration>(
+                                      std::chrono::duration<double>(at)));
     const std::uint64_t number = result.sent_++;
     threads.emplace_back(
         [&options, number, &result] { RunOne(options, number, result); });
@@ -196,7 +200,8 @@
   }
 }
 
-void Print(const LoadOptions& options, const LoadResult& result,
+void Print(const LoadOptions& options,
+           const LoadResult& result,
            double seconds) {
   std::cout << absl::StrFormat(
       "sent %d whole %d good %d refused %d failed %d tokens/s %.0f\n"
--- a/packages/ctl/src/operator_commands.cc
+++ b/packages/ctl/src/operator_commands.cc
@@ -67,7 +67,8 @@
   return true;
 }
 
-bool Fetch(const std::string& address, const std::string& path,
+bool Fetch(const std::string& address,
+           const std::string& path,
            std::string* out) {
   const std::size_t colon = address.rfind(':');
   int port = 0;
@@ -119,13 +120,13 @@
   const std::string state = dump["draining"].get<bool>() ? "draining"
                             : dump["ready"].get<bool>()  ? "ready"
                                                          : "not ready";
-  return absl::StrFormat(
-      "%-18s %-16s %-12s %-9s %8d %6d %8d %6d %7d %8d\n",
-      dump["name"].get<std::string>(), address,
-      dump["domain"].get<std::string>(), state,
-      dump["configuration"]["revision"].get<std::uint64_t>(),
-      dump["live_entries"].get<int>(), dump["requests"].size(), homes, waiting,
-      dump["uptime_ms"].get<std::int64_t>() / 1000);
+  return absl::StrFormat("%-18s %-16s %-12s %-9s %8d %6d %8d %6d %7d %8d\n",
+                         dump["name"].get<std::string>(), address,
+                         dump["domain"].get<std::string>(), state,
+                         dump["configuration"]["revision"].get<std::uint64_t>(),
+                         dump["live_entries"].get<int>(),
+                         dump["requests"].size(), homes, waiting,
+                         dump["uptime_ms"].get<std::int64_t>() / 1000);
 }
 
 }  // namespace
@@ -265,11 +266,11 @@
                        .count();
   std::random_device random;
   const auto word = [&] { return random() & 0xFFFFU; };
-  std::cout << absl::StrFormat(
-      "%08x-%04x-7%03x-%04x-%04x%04x%04x\n",
-      static_cast<std::uint64_t>(now) >> 16,
-      static_cast<std::uint64_t>(now) & 0xFFFFU, word() & 0xFFFU,
-      0x8000U | (word() & 0x3FFFU), word(), word(), word());
+  std::cout << absl::StrFormat("%08x-%04x-7%03x-%04x-%04x%04x%04x\n",
+                               static_cast<std::uint64_t>(now) >> 16,
+                               static_cast<std::uint64_t>(now) & 0xFFFFU,
+                               word() & 0xFFFU, 0x8000U | (word() & 0x3FFFU),
+                               word(), word(), word());
   return kExitGood;
 }
 
--- a/packages/ctl/src/report.cc
+++ b/packages/ctl/src/report.cc
@@ -21,19 +21,19 @@
 constexpr int kCurvePoints = 100;
 
 std::string GroupRow(const std::string& name, const GroupResult& group) {
-  const double share =
-      group.offered_ == 0
-          ? 0
-          : static_cast<double>(group.good_) / static_cast<double>(group.offered_);
+  const double share = group.offered_ == 0
+                           ? 0
+                           : static_cast<double>(group.good_) /
+                                 static_cast<double>(group.offered_);
   return absl::StrFormat("  %-22s %8d %8.4f %8d %8d %8d %8d\n", name,
                          group.offered_, share, group.refused_, group.failed_,
                          group.unfinished_, group.cancelled_);
 }
 
 Json GroupJson(const GroupResult& group) {
-  return {{"offered", group.offered_},     {"good", group.good_},
-          {"whole", group.whole_},         {"refused", group.refused_},
-          {"failed", group.failed_},       {"unfinished", group.unfinished_},
+  return {{"offered", group.offered_},    {"good", group.good_},
+          {"whole", group.whole_},        {"refused", group.refused_},
+          {"failed", group.failed_},      {"unfinished", group.unfinished_},
           {"cancelled", group.cancelled_}};
 }
 
@@ -77,10 +77,10 @@
 std::string FormatTable(const std::string& scenario,
                         const std::vector<PolicyResult>& results) {
   std::string text = absl::StrCat("scenario ", scenario, "\n");
-  absl::StrAppendFormat(&text, "%-12s %8s %8s %8s %9s %9s %9s %9s %7s %7s %7s %6s\n",
-                        "policy", "offered", "goodput", "good/s", "wasted %",
-                        "ttft p50", "ttft p95", "tbt p95", "refused", "failed",
-                        "unfin.", "late");
+  absl::StrAppendFormat(
+      &text, "%-12s %8s %8s %8s %9s %9s %9s %9s %7s %7s %7s %6s\n", "policy",
+      "offered", "goodput", "good/s", "wasted %", "ttft p50", "ttft p95",
+      "tbt p95", "refused", "failed", "unfin.", "late");
   for (const PolicyResult& row : results) {
     const ExperimentResult& r = row.result_;
     const double seconds = std::max(r.measured_seconds_, 1e-9);
@@ -94,7 +94,8 @@
         r.all_.refused_, r.all_.failed_, r.all_.unfinished_,
         r.refused_after_prefill_);
   }
-  return text + "times in ms; late: told \"not run\" after a prefill was spent\n";
+  return text +
+         "times in ms; late: told \"not run\" after a prefill was spent\n";
 }
 
 std::string FormatGroups(const PolicyResult& result) {
@@ -115,25 +116,24 @@
   Json rows = Json::array();
   for (const PolicyResult& row : results) {
     const ExperimentResult& r = row.result_;
-    rows.push_back(
-        {{"policy", row.policy_},
-         {"goodput_share", r.GoodShare()},
-         {"wasted_prefill_share", r.WastedShare()},
-         {"prefill_tokens", r.prefill_tokens_},
-         {"prefill_tokens_wasted", r.prefill_wasted_},
-         {"measured_seconds", r.measured_seconds_},
-         {"first_token_ms",
-          {{"p50", Percentile(r.first_token_ms_, kMedian)},
-           {"p95", Percentile(r.first_token_ms_, kMost)}}},
-         {"between_tokens_ms",
-          {{"p50", Percentile(r.between_ms_, kMedian)},
-           {"p95", Percentile(r.between_ms_, kMost)}}},
-         {"refused_after_prefill", r.refused_after_prefill_},
-         {"held_at_end", r.held_at_end_},
-         {"peer_messages", r.peer_messages_},
-         {"all", GroupJson(r.all_)},
-         {"by_organisation", GroupsJson(r.by_organisation_)},
-         {"by_priority", GroupsJson(r.by_priority_)}});
+    rows.push_back({{"policy", row.policy_},
+                    {"goodput_share", r.GoodShare()},
+                    {"wasted_prefill_share", r.WastedShare()},
+                    {"prefill_tokens", r.prefill_tokens_},
+                    {"prefill_tokens_wasted", r.prefill_wasted_},
+                    {"measured_seconds", r.measured_seconds_},
+                    {"first_token_ms",
+                     {{"p50", Percentile(r.first_token_ms_, kMedian)},
+                      {"p95", Percentile(r.first_token_ms_, kMost)}}},
+                    {"between_tokens_ms",
+                     {{"p50", Percentile(r.between_ms_, kMedian)},
+                      {"p95", Percentile(r.between_ms_, kMost)}}},
+                    {"refused_after_prefill", r.refused_after_prefill_},
+                    {"held_at_end", r.held_at_end_},
+                    {"peer_messages", r.peer_messages_},
+                    {"all", GroupJson(r.all_)},
+                    {"by_organisation", GroupsJson(r.by_organisation_)},
+                    {"by_priority", GroupsJson(r.by_priority_)}});
   }
   return Json{{"scenario", scenario}, {"policies", rows}}.dump(2) + "\n";
 }
@@ -154,17 +154,17 @@
       kPlotWidth + 2 * kMargin, kPlotHeight + 2 * kMargin, kMargin, scenario,
       kMargin, kMargin, kPlotWidth, kPlotHeight);
   absl::StrAppendFormat(
-      &svg, "<text x=\"%.0f\" y=\"%.0f\">0</text>\n<text x=\"%.0f\" "
-            "y=\"%.0f\" text-anchor=\"end\">%.0f ms</text>\n",
+      &svg,
+      "<text x=\"%.0f\" y=\"%.0f\">0</text>\n<text x=\"%.0f\" "
+      "y=\"%.0f\" text-anchor=\"end\">%.0f ms</text>\n",
       kMargin, kPlotHeight + kMargin + 20, kPlotWidth + kMargin,
       kPlotHeight + kMargin + 20, end);
   for (std::size_t i = 0; i < results.size(); ++i) {
     const char* colour = kColours[i % std::size(kColours)];
     svg += Curve(results[i].result_, end, colour);
-    absl::StrAppendFormat(&svg,
-                          "<text x=\"%.0f\" y=\"%.0f\" fill=\"%s\">%s</text>\n",
-                          kPlotWidth - 60, kPlotHeight - 20.0 * i, colour,
-                          results[i].policy_);
+    absl::StrAppendFormat(
+        &svg, "<text x=\"%.0f\" y=\"%.0f\" fill=\"%s\">%s</text>\n",
+        kPlotWidth - 60, kPlotHeight - 20.0 * i, colour, results[i].policy_);
   }
   return svg + "</svg>\n";
 }
--- a/packages/ctl/src/scenario.cc
+++ b/packages/ctl/src/scenario.cc
@@ -46,7 +46,9 @@
 }
 
 template <class Number>
-void ReadNumber(Reader& reader, const std::string& key, double most,
+void ReadNumber(Reader& reader,
+                const std::string& key,
+                double most,
                 Number* out) {
   const Json* value = Find(reader, key);
   if (value == nullptr) {
@@ -166,8 +168,8 @@
 }
 
 void ReadEngine(Reader& reader, model::EngineSettings& engine) {
-  auto base = std::chrono::duration_cast<std::chrono::microseconds>(
-      engine.step_base_);
+  auto base =
+      std::chrono::duration_cast<std::chrono::microseconds>(engine.step_base_);
   auto per = std::chrono::duration_cast<std::chrono::microseconds>(
       engine.step_per_stream_);
   auto evict =
--- a/packages/entry/include/siskindrum/entry/ring.h
+++ b/packages/entry/include/siskindrum/entry/ring.h
@@ -34,8 +34,7 @@
   // Takes the oldest item, waiting up to `limit` for one; nothing when none
   // came or the ring was closed. Thread-safe: yes.
   std::optional<Item> Pop(core::Nanoseconds limit) {
-    const absl::Time deadline =
-        absl::Now() + absl::Nanoseconds(limit.count());
+    const absl::Time deadline = absl::Now() + absl::Nanoseconds(limit.count());
     absl::MutexLock lock(&mutex_);
     while (items_.empty() && !closed_) {
       if (available_.WaitWithDeadline(&mutex_, deadline)) {
--- a/packages/entry/src/callers.cc
+++ b/packages/entry/src/callers.cc
@@ -28,9 +28,10 @@
 // First segment of a path: "/order-desk/bookings" names "order-desk".
 std::string ServiceOf(const std::string& path) {
   const std::size_t end = path.find_first_of("/?", 1);
-  return path.size() < 2 ? "" : path.substr(1, end == std::string::npos
-                                                   ? std::string::npos
-                                                   : end - 1);
+  return path.size() < 2
+             ? ""
+             : path.substr(
+                   1, end == std::string::npos ? std::string::npos : end - 1);
 }
 
 core::RequestShape ShapeOf(const httplib::Request& request,
@@ -74,11 +75,11 @@
 AnswerIdentity IdentityOf(const core::RequestId& id,
                           const CompletionRequest& request) {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return {absl::StrCat(request.chat_ ? "chatcmpl-" : "cmpl-",
-                       core::ToString(id)),
-          request.model_,
-          std::chrono::duration_cast<std::chrono::seconds>(now).count(),
-          request.chat_};
+  return {
+      absl::StrCat(request.chat_ ? "chatcmpl-" : "cmpl-", core::ToString(id)),
+      request.model_,
+      std::chrono::duration_cast<std::chrono::seconds>(now).count(),
+      request.chat_};
 }
 
 }  // namespace
@@ -151,16 +152,16 @@
   auto channel = std::make_shared<Channel>();
   channel->request_ = context_.core_.NextId();
   channels_.Add(channel);
-  auto session = std::make_shared<Session>(*this, channel,
-                                           CallerServer::CurrentSocket());
+  auto session =
+      std::make_shared<Session>(*this, channel, CallerServer::CurrentSocket());
   core::RequestArrived arrived{channel->request_, std::move(shape),
                                std::move(content_type), std::move(body)};
   if (!context_.core_.Post(std::move(arrived))) {
     // The ring to the core is full: the request goes no further.
-    channel->actions_.Push(core::Fail{
-        channel->request_,
-        {core::RunState::kNotRun, core::Reason::kOverloaded,
-         "this entry is overloaded", core::Milliseconds(1000)}});
+    channel->actions_.Push(
+        core::Fail{channel->request_,
+                   {core::RunState::kNotRun, core::Reason::kOverloaded,
+                    "this entry is overloaded", core::Milliseconds(1000)}});
     return session;
   }
   watch_.Add(session->socket_, channel->request_);
@@ -198,8 +199,8 @@
   const std::shared_ptr<Session> session = Open(std::move(shape), "", "");
   session->request_ = std::move(*parsed);
   session->prompt_tokens_ = work.prompt_tokens_;
-  session->driver_ = std::make_unique<PromptDriver>(
-      context_, session->channel_, std::move(work));
+  session->driver_ = std::make_unique<PromptDriver>(context_, session->channel_,
+                                                    std::move(work));
   DriveEnd end;
   if (!session->driver_->RunToDecode(&end)) {
     SetTraceHeaders(*session->channel_, response);
@@ -217,8 +218,7 @@
 void Callers::Stream(std::shared_ptr<Session> session,
                      httplib::Response& response) {
   response.set_chunked_content_provider(
-      "text/event-stream",
-      [session](std::size_t, httplib::DataSink& sink) {
+      "text/event-stream", [session](std::size_t, httplib::DataSink& sink) {
         const AnswerIdentity identity =
             IdentityOf(session->channel_->request_, session->request_);
         const auto write = [&](const std::string& text) {
@@ -259,9 +259,8 @@
                     httplib::Response& response) {
   core::RequestShape shape = ShapeOf(request, context_.settings_);
   shape.service_ = ServiceOf(request.path);
-  const std::shared_ptr<Session> session =
-      Open(std::move(shape), request.get_header_value("Content-Type"),
-           request.body);
+  const std::shared_ptr<Session> session = Open(
+      std::move(shape), request.get_header_value("Content-Type"), request.body);
   const PlainEnd end = DrivePlain(context_, session->channel_);
   SetTraceHeaders(*session->channel_, response);
   if (!end.answered_) {
@@ -279,12 +278,11 @@
 
 void Callers::Models(httplib::Response& response) {
   std::string text;
-  const bool asked = context_.core_.Ask(
-      [&](const core::Router& router, const core::Now&) {
-        const auto& current = router.configuration_.current_;
-        text = FormatModels(current == nullptr ? core::RuleSet{}
-                                               : current->rules_);
-      });
+  const bool asked = context_.core_.Ask([&](const core::Router& router,
+                                            const core::Now&) {
+    const auto& current = router.configuration_.current_;
+    text = FormatModels(current == nullptr ? core::RuleSet{} : current->rules_);
+  });
   response.status = asked ? 200 : 503;
   response.set_content(text, kJson);
 }
--- a/packages/entry/src/core_thread.cc
+++ b/packages/entry/src/core_thread.cc
@@ -99,7 +99,7 @@
     if (const auto* event = std::get_if<core::Event>(&*input)) {
       Handle(*event);
     } else {
-      std::get<RouterQuery>(*input)(router_, ReadClocks());
+      std::get<RouterQuery> (*input)(router_, ReadClocks());
     }
   }
 }
--- a/packages/entry/src/driver.cc
+++ b/packages/entry/src/driver.cc
@@ -127,8 +127,7 @@
   if (cursor_.next_position_ == 1) {
     context_.metrics_.Observe(telemetry::Timing::kFirstToken,
                               now - arrived_at_);
-    context_.core_.Post(
-        core::FirstToken{channel_->request_, cursor_.attempt_});
+    context_.core_.Post(core::FirstToken{channel_->request_, cursor_.attempt_});
   } else {
     context_.metrics_.Observe(telemetry::Timing::kBetweenTokens,
                               now - last_token_at_);
@@ -172,8 +171,8 @@
   ended.delivered_ = cursor_.next_position_;
   ended.imported_ = result.imported_;
   ended.ok_ = result.finished_;
-  ended.verdict_ = verdict.reason_ != core::Reason::kNone ? verdict
-                                                          : result.verdict_;
+  ended.verdict_ =
+      verdict.reason_ != core::Reason::kNone ? verdict : result.verdict_;
   context_.core_.Post(ended);
   if (result.finished_) {
     context_.metrics_.Observe(telemetry::Timing::kRequest,
--- a/packages/entry/src/driver_p.h
+++ b/packages/entry/src/driver_p.h
@@ -62,9 +62,11 @@
   // Waits for the core's next action; false when the request has ended.
   bool NextAction(core::RouterAction* action);
   void Prefill(const core::StartPrefill& order);
-  bool Decode(const core::StartDecode& order, const TextSink& sink,
+  bool Decode(const core::StartDecode& order,
+              const TextSink& sink,
               DriveEnd* end);
-  bool Deliver(const backend::DecodeLine& line, const TextSink& sink,
+  bool Deliver(const backend::DecodeLine& line,
+               const TextSink& sink,
                core::Verdict* verdict);
 
   DriverContext context_;
--- a/packages/entry/src/duties.cc
+++ b/packages/entry/src/duties.cc
@@ -63,9 +63,8 @@
     }
     for (std::size_t i = part; i < servers.size() && !stopping_;
          i += kPollThreads) {
-      context_.core_.Post(
-          core::LoadSeen{servers[i].name_,
-                         context_.dialect_.load_(servers[i].address_)});
+      context_.core_.Post(core::LoadSeen{
+          servers[i].name_, context_.dialect_.load_(servers[i].address_)});
     }
     // A newly homed cell is read soon: its slots cannot be granted before.
     const core::Milliseconds period =
@@ -195,9 +194,8 @@
 // Spreads the slow polls of a fleet that started at once.
 core::Milliseconds Jittered(core::Milliseconds period) {
   static thread_local std::minstd_rand random(std::random_device{}());
-  return period / 2 +
-         core::Milliseconds(random() % static_cast<std::uint64_t>(
-                                           period.count()));
+  return period / 2 + core::Milliseconds(random() % static_cast<std::uint64_t>(
+                                                        period.count()));
 }
 
 void PlatformReader::ReadConfiguration() {
@@ -209,8 +207,8 @@
         watch_ ? platform.watch_wait_ : core::Milliseconds(0);
     context_.metrics_.Add(telemetry::Counter::kPlatformCalls);
     const std::uint64_t after = std::max(revision_.load(), refused);
-    auto published = platform::FetchConfiguration(configuration_call_, address,
-                                                  after, wait);
+    auto published =
+        platform::FetchConfiguration(configuration_call_, address, after, wait);
     if (!published.has_value()) {
       if (!Pause(Jittered(kAfterError), false)) {
         return;
@@ -245,10 +243,9 @@
     if (list.has_value()) {
       context_.core_.Post(std::move(*list));
     }
-    const core::Milliseconds pause =
-        !list.has_value() ? Jittered(kAfterError)
-        : watch_          ? platform.list_poll_
-                          : Jittered(platform.slow_poll_);
+    const core::Milliseconds pause = !list.has_value() ? Jittered(kAfterError)
+                                     : watch_          ? platform.list_poll_
+                                              : Jittered(platform.slow_poll_);
     if (!Pause(pause, !watch_)) {
       return;
     }
--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -53,12 +53,12 @@
         options_(MakeOptions(settings_)),
         core_(options_, metrics_),
         context_{core_, metrics_, backend::LineEngine(), settings_},
-        node_({settings_.peers_.host_, settings_.peers_.port_,
-               settings_.fleet_},
-              {[this](std::string bytes) { return OnReceived(bytes); },
-               [this](std::uint64_t tag, core::Verdict verdict) {
-                 OnSendFailed(tag, std::move(verdict));
-               }}),
+        node_(
+            {settings_.peers_.host_, settings_.peers_.port_, settings_.fleet_},
+            {[this](std::string bytes) { return OnReceived(bytes); },
+             [this](std::uint64_t tag, core::Verdict verdict) {
+               OnSendFailed(tag, std::move(verdict));
+             }}),
         poller_(context_),
         canceller_(context_),
         calls_(context_),
@@ -98,8 +98,8 @@
     if (made.has_value()) {
       return core_.Post(core::ConfigurationSeen{*made, message->from_});
     }
-    return core_.Post(core::ConfigurationRefused{
-        body->revision_, made.error(), message->from_});
+    return core_.Post(core::ConfigurationRefused{body->revision_, made.error(),
+                                                 message->from_});
   }
 
   void OnSendFailed(std::uint64_t tag, core::Verdict verdict) {
@@ -128,13 +128,13 @@
     } else if (const auto* call = std::get_if<core::CallForward>(&send.body_)) {
       tag = MakeTag(SendKind::kForward, call->request_);
     }
-    const std::string bytes = peer::Encode(
-        {options_.name_, options_.incarnation_, send.body_});
+    const std::string bytes =
+        peer::Encode({options_.name_, options_.incarnation_, send.body_});
     if (!node_.Send(send.address_, bytes, tag)) {
       metrics_.Add(telemetry::Counter::kRingFull);
-      OnSendFailed(tag, {core::RunState::kNotRun, core::Reason::kOverloaded,
-                         "the ring to the peer thread is full",
-                         core::Milliseconds(0)});
+      OnSendFailed(
+          tag, {core::RunState::kNotRun, core::Reason::kOverloaded,
+                "the ring to the peer thread is full", core::Milliseconds(0)});
     }
   }
 
@@ -170,9 +170,7 @@
   void Do(core::AnswerPlain action) { ToChannel(std::move(action)); }
   void Do(core::CancelAt action) { canceller_.Add(std::move(action)); }
   void Do(const core::SendPeer& action) { SendToPeer(action); }
-  void Do(core::PollServers action) {
-    poller_.Set(std::move(action.servers_));
-  }
+  void Do(core::PollServers action) { poller_.Set(std::move(action.servers_)); }
   void Do(const core::WatchPlatform& action) {
     platform_.SetWatch(action.watch_);
   }
@@ -204,11 +202,11 @@
     return started;
   }
   state.logs_.Start();
-  state.logs_.Add({"entry_started",
-                   {{"name", state.settings_.name_},
-                    {"domain", state.settings_.domain_},
-                    {"incarnation",
-                     std::to_string(state.options_.incarnation_)}}});
+  state.logs_.Add(
+      {"entry_started",
+       {{"name", state.settings_.name_},
+        {"domain", state.settings_.domain_},
+        {"incarnation", std::to_string(state.options_.incarnation_)}}});
   state.canceller_.Start();
   state.calls_.Start();
   state.watch_.Start([&state](const core::RequestId& request) {
@@ -238,8 +236,7 @@
   State& state = *state_;
   if (!state.drained_) {
     state.logs_.Add(
-        {"drain_cut",
-         {{"requests", std::to_string(state.channels_.Size())}}});
+        {"drain_cut", {{"requests", std::to_string(state.channels_.Size())}}});
     state.channels_.StopAll();
   }
   state.callers_.Stop();
--- a/packages/entry/src/main.cc
+++ b/packages/entry/src/main.cc
@@ -73,9 +73,9 @@
 int main(int argc, char** argv) {
   std::string file;
   po::options_description description("Entry instance of siskindrum");
-  description.add_options()("help", "show this text")("version",
-                                                      "show the version")(
-      "settings", po::value(&file), "settings file in JSON")(
+  description.add_options()("help", "show this text")(
+      "version", "show the version")("settings", po::value(&file),
+                                     "settings file in JSON")(
       "check", "check the settings file and exit");
   po::variables_map values;
   try {
--- a/packages/entry/src/openai.cc
+++ b/packages/entry/src/openai.cc
@@ -47,8 +47,7 @@
                                            std::string* prompt) {
   const auto messages = json.find("messages");
   if (messages == json.end() || !messages->is_array() || messages->empty()) {
-    return tl::unexpected(
-        BodyError{"messages", "expected a list of messages"});
+    return tl::unexpected(BodyError{"messages", "expected a list of messages"});
   }
   for (const Json& message : *messages) {
     if (!message.is_object() || !message.contains("role") ||
@@ -118,11 +117,10 @@
 }
 
 std::string MessageOf(const core::Verdict& verdict) {
-  const char* ran = verdict.run_state_ == RunState::kNotRun
-                        ? "the request did not run"
-                    : verdict.run_state_ == RunState::kRan
-                        ? "the request ran"
-                        : "the request may have run";
+  const char* ran =
+      verdict.run_state_ == RunState::kNotRun ? "the request did not run"
+      : verdict.run_state_ == RunState::kRan  ? "the request ran"
+                                              : "the request may have run";
   return absl::StrCat(core::ToString(verdict.reason_),
                       verdict.detail_.empty() ? "" : ": ", verdict.detail_,
                       "; ", ran);
@@ -189,20 +187,19 @@
                         const std::string& text,
                         const std::string& finish_reason) {
   Json choice = {{"index", 0},
-                 {"finish_reason", finish_reason.empty()
-                                       ? Json(nullptr)
-                                       : Json(finish_reason)}};
+                 {"finish_reason",
+                  finish_reason.empty() ? Json(nullptr) : Json(finish_reason)}};
   if (identity.chat_) {
     choice["delta"] = text.empty() ? Json::object() : Json{{"content", text}};
   } else {
     choice["text"] = text;
   }
-  const Json chunk = {{"id", identity.id_},
-                      {"object", identity.chat_ ? "chat.completion.chunk"
-                                                : "text_completion"},
-                      {"created", identity.created_},
-                      {"model", identity.model_},
-                      {"choices", Json::array({choice})}};
+  const Json chunk = {
+      {"id", identity.id_},
+      {"object", identity.chat_ ? "chat.completion.chunk" : "text_completion"},
+      {"created", identity.created_},
+      {"model", identity.model_},
+      {"choices", Json::array({choice})}};
   return absl::StrCat("data: ", Write(chunk), "\n\n");
 }
 
@@ -225,16 +222,16 @@
   } else {
     choice["text"] = text;
   }
-  return Write({{"id", identity.id_},
-                {"object",
-                 identity.chat_ ? "chat.completion" : "text_completion"},
-                {"created", identity.created_},
-                {"model", identity.model_},
-                {"choices", Json::array({choice})},
-                {"usage",
-                 {{"prompt_tokens", prompt_tokens},
-                  {"completion_tokens", completion_tokens},
-                  {"total_tokens", prompt_tokens + completion_tokens}}}});
+  return Write(
+      {{"id", identity.id_},
+       {"object", identity.chat_ ? "chat.completion" : "text_completion"},
+       {"created", identity.created_},
+       {"model", identity.model_},
+       {"choices", Json::array({choice})},
+       {"usage",
+        {{"prompt_tokens", prompt_tokens},
+         {"completion_tokens", completion_tokens},
+         {"total_tokens", prompt_tokens + completion_tokens}}}});
 }
 
 std::string FormatError(const core::Verdict& verdict) {
@@ -242,15 +239,15 @@
 }
 
 std::string FormatBodyError(const BodyError& error) {
-  return Write({{"error",
-                 {{"message", absl::StrCat(error.field_,
-                                           error.field_.empty() ? "" : ": ",
-                                           error.message_)},
-                  {"type", "invalid_request_error"},
-                  {"param", error.field_.empty() ? Json(nullptr)
-                                                 : Json(error.field_)},
-                  {"code", "invalid_body"},
-                  {"verdict", "not_run"}}}});
+  return Write(
+      {{"error",
+        {{"message",
+          absl::StrCat(error.field_, error.field_.empty() ? "" : ": ",
+                       error.message_)},
+         {"type", "invalid_request_error"},
+         {"param", error.field_.empty() ? Json(nullptr) : Json(error.field_)},
+         {"code", "invalid_body"},
+         {"verdict", "not_run"}}}});
 }
 
 int StatusOf(const core::Verdict& verdict) {
--- a/packages/entry/src/operators.cc
+++ b/packages/entry/src/operators.cc
@@ -77,9 +77,10 @@
   core::RequestId id;
   if (!core::ParseRequestId(request.get_param_value("request"), &id)) {
     response.status = 400;
-    response.set_content("request: expected the identity that an answer "
-                         "carries in X-Siskindrum-Request\n",
-                         kText);
+    response.set_content(
+        "request: expected the identity that an answer "
+        "carries in X-Siskindrum-Request\n",
+        kText);
     return;
   }
   Answer(response, kText, [id](const core::Router& router, const core::Now&) {
@@ -93,13 +94,12 @@
 void Operators::Route() {
   server_.new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
   server_.set_keep_alive_max_count(1);
-  server_.Get("/healthz", [](const auto&, auto& res) {
-    res.set_content("ok\n", kText);
-  });
+  server_.Get("/healthz",
+              [](const auto&, auto& res) { res.set_content("ok\n", kText); });
   server_.Get("/readyz", [this](const auto&, auto& res) {
     bool ready = false;
-    const bool asked = context_.core_.Ask(
-        [&](const core::Router& router, const core::Now&) {
+    const bool asked =
+        context_.core_.Ask([&](const core::Router& router, const core::Now&) {
           ready = core::IsReady(router);
         });
     res.status = asked && ready ? 200 : 503;
@@ -112,9 +112,8 @@
              return telemetry::DumpRouter(router, now);
            });
   });
-  server_.Get("/explain", [this](const auto& req, auto& res) {
-    Explain(req, res);
-  });
+  server_.Get("/explain",
+              [this](const auto& req, auto& res) { Explain(req, res); });
 }
 
 }  // namespace siskindrum::entry
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -17,26 +17,26 @@
 // Refuses deep nesting before the value is built, since the parser recurses.
 struct DepthGuard : nlohmann::json_sax<Json> {
   int depth_ = 0;
-  bool null() override { return true; }                  // NOLINT
-  bool boolean(bool) override { return true; }           // NOLINT
-  bool number_integer(number_integer_t) override {       // NOLINT
+  bool null() override { return true; }             // NOLINT
+  bool boolean(bool) override { return true; }      // NOLINT
+  bool number_integer(number_integer_t) override {  // NOLINT
     return true;
   }
-  bool number_unsigned(number_unsigned_t) override {     // NOLINT
+  bool number_unsigned(number_unsigned_t) override {  // NOLINT
     return true;
   }
   bool number_float(number_float_t, const string_t&) override {  // NOLINT
     return true;
   }
-  bool string(string_t&) override { return true; }       // NOLINT
-  bool binary(binary_t&) override { return true; }       // NOLINT
+  bool string(string_t&) override { return true; }           // NOLINT
+  bool binary(binary_t&) override { return true; }           // NOLINT
   bool start_object(std::size_t) override { return false; }  // NOLINT
-  bool key(string_t&) override { return true; }          // NOLINT
-  bool end_object() override { return true; }            // NOLINT
-  bool start_array(std::size_t) override {               // NOLINT
+  bool key(string_t&) override { return true; }              // NOLINT
+  bool end_object() override { return true; }                // NOLINT
+  bool start_array(std::size_t) override {                   // NOLINT
     return ++depth_ <= kMaxDepth;
   }
-  bool end_array() override {                            // NOLINT
+  bool end_array() override {  // NOLINT
     --depth_;
     return true;
   }
@@ -207,8 +207,7 @@
 
 // Byte strings that need not be UTF-8 travel as CBOR binary.
 Json PutBytes(const std::string& bytes) {
-  return Json::binary(
-      std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+  return Json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
 }
 std::string TakeBytes(const Json& json) {
   const auto& bytes = json.get_binary();
@@ -234,8 +233,8 @@
 }
 
 Json Put(const PlainAnswer& answer) {
-  return Json::array({answer.status_, PutBytes(answer.content_type_),
-                      PutBytes(answer.body_)});
+  return Json::array(
+      {answer.status_, PutBytes(answer.content_type_), PutBytes(answer.body_)});
 }
 void Take(const Json& json, PlainAnswer& answer) {
   answer.status_ = json.at(0).get<int>();
@@ -244,8 +243,8 @@
 }
 
 Json Put(const SeatRecord& row) {
-  return Json::array({row.key_, PutEnum(row.state_), Put(row.answer_),
-                      row.answer_kept_});
+  return Json::array(
+      {row.key_, PutEnum(row.state_), Put(row.answer_), row.answer_kept_});
 }
 void Take(const Json& json, SeatRecord& row) {
   row.key_ = json.at(0).get<std::string>();
@@ -327,9 +326,8 @@
 }
 
 Json Put(const LeaseRefuse& m) {
-  return Json::array(
-      {Put(m.request_), PutEnum(m.reason_), m.retry_after_.count(),
-       Put(m.digest_)});
+  return Json::array({Put(m.request_), PutEnum(m.reason_),
+                      m.retry_after_.count(), Put(m.digest_)});
 }
 void Take(const Json& json, LeaseRefuse& m) {
   Take(json.at(0), m.request_);
@@ -365,8 +363,8 @@
 }
 
 Json Put(const CallForward& m) {
-  return Json::array({Put(m.request_), Put(m.shape_),
-                      PutBytes(m.content_type_), PutBytes(m.body_)});
+  return Json::array({Put(m.request_), Put(m.shape_), PutBytes(m.content_type_),
+                      PutBytes(m.body_)});
 }
 void Take(const Json& json, CallForward& m) {
   Take(json.at(0), m.request_);
@@ -378,8 +376,7 @@
 Json Put(const CallAnswer& m) {
   return Json::array({Put(m.request_), PutEnum(m.run_state_),
                       PutEnum(m.reason_), m.has_answer_, m.repeated_,
-                      Put(m.answer_), m.server_, m.key_unused_,
-                      m.vouched_});
+                      Put(m.answer_), m.server_, m.key_unused_, m.vouched_});
 }
 void Take(const Json& json, CallAnswer& m) {
   Take(json.at(0), m.request_);
--- a/packages/peer/src/connection.cc
+++ b/packages/peer/src/connection.cc
@@ -269,9 +269,9 @@
   for (const auto& [stream, message] : connection.outgoing_) {
     ++counters.failed_;
     connection.shared_->handlers_.failed_(
-        message.tag_, {core::RunState::kMayHaveRun,
-                       core::Reason::kConnectionLost, connection.address_,
-                       core::Milliseconds(0)});
+        message.tag_,
+        {core::RunState::kMayHaveRun, core::Reason::kConnectionLost,
+         connection.address_, core::Milliseconds(0)});
   }
   connection.outgoing_.clear();
 }
--- a/packages/peer/src/connection_p.h
+++ b/packages/peer/src/connection_p.h
@@ -46,8 +46,8 @@
   bool broken_ = false;
   core::TimePoint opened_at_{};
   nghttp2_session* session_ = nullptr;
-  std::string unsent_;                      // Bytes the kernel did not take.
-  std::deque<Outgoing> waiting_;            // Until connected.
+  std::string unsent_;            // Bytes the kernel did not take.
+  std::deque<Outgoing> waiting_;  // Until connected.
   std::map<std::int32_t, Outgoing> outgoing_;
   std::map<std::int32_t, Incoming> incoming_;
 };
--- a/packages/peer/src/node.cc
+++ b/packages/peer/src/node.cc
@@ -211,10 +211,10 @@
   static void RemoveBroken(State& state) {
     for (auto it = state.connections_.begin();
          it != state.connections_.end();) {
-      const bool idle =
-          !it->broken_ && !it->connecting_ && it->session_ != nullptr &&
-          nghttp2_session_want_read(it->session_) == 0 &&
-          nghttp2_session_want_write(it->session_) == 0;
+      const bool idle = !it->broken_ && !it->connecting_ &&
+                        it->session_ != nullptr &&
+                        nghttp2_session_want_read(it->session_) == 0 &&
+                        nghttp2_session_want_write(it->session_) == 0;
       if (!it->broken_ && !idle) {
         ++it;
         continue;
@@ -334,8 +334,7 @@
     state_->ring_.push_back({address, {std::move(bytes), tag, 0}});
   }
   const std::uint64_t one = 1;
-  [[maybe_unused]] const ssize_t put =
-      write(state_->wake_, &one, sizeof(one));
+  [[maybe_unused]] const ssize_t put = write(state_->wake_, &one, sizeof(one));
   return true;
 }
 
@@ -346,8 +345,7 @@
   state_->stop_by_ = Clock() + limit;
   state_->stopping_ = true;
   const std::uint64_t one = 1;
-  [[maybe_unused]] const ssize_t put =
-      write(state_->wake_, &one, sizeof(one));
+  [[maybe_unused]] const ssize_t put = write(state_->wake_, &one, sizeof(one));
   state_->thread_.join();
 }
 
--- a/packages/platform/src/platform.cc
+++ b/packages/platform/src/platform.cc
@@ -122,8 +122,8 @@
     const std::string& address,
     std::uint64_t after,
     core::Milliseconds wait) {
-  const std::string path = absl::StrCat("/configuration?after=", after,
-                                        "&wait_ms=", wait.count());
+  const std::string path =
+      absl::StrCat("/configuration?after=", after, "&wait_ms=", wait.count());
   auto answer = Get(call, address, path, wait + kAnswerTimeout);
   if (!answer.has_value()) {
     return tl::unexpected(answer.error());
--- a/packages/rules/src/explain.cc
+++ b/packages/rules/src/explain.cc
@@ -19,8 +19,8 @@
                     outcome.first_token_.count(), " ms");
   }
   if (outcome.between_tokens_.count() > 0) {
-    absl::StrAppend(&text, ", then one every ",
-                    outcome.between_tokens_.count(), " ms");
+    absl::StrAppend(&text, ", then one every ", outcome.between_tokens_.count(),
+                    " ms");
   }
   if (outcome.repeat_ == core::Repeat::kNever) {
     absl::StrAppend(&text, ", at most once");
--- a/packages/rules/src/lexer.cc
+++ b/packages/rules/src/lexer.cc
@@ -57,8 +57,8 @@
     if (hash != std::string::npos) {
       line.has_comment_ = true;
       line.comment_column_ = static_cast<int>(hash) + 1;
-      line.comment_ = std::string(
-          absl::StripAsciiWhitespace(line.text_.substr(hash + 1)));
+      line.comment_ =
+          std::string(absl::StripAsciiWhitespace(line.text_.substr(hash + 1)));
       body = line.text_.substr(0, hash);
     }
     SplitWords(line, body);
--- a/packages/rules/src/rules.cc
+++ b/packages/rules/src/rules.cc
@@ -32,7 +32,9 @@
   parser.errors_.push_back({line.number_, column, std::move(text)});
 }
 
-bool ParseCount(const std::string& text, std::uint32_t max, std::uint32_t* out) {
+bool ParseCount(const std::string& text,
+                std::uint32_t max,
+                std::uint32_t* out) {
   std::uint32_t value = 0;
   if (!absl::SimpleAtoi(text, &value) || value > max) {
     return false;
@@ -78,19 +80,25 @@
 }
 
 std::string* PatternField(RuleMatch& match, const std::string& key) {
-  if (key == "service") return &match.service_;
-  if (key == "organisation") return &match.organisation_;
-  if (key == "model") return &match.model_;
-  if (key == "path") return &match.path_;
-  if (key == "method") return &match.method_;
-  if (key == "domain") return &match.domain_;
+  if (key == "service")
+    return &match.service_;
+  if (key == "organisation")
+    return &match.organisation_;
+  if (key == "model")
+    return &match.model_;
+  if (key == "path")
+    return &match.path_;
+  if (key == "method")
+    return &match.method_;
+  if (key == "domain")
+    return &match.domain_;
   return nullptr;
 }
 
 // Returns an error text, empty when the condition was taken.
 std::string ParseCondition(RuleMatch& match, const Word& word) {
   if (word.key_ == "prompt") {
-    std::uint32_t* bound = word.comparison_ == ">=" ? &match.prompt_at_least_
+    std::uint32_t* bound = word.comparison_ == ">="  ? &match.prompt_at_least_
                            : word.comparison_ == "<" ? &match.prompt_below_
                                                      : nullptr;
     if (bound == nullptr || !ParseCount(word.value_, kMaxTokens, bound)) {
@@ -229,8 +237,9 @@
   }
   const bool plain = outcome.kind_ == core::BackendKind::kPlain;
   if (!plain && outcome.repeat_ == core::Repeat::kNever) {
-    AddError(parser, line, column,
-             "repeat=never needs the word plain: model answers may be repeated");
+    AddError(
+        parser, line, column,
+        "repeat=never needs the word plain: model answers may be repeated");
   }
   if (plain && (outcome.first_token_.count() > 0 ||
                 outcome.between_tokens_.count() > 0)) {
@@ -310,9 +319,9 @@
   } else if (verb == "seat") {
     ParseSeatLine(parser, line);
   } else {
-    AddError(parser, line, line.words_.front().column_,
-             absl::StrCat("expected 'when', 'default' or 'seat', not '", verb,
-                          "'"));
+    AddError(
+        parser, line, line.words_.front().column_,
+        absl::StrCat("expected 'when', 'default' or 'seat', not '", verb, "'"));
   }
 }
 
@@ -364,11 +373,11 @@
 }
 
 void WarnSeats(ParsedRules& parsed) {
-  const auto once = std::find_if(
-      parsed.rules_.rules_.begin(), parsed.rules_.rules_.end(),
-      [](const Rule& rule) {
-        return rule.outcome_.repeat_ == core::Repeat::kNever;
-      });
+  const auto once =
+      std::find_if(parsed.rules_.rules_.begin(), parsed.rules_.rules_.end(),
+                   [](const Rule& rule) {
+                     return rule.outcome_.repeat_ == core::Repeat::kNever;
+                   });
   if (once != parsed.rules_.rules_.end() && parsed.rules_.seats_.empty()) {
     parsed.warnings_.push_back(
         {once->line_, 1,
--- a/packages/settings/include/siskindrum/settings/settings.h
+++ b/packages/settings/include/siskindrum/settings/settings.h
@@ -25,8 +25,8 @@
 
 struct CallerSettings {
   Address address_;
-  std::uint32_t max_requests_ = 1200;      // Served at once; one thread each.
-  std::uint32_t max_waiting_ = 200;        // Connections that wait for a thread.
+  std::uint32_t max_requests_ = 1200;  // Served at once; one thread each.
+  std::uint32_t max_waiting_ = 200;    // Connections that wait for a thread.
   std::uint64_t max_body_bytes_ = 8 << 20;
   core::Milliseconds idle_timeout_{5000};  // Of a connection without a request.
   core::Milliseconds read_timeout_{5000};
@@ -38,7 +38,7 @@
   Address instances_;
   core::Milliseconds watch_wait_{10000};  // How long a watch may wait.
   core::Milliseconds list_poll_{1000};
-  core::Milliseconds slow_poll_{60000};   // Of entries that do not watch.
+  core::Milliseconds slow_poll_{60000};  // Of entries that do not watch.
 };
 
 // Settings of one entry process.
--- a/packages/settings/src/settings.cc
+++ b/packages/settings/src/settings.cc
@@ -53,14 +53,14 @@
   if (value == nullptr) {
     return;
   }
-  const bool good = value->is_string() &&
-                    !value->get_ref<const std::string&>().empty() &&
-                    value->get_ref<const std::string&>().size() <=
-                        kMaxNameLength &&
-                    value->get_ref<const std::string&>().find_first_of(
-                        " \t\r\n=\"/") == std::string::npos;
+  const bool good =
+      value->is_string() && !value->get_ref<const std::string&>().empty() &&
+      value->get_ref<const std::string&>().size() <= kMaxNameLength &&
+      value->get_ref<const std::string&>().find_first_of(" \t\r\n=\"/") ==
+          std::string::npos;
   if (!good) {
-    Report(reader, key, "expected a name of 1 to 100 characters without spaces");
+    Report(reader, key,
+           "expected a name of 1 to 100 characters without spaces");
     return;
   }
   *out = value->get<std::string>();
@@ -194,8 +194,7 @@
   if (error.message_.empty() &&
       (callers == operators || callers == peers || operators == peers)) {
     error.field_ = "callers.address";
-    error.message_ =
-        "callers, operators and peers need addresses of their own";
+    error.message_ = "callers, operators and peers need addresses of their own";
   }
 }
 
@@ -223,10 +222,9 @@
 }
 
 std::string Describe(const SettingsError& error) {
-  return error.field_.empty()
-             ? absl::StrCat(error.file_, ": ", error.message_)
-             : absl::StrCat(error.file_, ": ", error.field_, ": ",
-                            error.message_);
+  return error.field_.empty() ? absl::StrCat(error.file_, ": ", error.message_)
+                              : absl::StrCat(error.file_, ": ", error.field_,
+                                             ": ", error.message_);
 }
 
 tl::expected<Settings, SettingsError> ParseSettings(const std::string& text,
@@ -251,8 +249,7 @@
 tl::expected<Settings, SettingsError> LoadSettings(const std::string& file) {
   std::ifstream stream(file);
   if (!stream) {
-    return tl::unexpected(
-        SettingsError{file, "", "the file cannot be opened"});
+    return tl::unexpected(SettingsError{file, "", "the file cannot be opened"});
   }
   std::ostringstream text;
   text << stream.rdbuf();
--- a/packages/standin/src/main_engine.cc
+++ b/packages/standin/src/main_engine.cc
@@ -22,9 +22,9 @@
       "pieces", po::value(&engine.total_pieces_), "memory pieces")(
       "threads", po::value(&options.threads_), "HTTP threads")(
       "prefill-rate", po::value(&engine.prefill_tokens_per_second_),
-      "prefill tokens a second")(
-      "link-rate", po::value(&engine.link_tokens_per_second_),
-      "tokens a second over the export link")(
+      "prefill tokens a second")("link-rate",
+                                 po::value(&engine.link_tokens_per_second_),
+                                 "tokens a second over the export link")(
       "step-base-us", po::value(&step_base_us), "fixed part of a step")(
       "step-stream-us", po::value(&step_stream_us), "part for each stream")(
       "evict-ms", po::value(&evict_ms), "life of a prefill result")(
--- a/packages/standin/src/main_plain.cc
+++ b/packages/standin/src/main_plain.cc
@@ -23,10 +23,10 @@
   std::map<std::string, int> by_request_;  // Runs of each request identity.
   int calls_ = 0;
   int delay_ms_ = 0;
-  int next_delay_ms_ = 0;     // Of the next call only.
-  bool refusing_ = false;     // Answers 503 before acting.
-  bool dropping_ = false;     // Acts, then drops the connection.
-  std::uint64_t fence_ = 0;   // Highest fencing number seen.
+  int next_delay_ms_ = 0;    // Of the next call only.
+  bool refusing_ = false;    // Answers 503 before acting.
+  bool dropping_ = false;    // Acts, then drops the connection.
+  std::uint64_t fence_ = 0;  // Highest fencing number seen.
   bool checks_fence_ = false;
   std::string name_;
 };
@@ -60,8 +60,8 @@
       ++service.by_key_[key];
     }
     ++service.by_request_[request.get_header_value("X-Request-Id")];
-    delay = service.next_delay_ms_ > 0 ? service.next_delay_ms_
-                                       : service.delay_ms_;
+    delay =
+        service.next_delay_ms_ > 0 ? service.next_delay_ms_ : service.delay_ms_;
     service.next_delay_ms_ = 0;
     dropping = service.dropping_;
   }
@@ -134,9 +134,8 @@
   http.new_task_queue = [] { return new httplib::ThreadPool(64); };
   http.set_keep_alive_max_count(1);
   http.Get("/record", [&](const auto&, auto& res) { OnRecord(service, res); });
-  http.Post("/control", [&](const auto& req, auto& res) {
-    OnControl(service, req, res);
-  });
+  http.Post("/control",
+            [&](const auto& req, auto& res) { OnControl(service, req, res); });
   const auto call = [&](const auto& req, auto& res) {
     OnCall(service, req, res);
   };
--- a/packages/standin/src/main_platform.cc
+++ b/packages/standin/src/main_platform.cc
@@ -163,16 +163,14 @@
   });
   http.Get("/record", [&](const auto&, auto& res) {
     absl::MutexLock lock(&platform.mutex_);
-    res.set_content(
-        Json{{"configuration_calls", platform.configuration_calls_},
-             {"instance_calls", platform.instance_calls_},
-             {"revision", platform.revision_}}
-            .dump(),
-        "application/json");
-  });
-  http.Post("/control", [&](const auto& req, auto& res) {
-    OnControl(platform, req, res);
+    res.set_content(Json{{"configuration_calls", platform.configuration_calls_},
+                         {"instance_calls", platform.instance_calls_},
+                         {"revision", platform.revision_}}
+                        .dump(),
+                    "application/json");
   });
+  http.Post("/control",
+            [&](const auto& req, auto& res) { OnControl(platform, req, res); });
   if (!http.listen("127.0.0.1", port)) {
     std::cerr << "port " << port << " is taken\n";
     return 1;
--- a/packages/telemetry/include/siskindrum/telemetry/metrics.h
+++ b/packages/telemetry/include/siskindrum/telemetry/metrics.h
@@ -15,7 +15,7 @@
   kBetweenTokens,  // Between two tokens of one answer.
   kRequest,        // Arrival to end.
   kPrefill,
-  kDecision,       // One event handled by the core.
+  kDecision,  // One event handled by the core.
   kCount
 };
 
--- a/packages/telemetry/src/dump.cc
+++ b/packages/telemetry/src/dump.cc
@@ -38,12 +38,12 @@
   Json rows = Json::array();
   for (const auto& [name, cell] : router.fleet_.cells_) {
     const auto queue = router.queues_.find(name);
-    rows.push_back({{"name", name},
-                    {"home", cell.home_},
-                    {"servers", cell.servers_},
-                    {"waiting", queue == router.queues_.end()
-                                    ? 0
-                                    : queue->second.waiting_.size()}});
+    rows.push_back(
+        {{"name", name},
+         {"home", cell.home_},
+         {"servers", cell.servers_},
+         {"waiting",
+          queue == router.queues_.end() ? 0 : queue->second.waiting_.size()}});
   }
   return rows;
 }
--- a/packages/telemetry/src/metrics.cc
+++ b/packages/telemetry/src/metrics.cc
@@ -28,11 +28,14 @@
 }
 
 const char* NameOfCounter(std::size_t counter) {
-  static constexpr const char* kNames[kCounters] = {
-      "tokens_total",          "ring_full_total",
-      "dropped_tokens_total",  "callers_refused_total",
-      "peer_frames_refused_total", "peer_bytes_out_total",
-      "peer_bytes_in_total",   "platform_calls_total"};
+  static constexpr const char* kNames[kCounters] = {"tokens_total",
+                                                    "ring_full_total",
+                                                    "dropped_tokens_total",
+                                                    "callers_refused_total",
+                                                    "peer_frames_refused_total",
+                                                    "peer_bytes_out_total",
+                                                    "peer_bytes_in_total",
+                                                    "platform_calls_total"};
   return kNames[counter];
 }
 
@@ -48,7 +51,9 @@
   double sum_ = 0;
 };
 
-void AppendHistogram(std::string& text, const char* name, const Series& series) {
+void AppendHistogram(std::string& text,
+                     const char* name,
+                     const Series& series) {
   absl::MutexLock lock(&series.mutex_);
   absl::StrAppend(&text, "# TYPE siskindrum_", name, " histogram\n");
   double total = 0;
