--- /dev/null
+++ b/packages/peer/test/peer_test.cc
@@ -0,0 +1,177 @@
+#define BOOST_TEST_MODULE peer
+#include <boost/test/unit_test.hpp>
+
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+#include "siskindrum/peer/codec.h"
+#include "siskindrum/peer/node.h"
+
+namespace siskindrum::peer {
+namespace {
+
+using namespace core;  // NOLINT: the messages live there.
+
+constexpr std::chrono::seconds kBound{20};
+
+bool Await(const std::function<bool()>& holds) {
+  const auto end = std::chrono::steady_clock::now() + kBound;
+  while (!holds() && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+  return holds();
+}
+
+int PortOf(int offset) {
+  return 31000 + (getpid() % 300) * 5 + offset;
+}
+
+std::vector<PeerBody> OneOfEach() {
+  MemberRow row;
+  row.name_ = "a";
+  row.address_ = "127.0.0.1:1";
+  row.incarnation_ = UINT64_MAX;
+  row.cells_ = {{"svc/0", -3, 4, 5, 6}};
+  row.leaving_servers_ = {"s"};
+  Need need;
+  need.request_ = {1, 2};
+  need.organisation_ = "o";
+  need.avoid_ = {"x"};
+  RequestShape shape;
+  shape.path_ = std::string("/p\xff\x00", 4);  // Any bytes.
+  Placement placement{"c", "p", "d", Milliseconds(5), {{"d", "decode", "n"}}};
+  return {Gossip{{row}},
+          ConfigurationRequest{3},
+          ConfigurationBody{4, "rules \xfe"},
+          ListRequest{5},
+          ListBody{6,
+                   {{"s", "a:1", "svc", "dom", ServerRole::kPlain, true}},
+                   {{"e", "a:2", "dom", false}}},
+          LeaseRequest{"c", need, Milliseconds(70)},
+          LeaseQueued{{1, 2}, {"c", 1, 2, 3, 4}},
+          LeaseGrant{{1, 2}, placement, {"c", 1, 2, 3, 4}},
+          LeaseRefuse{{1, 2}, Reason::kDeadline, Milliseconds(9), {}},
+          LeaseRelease{{1, 2}, "c", "d", true},
+          OwnerQuery{"s", {{1, 2}}},
+          OwnerAnswer{"s", {{1, 2}}},
+          CallForward{{1, 2}, shape, "text/plain", "body"},
+          CallAnswer{{1, 2},
+                     RunState::kRan,
+                     Reason::kNone,
+                     true,
+                     true,
+                     false,
+                     true,
+                     {200, "t", "b"},
+                     "s"},
+          SeatClosing{"seat",
+                      {WallTime(Milliseconds(1)), WallTime(Milliseconds(2))},
+                      {{"k", CallState::kAnswered, {200, "t", "b"}, true}}},
+          SeatQuery{"seat"}};
+}
+
+BOOST_AUTO_TEST_SUITE(Peer)
+
+BOOST_AUTO_TEST_CASE(Encode_OfEveryKind_IsReadBackTheSame) {
+  const auto bodies = OneOfEach();
+  BOOST_TEST(bodies.size() == std::variant_size_v<PeerBody>);
+  for (const PeerBody& body : bodies) {
+    const std::string bytes = Encode({"me", 7, body});
+    const auto read = Decode(bytes);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->from_ == "me");
+    BOOST_TEST(read->body_.index() == body.index());
+    BOOST_TEST(Encode(*read) == bytes);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Decode_WhenCutOrChanged_RefusesWithoutHarm) {
+  for (const PeerBody& body : OneOfEach()) {
+    const std::string bytes = Encode({"me", 7, body});
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+      BOOST_TEST(!Decode(bytes.substr(0, i)).has_value());
+      std::string changed = bytes;
+      changed[i] = static_cast<char>(changed[i] ^ 0x55);
+      (void)Decode(changed);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Decode_WhenNestedDeeply_Refuses) {
+  BOOST_TEST(!Decode(std::string(1 << 20, '\x81')).has_value());
+  BOOST_TEST(!Decode(std::string(kMaxMessageBytes + 1, '\x00')).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(Decode_WhenOfAnotherVersion_Refuses) {
+  std::string bytes = Encode({"me", 7, SeatQuery{"s"}});
+  bytes[1] = 2;  // The first element of the array is the version.
+  BOOST_TEST(Decode(bytes).error().find("version") != std::string::npos);
+}
+
+struct TwoNodes {
+  std::atomic<int> received_{0};
+  std::atomic<int> failed_{0};
+  std::atomic<int> not_run_{0};
+  std::string last_;
+  bool accept_ = true;
+  Node receiver_{{"127.0.0.1", PortOf(0), "fleet"},
+                 {[this](std::string bytes) {
+                    last_ = std::move(bytes);
+                    ++received_;
+                    return accept_;
+                  },
+                  [](std::uint64_t, Verdict) {}}};
+
+  NodeHandlers SenderHandlers() {
+    return {[](std::string) { return true; },
+            [this](std::uint64_t, const Verdict& verdict) {
+              ++failed_;
+              not_run_ += verdict.run_state_ == RunState::kNotRun;
+            }};
+  }
+  std::string Target() const {
+    return "127.0.0.1:" + std::to_string(PortOf(0));
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(Node_WhenMessagesAreSent_DeliversThemWhole, TwoNodes) {
+  BOOST_REQUIRE(receiver_.Start().has_value());
+  Node sender({"127.0.0.1", PortOf(1), "fleet"}, SenderHandlers());
+  BOOST_REQUIRE(sender.Start().has_value());
+  const std::string large(1 << 20, 'x');
+  for (int i = 0; i < 50; ++i) {
+    sender.Send(Target(), "small", 1);
+  }
+  BOOST_TEST(Await([&] { return received_ == 50; }));
+  sender.Send(Target(), large, 1);
+  BOOST_TEST(Await([&] { return received_ == 51; }));
+  receiver_.Stop(Milliseconds(0));
+  BOOST_TEST(last_.size() == large.size());
+  BOOST_TEST(failed_ == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(Node_WhenPeerIsOfAnotherFleet_RefusesAndCounts,
+                        TwoNodes) {
+  BOOST_REQUIRE(receiver_.Start().has_value());
+  Node stranger({"127.0.0.1", PortOf(2), "other"}, SenderHandlers());
+  BOOST_REQUIRE(stranger.Start().has_value());
+  stranger.Send(Target(), "hello", 1);
+  BOOST_TEST(Await([&] { return receiver_.Counters().refused_ == 1; }));
+  BOOST_TEST(received_ == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(Node_WhenNobodyListens_ReportsNotRun, TwoNodes) {
+  Node sender({"127.0.0.1", PortOf(3), "fleet"}, SenderHandlers());
+  BOOST_REQUIRE(sender.Start().has_value());
+  sender.Send(Target(), "hello", 1);
+  BOOST_TEST(Await([&] { return failed_ == 1; }));
+  BOOST_TEST(not_run_ == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace siskindrum::peer
