--- a/packages/core/include/siskindrum/core/limits.h
+++ b/packages/core/include/siskindrum/core/limits.h
@@ -54,10 +54,10 @@
 inline constexpr std::size_t kGossipRows = 16;
 inline constexpr Milliseconds kLargeGossipInterval{1000};
 inline constexpr std::size_t kLargeGossipFanOut = 2;
-inline constexpr std::size_t kLargeGossipRows = 5;
+inline constexpr std::size_t kLargeGossipRows = 10;
 inline constexpr Milliseconds kMemberSuspect{2500};
-inline constexpr Milliseconds kSuspectPerMember{400};  // Of the failure domain.
-inline constexpr Milliseconds kMemberSuspectMost{40000};
+inline constexpr Milliseconds kSuspectPerMember{600};  // Of the failure domain.
+inline constexpr Milliseconds kMemberSuspectMost{45000};
 inline constexpr Milliseconds kMemberForget{120000};
 
 inline constexpr Milliseconds kClockAllowance{
--- a/packages/core/src/lifecycle.cc
+++ b/packages/core/src/lifecycle.cc
@@ -393,6 +393,10 @@
   }
   CancelEverywhere(step, *request);
   NotePrefillWasted(step, *request);
+  if (request->prefill_started_ ||
+      request->state_ == RequestState::kSendingPlain) {
+    request->run_state_ = Worse(request->run_state_, RunState::kMayHaveRun);
+  }
   Emit(step, Abort{request->id_});
   EndRequest(step, *request, "caller_gone");
 }
--- a/packages/ctl/src/commands_p.h
+++ b/packages/ctl/src/commands_p.h
@@ -20,6 +20,7 @@
 int KeyCommand(const Arguments& arguments);
 int ExperimentCommand(const Arguments& arguments);
 int LoadCommand(const Arguments& arguments);
+int CostCommand(const Arguments& arguments);
 
 }  // namespace siskindrum::ctl
 
--- a/packages/ctl/src/experiment_command.cc
+++ b/packages/ctl/src/experiment_command.cc
@@ -6,6 +6,7 @@
 
 #include <boost/program_options.hpp>
 
+#include "absl/strings/str_replace.h"
 #include "absl/strings/str_split.h"
 #include "commands_p.h"
 #include "siskindrum/ctl/report.h"
@@ -25,6 +26,7 @@
   std::size_t jobs_ = 4;
   std::string plot_;
   double load_ = 0;
+  std::string prefer_;
   bool json_ = false;
   bool groups_ = false;
 };
@@ -72,6 +74,13 @@
   return sum;
 }
 
+// Puts `word` in place of every prefer= of the rules.
+void SetPreference(const std::string& word, std::string& rules) {
+  for (const char* old : {"prefer=goodput", "prefer=waste"}) {
+    rules = absl::StrReplaceAll(rules, {{old, "prefer=" + word}});
+  }
+}
+
 int Print(const ExperimentOptions& options,
           const Scenario& scenario,
           const std::vector<PolicyResult>& results) {
@@ -110,6 +119,8 @@
       "seeds", po::value(&options.seeds_), "how many seeds")(
       "jobs", po::value(&options.jobs_), "seeds run at once")(
       "load", po::value(&options.load_), "load in place of the scenario's")(
+      "prefer", po::value(&options.prefer_),
+      "goodput or waste, in place of the word in the rules")(
       "json", po::bool_switch(&options.json_), "print JSON")(
       "groups", po::bool_switch(&options.groups_),
       "print rows by organisation and priority")(
@@ -135,6 +146,12 @@
   if (options.load_ > 0) {
     scenario->load_ = options.load_;
   }
+  if (options.prefer_ == "goodput" || options.prefer_ == "waste") {
+    SetPreference(options.prefer_, scenario->rules_);
+  } else if (!options.prefer_.empty()) {
+    std::cerr << "--prefer: expected goodput or waste\n";
+    return kExitUsage;
+  }
   options.jobs_ = std::max<std::size_t>(1, options.jobs_);
   std::vector<PolicyResult> results;
   const std::vector<std::string> policies =
--- a/packages/ctl/src/main.cc
+++ b/packages/ctl/src/main.cc
@@ -26,6 +26,7 @@
      "try policies on a scenario, on virtual time"},
     {"load", siskindrum::ctl::LoadCommand,
      "send completions to entries on this machine and measure"},
+    {"cost", siskindrum::ctl::CostCommand, "measure what a decision costs"},
 };
 
 void PrintHelp(std::ostream& out) {
