Promise no slots ahead; always continue an answer in progress

Cause: with prefer=goodput half of the slots expected to end during a prefill were promised ahead; engines refused them and the requests came late. Change: no promise ahead; answers that have begun are continued without a budget, bounded by the streams that were open and by the rule's retries.

--- a/packages/core/include/siskindrum/core/fleet.h
+++ b/packages/core/include/siskindrum/core/fleet.h
@@ -161,8 +161,8 @@
 bool IsUsable(const Server& server, TimePoint now);
 
 // Reserves a decode slot, and a prefill server unless `need.decode_only_`, in
-// one cell. The decode slot must be free, or be expected free by the end of
-// the prefill when the rule prefers goodput. Thread-safe: no.
+// one cell. The decode slot must be free now: a slot promised ahead is refused
+// by its engine too often. Thread-safe: no.
 tl::expected<Placement, WaitReason> Place(Fleet& fleet,
                                           const std::string& cell,
                                           const Need& need,
--- a/packages/core/src/fleet.cc
+++ b/packages/core/src/fleet.cc
@@ -14,9 +14,6 @@
 constexpr std::uint32_t kDefaultPrefillRate = 20000;  // Tokens a second.
 constexpr Nanoseconds kTransferAllowance = Milliseconds(40);
 constexpr double kHoldSmoothing = 0.1;
-// Share of the slots expected to end during a prefill that may be promised
-// ahead, when the rule prefers goodput.
-constexpr double kOvercommit = 0.5;
 
 bool HasRole(const Server& server, ServerRole role) {
   return server.info_.role_ == role || server.info_.role_ == ServerRole::kMixed;
@@ -53,13 +50,6 @@
   return sum;
 }
 
-// Slots of `server` that are expected to end within `horizon`.
-double ExpectedReleases(const Server& server, Nanoseconds horizon) {
-  const double seconds = std::chrono::duration<double>(horizon).count();
-  return static_cast<double>(server.holds_.size()) *
-         std::min(1.0, seconds / server.mean_hold_seconds_);
-}
-
 bool HasPrefix(const Server& server, const Need& need, TimePoint now) {
   if (need.prefix_hash_ == 0) {
     return false;
@@ -121,7 +111,6 @@
 Server* ChooseDecode(Fleet& fleet,
                      const Cell& cell,
                      const Need& need,
-                     Nanoseconds horizon,
                      TimePoint now,
                      std::vector<Candidate>& weighed) {
   Server* best = nullptr;
@@ -134,15 +123,12 @@
     const bool memory =
         !server.has_load_ || server.load_.total_pieces_ == UINT32_MAX ||
         PiecesHeld(server) + need.pieces_ <= server.load_.total_pieces_;
-    double free = FreeSlots(server);
-    if (need.prefer_ == Preference::kGoodput) {
-      free += kOvercommit * ExpectedReleases(server, horizon);
-    }
+    const int free = FreeSlots(server);
     weighed.push_back({name, "decode",
                        std::to_string(FreeSlots(server)) + " slots free" +
                            (memory ? "" : ", no memory")});
     const double rank = IsNear(server, need) ? free + kNearSlots : free;
-    if (memory && free >= 1.0 && (best == nullptr || rank > best_rank)) {
+    if (memory && free >= 1 && (best == nullptr || rank > best_rank)) {
       best = &server;
       best_rank = rank;
     }
@@ -336,8 +322,7 @@
   if (ready + kTransferAllowance > need.deadline_ && !need.decode_only_) {
     return tl::unexpected(WaitReason::kTooLate);
   }
-  Server* decode =
-      ChooseDecode(fleet, cell, need, ready - now, now, placement.weighed_);
+  Server* decode = ChooseDecode(fleet, cell, need, now, placement.weighed_);
   if (decode == nullptr) {
     return tl::unexpected(WaitReason::kNoDecodeSlot);
   }
--- a/packages/core/src/lifecycle.cc
+++ b/packages/core/src/lifecycle.cc
@@ -108,7 +108,9 @@
     why.detail_ += " (a second prefill would miss the target)";
     return false;
   }
-  if (!TakeRetry(router.retry_budget_)) {
+  // An answer in progress is always continued: an engine's death ends a whole
+  // batch at once, and no more of them can follow than were open.
+  if (!answering && !TakeRetry(router.retry_budget_)) {
     why.detail_ += " (retry budget is empty)";
     return false;
   }
