--- a/packages/core/include/siskindrum/core/limits.h
+++ b/packages/core/include/siskindrum/core/limits.h
@@ -58,6 +58,7 @@
 inline constexpr Milliseconds kMemberSuspect{2500};
 inline constexpr Milliseconds kSuspectPerMember{600};  // Of the failure domain.
 inline constexpr Milliseconds kMemberSuspectMost{45000};
+inline constexpr Milliseconds kUnreachable{10000};  // After a send that failed.
 inline constexpr Milliseconds kMemberForget{120000};
 
 inline constexpr Milliseconds kClockAllowance{
--- a/packages/core/include/siskindrum/core/membership.h
+++ b/packages/core/include/siskindrum/core/membership.h
@@ -47,7 +47,7 @@
   MemberRow row_;
   TimePoint advanced_at_{};  // When the counter last rose, by our clock.
   bool heard_ = false;
-  bool unreachable_ = false;  // A send failed since the counter last rose.
+  TimePoint unreachable_until_{};  // A send to it failed shortly before.
   bool listed_ = false;
 };
 
@@ -72,16 +72,19 @@
                const std::vector<MemberRow>& rows,
                TimePoint now);
 
-// True when the member was heard lately, can be reached and is not leaving.
-// Thread-safe: no.
+// True when the member can be reached, is not leaving, and was heard lately; in
+// a large fleet the list's word is enough for other failure domains, of which
+// little is heard. Thread-safe: no.
 bool IsLive(const Membership& membership, const Member& member, TimePoint now);
 
 // True when the member was heard lately, leaving or not. Thread-safe: no.
 bool IsHeard(const Membership& membership, const Member& member, TimePoint now);
 
-// Notes that a message could not be handed to a member: it counts as gone until
-// it is heard again. Thread-safe: no.
-void NoteUnreachable(Membership& membership, const std::string& name);
+// Notes that a message could not be handed to a member: it counts as gone for a
+// while, or until it is heard again. Thread-safe: no.
+void NoteUnreachable(Membership& membership,
+                     const std::string& name,
+                     TimePoint now);
 
 // Live entries, this one included unless it is leaving: name to failure
 // domain. Thread-safe: no.
--- a/packages/core/src/membership.cc
+++ b/packages/core/src/membership.cc
@@ -10,6 +10,10 @@
 
 constexpr std::size_t kForeignTargets = 1;  // Gossip targets in other domains.
 
+bool IsSmall(const Membership& membership) {
+  return membership.members_.size() <= kSmallFleet;
+}
+
 // Returns true when the change matters to homes.
 bool MergeRow(const Membership& membership,
               Member& member,
@@ -26,14 +30,10 @@
   member.row_ = row;
   member.advanced_at_ = now;
   member.heard_ = true;
-  member.unreachable_ = false;
+  member.unreachable_until_ = TimePoint{};
   return changed;
 }
 
-bool IsSmall(const Membership& membership) {
-  return membership.members_.size() <= kSmallFleet;
-}
-
 void PickSome(std::vector<std::string>& from,
               std::size_t count,
               std::mt19937_64& random,
@@ -98,14 +98,20 @@
 }
 
 bool IsLive(const Membership& membership, const Member& member, TimePoint now) {
-  return IsHeard(membership, member, now) && !member.row_.leaving_ &&
-         !member.unreachable_;
+  if (member.row_.leaving_ || now < member.unreachable_until_) {
+    return false;
+  }
+  const bool far = member.row_.domain_ != membership.self_.domain_;
+  return far && !IsSmall(membership) ? member.listed_
+                                     : IsHeard(membership, member, now);
 }
 
-void NoteUnreachable(Membership& membership, const std::string& name) {
+void NoteUnreachable(Membership& membership,
+                     const std::string& name,
+                     TimePoint now) {
   const auto it = membership.members_.find(name);
   if (it != membership.members_.end()) {
-    it->second.unreachable_ = true;
+    it->second.unreachable_until_ = now + kUnreachable;
   }
 }
 
--- a/packages/core/src/router.cc
+++ b/packages/core/src/router.cc
@@ -50,7 +50,8 @@
     const Request* request = FindRequest(step.router_, lease->need_.request_);
     if (request != nullptr && !request->asked_home_.empty()) {
       // Homes are given anew at once, not after the time of suspicion.
-      NoteUnreachable(step.router_.membership_, request->asked_home_);
+      NoteUnreachable(step.router_.membership_, request->asked_home_,
+                      step.now_.steady_);
       RefreshHomes(step);
     }
     OnLeaseSendFailed(step, *lease);
--- a/packages/ctl/src/experiment_command.cc
+++ b/packages/ctl/src/experiment_command.cc
@@ -76,8 +76,9 @@
 
 // Puts `word` in place of every prefer= of the rules.
 void SetPreference(const std::string& word, std::string& rules) {
+  const std::string wanted = std::string("prefer=").append(word);
   for (const char* old : {"prefer=goodput", "prefer=waste"}) {
-    rules = absl::StrReplaceAll(rules, {{old, "prefer=" + word}});
+    rules = absl::StrReplaceAll(rules, {{old, wanted}});
   }
 }
 
@@ -126,17 +127,9 @@
       "print rows by organisation and priority")(
       "plot", po::value(&options.plot_), "SVG file to draw");
   po::variables_map values;
-  try {
-    po::store(po::command_line_parser(arguments).options(description).run(),
-              values);
-    if (values.contains("help")) {
-      std::cout << description;
-      return kExitGood;
-    }
-    po::notify(values);
-  } catch (const po::error& error) {
-    std::cerr << error.what() << "\n" << description;
-    return kExitUsage;
+  int exit_code = 0;
+  if (!ParseOptions(arguments, description, {}, &values, &exit_code)) {
+    return exit_code;
   }
   auto scenario = LoadScenario(options.scenario_);
   if (!scenario.has_value()) {
--- a/packages/ctl/src/load_command.cc
+++ b/packages/ctl/src/load_command.cc
@@ -237,17 +237,9 @@
       "between-target-ms", po::value(&options.between_target_ms_), "target")(
       "seed", po::value(&options.seed_), "of the arrivals");
   po::variables_map values;
-  try {
-    po::store(po::command_line_parser(arguments).options(description).run(),
-              values);
-    if (values.contains("help")) {
-      std::cout << description;
-      return kExitGood;
-    }
-    po::notify(values);
-  } catch (const po::error& error) {
-    std::cerr << error.what() << "\n" << description;
-    return kExitUsage;
+  int exit_code = 0;
+  if (!ParseOptions(arguments, description, {}, &values, &exit_code)) {
+    return exit_code;
   }
   options.addresses_ = absl::StrSplit(addresses, ',');
   options.engines_ = absl::StrSplit(engines, ',');
--- a/packages/ctl/src/operator_commands.cc
+++ b/packages/ctl/src/operator_commands.cc
@@ -29,32 +29,6 @@
 constexpr int kOk = 200;
 constexpr std::chrono::seconds kAnswerLimit{5};
 
-// Parses options; false after printing what is wrong or the help.
-bool Parse(const Arguments& arguments,
-           const po::options_description& description,
-           const po::positional_options_description& positional,
-           po::variables_map* values,
-           int* exit_code) {
-  try {
-    po::store(po::command_line_parser(arguments)
-                  .options(description)
-                  .positional(positional)
-                  .run(),
-              *values);
-    if (values->contains("help")) {
-      std::cout << description;
-      *exit_code = kExitGood;
-      return false;
-    }
-    po::notify(*values);
-    return true;
-  } catch (const po::error& error) {
-    std::cerr << error.what() << "\n" << description;
-    *exit_code = kExitUsage;
-    return false;
-  }
-}
-
 bool ReadFile(const std::string& file, std::string* out) {
   std::ifstream stream(file);
   if (!stream) {
@@ -140,7 +114,7 @@
   positional.add("file", 1);
   po::variables_map values;
   int exit_code = 0;
-  if (!Parse(arguments, description, positional, &values, &exit_code)) {
+  if (!ParseOptions(arguments, description, positional, &values, &exit_code)) {
     return exit_code;
   }
   std::string text;
@@ -185,7 +159,7 @@
       "priority", po::value(&priority), "low, normal or high");
   po::variables_map values;
   int exit_code = 0;
-  if (!Parse(arguments, description, {}, &values, &exit_code)) {
+  if (!ParseOptions(arguments, description, {}, &values, &exit_code)) {
     return exit_code;
   }
   if (!core::ParsePriority(priority, &shape.priority_)) {
@@ -216,7 +190,7 @@
   positional.add("entry", 1);
   po::variables_map values;
   int exit_code = 0;
-  if (!Parse(arguments, description, positional, &values, &exit_code)) {
+  if (!ParseOptions(arguments, description, positional, &values, &exit_code)) {
     return exit_code;
   }
   std::string text;
@@ -236,7 +210,7 @@
       "operators' addresses of the entries");
   po::variables_map values;
   int exit_code = 0;
-  if (!Parse(arguments, description, {}, &values, &exit_code)) {
+  if (!ParseOptions(arguments, description, {}, &values, &exit_code)) {
     return exit_code;
   }
   std::cout << absl::StrFormat(
--- a/packages/standin/src/main_engine.cc
+++ b/packages/standin/src/main_engine.cc
@@ -6,6 +6,7 @@
 #include <boost/program_options.hpp>
 
 #include "siskindrum/standin/engine_server.h"
+#include "siskindrum/standin/options.h"
 
 int main(int argc, char** argv) {
   namespace po = boost::program_options;
@@ -29,17 +30,9 @@
       "step-stream-us", po::value(&step_stream_us), "part for each stream")(
       "evict-ms", po::value(&evict_ms), "life of a prefill result")(
       "lag-ms", po::value(&lag_ms), "age of reported load");
-  po::variables_map values;
-  try {
-    po::store(po::parse_command_line(argc, argv, description), values);
-    if (values.contains("help")) {
-      std::cout << description;
-      return 0;
-    }
-    po::notify(values);
-  } catch (const po::error& error) {
-    std::cerr << error.what() << "\n";
-    return 2;
+  int exit_code = 0;
+  if (!siskindrum::standin::ParseOptions(argc, argv, description, &exit_code)) {
+    return exit_code;
   }
   options.load_lag_ = siskindrum::core::Milliseconds(lag_ms);
   engine.step_base_ = std::chrono::microseconds(step_base_us);
--- a/packages/standin/src/main_plain.cc
+++ b/packages/standin/src/main_plain.cc
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/synchronization/mutex.h"
+#include "siskindrum/standin/options.h"
 
 namespace {
 
@@ -118,17 +119,9 @@
       "port", po::value(&port)->required(), "port on 127.0.0.1")(
       "name", po::value(&service.name_)->default_value("plain"), "its name")(
       "delay-ms", po::value(&service.delay_ms_), "duration of a call");
-  po::variables_map values;
-  try {
-    po::store(po::parse_command_line(argc, argv, description), values);
-    if (values.contains("help")) {
-      std::cout << description;
-      return 0;
-    }
-    po::notify(values);
-  } catch (const po::error& error) {
-    std::cerr << error.what() << "\n";
-    return 2;
+  int exit_code = 0;
+  if (!siskindrum::standin::ParseOptions(argc, argv, description, &exit_code)) {
+    return exit_code;
   }
   httplib::Server http;
   http.new_task_queue = [] { return new httplib::ThreadPool(64); };
--- a/packages/standin/src/main_platform.cc
+++ b/packages/standin/src/main_platform.cc
@@ -16,6 +16,7 @@
 
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
+#include "siskindrum/standin/options.h"
 
 namespace {
 
@@ -115,17 +116,9 @@
       "port", po::value(&port)->required(), "port on 127.0.0.1")(
       "rules", po::value(&rules), "rules file, published as revision 1")(
       "instances", po::value(&instances), "instance list in JSON");
-  po::variables_map values;
-  try {
-    po::store(po::parse_command_line(argc, argv, description), values);
-    if (values.contains("help")) {
-      std::cout << description;
-      return 0;
-    }
-    po::notify(values);
-  } catch (const po::error& error) {
-    std::cerr << error.what() << "\n";
-    return 2;
+  int exit_code = 0;
+  if (!siskindrum::standin::ParseOptions(argc, argv, description, &exit_code)) {
+    return exit_code;
   }
   if (!rules.empty()) {
     platform.rules_ = ReadFile(rules);
