Remove what nothing uses

Cause: read as a newcomer: a constant, three counters and three fields had no reader. Ruled out: keeping them for later. Change: removed, from the wire too. Measured: core, peer, model and entry tests pass.

--- a/packages/core/include/siskindrum/core/fleet.h
+++ b/packages/core/include/siskindrum/core/fleet.h
@@ -44,7 +44,6 @@
   std::uint32_t total_pieces_ = UINT32_MAX;
   std::uint32_t prefill_backlog_tokens_ = 0;
   std::uint32_t prefill_tokens_per_second_ = 0;  // Zero: unknown.
-  std::uint32_t tokens_per_second_ = 0;
   bool draining_ = false;
   std::vector<HeldRequest> held_;
   static constexpr std::uint32_t kUnknownSlots = 0;
@@ -120,7 +119,6 @@
   std::string cell_;
   std::string prefill_;  // Empty when only a decode server was needed.
   std::string decode_;
-  Nanoseconds expected_first_token_{0};
   std::vector<Candidate> weighed_;
 };
 
--- a/packages/core/include/siskindrum/core/limits.h
+++ b/packages/core/include/siskindrum/core/limits.h
@@ -16,7 +16,6 @@
     20;  // Decode slots before a report.
 inline constexpr std::uint32_t kCellServers = 12;  // Servers in one cell.
 
-inline constexpr Milliseconds kLoadMaxAge{5000};  // Older reports are ignored.
 inline constexpr Milliseconds kSuspendAfterFailure{500};
 inline constexpr Milliseconds kSuspendMaximum{8000};
 inline constexpr Milliseconds kHoldCheckAge{
--- a/packages/core/include/siskindrum/core/router.h
+++ b/packages/core/include/siskindrum/core/router.h
@@ -147,7 +147,6 @@
   std::mt19937_64 random_;
   ConfigurationState configuration_;
   std::shared_ptr<const Configuration> pending_offer_;  // During start.
-  std::string list_source_;
   std::uint64_t list_version_ = 0;
   std::vector<ServerInfo> listed_servers_;
   std::vector<EntryInfo> listed_entries_;
--- a/packages/core/src/fleet.cc
+++ b/packages/core/src/fleet.cc
@@ -333,7 +333,6 @@
   decode->holds_[need.request_] =
       Hold{need.pieces_, now, need.request_.incarnation_, need.owner_name_, 0};
   placement.decode_ = decode->info_.name_;
-  placement.expected_first_token_ = ready + kTransferAllowance - now;
   return placement;
 }
 
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -147,16 +147,14 @@
 }
 
 Json Put(const Placement& row) {
-  return Json::array({row.cell_, row.prefill_, row.decode_,
-                      row.expected_first_token_.count(),
-                      PutRows(row.weighed_)});
+  return Json::array(
+      {row.cell_, row.prefill_, row.decode_, PutRows(row.weighed_)});
 }
 void Take(const Json& json, Placement& row) {
   row.cell_ = json.at(0).get<std::string>();
   row.prefill_ = json.at(1).get<std::string>();
   row.decode_ = json.at(2).get<std::string>();
-  row.expected_first_token_ = Nanoseconds(json.at(3).get<std::int64_t>());
-  TakeRows(json.at(4), row.weighed_);
+  TakeRows(json.at(3), row.weighed_);
 }
 
 Json Put(const Need& need) {
--- a/packages/peer/test/peer_test.cc
+++ b/packages/peer/test/peer_test.cc
@@ -42,7 +42,7 @@
   need.avoid_ = {"x"};
   RequestShape shape;
   shape.path_ = std::string("/p\xff\x00", 4);  // Any bytes.
-  Placement placement{"c", "p", "d", Milliseconds(5), {{"d", "decode", "n"}}};
+  Placement placement{"c", "p", "d", {{"d", "decode", "n"}}};
   return {Gossip{{row}},
           ConfigurationRequest{3},
           ConfigurationBody{4, "rules \xfe"},
--- a/packages/telemetry/include/siskindrum/telemetry/metrics.h
+++ b/packages/telemetry/include/siskindrum/telemetry/metrics.h
@@ -24,10 +24,7 @@
   kTokens,
   kRingFull,
   kDroppedTokens,
-  kCallersRefused,
   kPeerFramesRefused,
-  kPeerBytesOut,
-  kPeerBytesIn,
   kPlatformCalls,
   kCount
 };
--- a/packages/telemetry/src/metrics.cc
+++ b/packages/telemetry/src/metrics.cc
@@ -28,14 +28,12 @@
 }
 
 const char* NameOfCounter(std::size_t counter) {
-  static constexpr const char* kNames[kCounters] = {"tokens_total",
-                                                    "ring_full_total",
-                                                    "dropped_tokens_total",
-                                                    "callers_refused_total",
-                                                    "peer_frames_refused_total",
-                                                    "peer_bytes_out_total",
-                                                    "peer_bytes_in_total",
-                                                    "platform_calls_total"};
+  static constexpr const char* kNames[kCounters] = {
+      "tokens_total", "ring_full_total", "dropped_tokens_total",
+
+      "peer_frames_refused_total",
+
+      "platform_calls_total"};
   return kNames[counter];
 }
 
