Model checks from a path with a space

Cause: spin hands its file's name to a shell, unquoted. Ruled out: quoting the name for spin (it is split again inside). Change: the specification is copied beside the run.

--- a/tools/model_check.sh
+++ b/tools/model_check.sh
@@ -13,7 +13,9 @@
 check() { # SPECIFICATION EXPECTED [DEFINE]
   local name="$1 ${3:-}" errors
   rm -f pan* ./*.trail
-  spin ${3:+-D$3} -a "$root/spec/$1.pml" >spin.log
+  # spin hands its file to a shell, so the name must have no spaces.
+  cp "$root/spec/$1.pml" .
+  spin ${3:+-D$3} -a "$1.pml" >spin.log
   gcc -O2 -DSAFETY -DNOCLAIM -w ${3:+-D$3} -o pan pan.c
   ./pan -m200000 >pan.log
   errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' pan.log)
