Put the tunables' comments above where the formatter broke them

Cause: comments behind long constants were broken into the braces and hard to read in the one file that newcomers and operators open for them. Ruled out: shorter comments (their units and meaning would go).

--- a/packages/core/include/siskindrum/core/limits.h
+++ b/packages/core/include/siskindrum/core/limits.h
@@ -10,29 +10,29 @@
 
 // Tunables of the decisions, in one place.
 
-inline constexpr std::uint32_t kPieceTokens =
-    2000;  // Tokens a memory piece holds.
-inline constexpr std::uint32_t kDefaultSlots =
-    20;  // Decode slots before a report.
+// Tokens a memory piece holds.
+inline constexpr std::uint32_t kPieceTokens = 2000;
+// Decode slots before a report.
+inline constexpr std::uint32_t kDefaultSlots = 20;
 inline constexpr std::uint32_t kCellServers = 12;  // Servers in one cell.
 
 inline constexpr Milliseconds kSuspendAfterFailure{500};
 inline constexpr Milliseconds kSuspendMaximum{8000};
-inline constexpr Milliseconds kHoldCheckAge{
-    3000};  // Before a hold may be dropped.
+// Before a hold may be dropped.
+inline constexpr Milliseconds kHoldCheckAge{3000};
 inline constexpr int kHoldMissedPolls = 3;
-inline constexpr Milliseconds kReleasedMemory{
-    10000};  // Beyond any lag of load.
+// Beyond any lag of load.
+inline constexpr Milliseconds kReleasedMemory{10000};
 // What a server in the caller's entry's own failure domain is worth.
 inline constexpr Milliseconds kNearPrefill{30};
 inline constexpr double kNearSlots = 4.0;
 inline constexpr Milliseconds kPrefixHintAge{20000};
 inline constexpr std::size_t kPrefixHintsPerServer = 256;
 
-inline constexpr Milliseconds kDefaultWait{
-    30000};  // Without a first token target.
-inline constexpr Milliseconds kGrantTimeout{
-    250};  // Until a silent home is passed over.
+// Without a first token target.
+inline constexpr Milliseconds kDefaultWait{30000};
+// Until a silent home is passed over.
+inline constexpr Milliseconds kGrantTimeout{250};
 inline constexpr Milliseconds kSeekAgain{20};  // After a home that left.
 inline constexpr Milliseconds kPumpInterval{10};
 inline constexpr std::size_t kQueueLimit = 4096;  // Waiting requests per cell.
@@ -60,10 +60,10 @@
 inline constexpr Milliseconds kUnreachable{10000};  // After a send that failed.
 inline constexpr Milliseconds kMemberForget{120000};
 
-inline constexpr Milliseconds kClockAllowance{
-    500};  // Skew between entries' clocks.
-inline constexpr Milliseconds kSendMaxAge{
-    1000};  // From decision to first byte.
+// Skew between entries' clocks.
+inline constexpr Milliseconds kClockAllowance{500};
+// From decision to first byte.
+inline constexpr Milliseconds kSendMaxAge{1000};
 inline constexpr Milliseconds kForwardRetry{300};
 inline constexpr Milliseconds kCallRecordAge{600000};
 inline constexpr std::size_t kClosedIntervals = 8;
@@ -77,8 +77,8 @@
 inline constexpr std::size_t kWatchersPerDomain = 2;
 inline constexpr Milliseconds kSettleAfterFreeze{1000};
 inline constexpr Milliseconds kFreezeGap{1500};  // Tick gap that means a pause.
-inline constexpr Milliseconds kStartupPeerWait{
-    1500};  // For peers' revisions at start.
+// For peers' revisions at start.
+inline constexpr Milliseconds kStartupPeerWait{1500};
 inline constexpr std::size_t kExplainRecords = 2000;
 
 }  // namespace siskindrum::core
