--- a/fuzz/fuzz_backend.cc
+++ b/fuzz/fuzz_backend.cc
@@ -2,7 +2,7 @@
 #include <string>
 
 #include "siskindrum/backend/engine.h"
-#include "siskindrum/platform/platform.h"
+#include "siskindrum/registry/registry.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
@@ -10,7 +10,7 @@
   (void)siskindrum::backend::ParseDecodeLine(text);
   (void)siskindrum::backend::ParseLoad(text);
   (void)siskindrum::backend::ParsePrefill(text);
-  (void)siskindrum::platform::ParseInstances(text);
-  (void)siskindrum::platform::ParsePublished(text);
+  (void)siskindrum::registry::ParseInstances(text);
+  (void)siskindrum::registry::ParsePublished(text);
   return 0;
 }
--- a/packages/core/include/siskindrum/core/fleet.h
+++ b/packages/core/include/siskindrum/core/fleet.h
@@ -27,6 +27,7 @@
   std::string domain_;
   ServerRole role_ = ServerRole::kMixed;
   bool leaving_ = false;
+  std::uint32_t slots_ = 0;  // Zero: unknown.
 };
 
 // A request that an engine says it holds memory for.
--- a/packages/core/include/siskindrum/core/router.h
+++ b/packages/core/include/siskindrum/core/router.h
@@ -45,6 +45,7 @@
   RequestShape shape_;
   std::shared_ptr<const Configuration> configuration_;  // Keeps `rule_` alive.
   const Rule* rule_ = nullptr;
+  std::string pool_;  // Chosen by the rule.
   RequestState state_ = RequestState::kPlacing;
   std::uint32_t attempt_ = 0;
   std::uint32_t retries_ = 0;
--- a/packages/core/include/siskindrum/core/types.h
+++ b/packages/core/include/siskindrum/core/types.h
@@ -62,6 +62,7 @@
   std::string organisation_;  // The caller's organisation.
   std::string model_;
   std::string method_ = "POST";
+  std::string host_;  // Without its port.
   std::string path_;
   std::string domain_;               // Failure domain of the entry.
   std::uint32_t prompt_tokens_ = 0;  // Estimate.
--- a/packages/core/src/baseline.cc
+++ b/packages/core/src/baseline.cc
@@ -18,7 +18,7 @@
     const auto& avoid = request.need_.avoid_;
     const bool avoided =
         std::find(avoid.begin(), avoid.end(), name) != avoid.end();
-    if (info.service_ == request.rule_->outcome_.pool_ &&
+    if (info.service_ == request.pool_ &&
         (info.role_ == role || info.role_ == ServerRole::kMixed) && !avoided &&
         IsUsable(server, step.now_.steady_)) {
       servers.push_back(&server);
@@ -42,7 +42,7 @@
   }
   const std::size_t count = servers.size();
   if (router.options_.policy_ == Policy::kRoundRobin) {
-    const std::string turn = request.rule_->outcome_.pool_ + ToString(role);
+    const std::string turn = request.pool_ + ToString(role);
     return servers[router.round_robin_[turn]++ % count];
   }
   if (router.options_.policy_ == Policy::kTwoChoices) {
--- a/packages/core/src/lease.cc
+++ b/packages/core/src/lease.cc
@@ -76,7 +76,7 @@
 }
 
 const Cell* ChooseCell(const Step& step, const Request& request) {
-  const std::string& pool = request.rule_->outcome_.pool_;
+  const std::string& pool = request.pool_;
   CellView best;
   for (const auto& [name, cell] : step.router_.fleet_.cells_) {
     const bool tried =
@@ -195,7 +195,7 @@
   Need need = request.need_;
   need.alone_ = true;
   for (const auto& [name, cell] : router.fleet_.cells_) {
-    if (cell.service_ != request.rule_->outcome_.pool_) {
+    if (cell.service_ != request.pool_) {
       continue;
     }
     auto placement = Place(router.fleet_, name, need, step.now_.steady_);
@@ -213,7 +213,7 @@
   verdict.run_state_ = request.run_state_;
   verdict.reason_ = why.reason_;
   verdict.retry_after_ = why.retry_after_;
-  verdict.detail_ = "pool " + request.rule_->outcome_.pool_ +
+  verdict.detail_ = "pool " + request.pool_ +
                     " cannot serve it within the target of line " +
                     std::to_string(request.rule_->line_);
   FailRequest(step, request, std::move(verdict));
--- a/packages/core/src/lifecycle.cc
+++ b/packages/core/src/lifecycle.cc
@@ -103,6 +103,11 @@
     why.detail_ += " (no retry left by the rule)";
     return false;
   }
+  if (request.rule_->outcome_.resume_ == Resume::kNever &&
+      request.run_state_ != RunState::kNotRun) {
+    why.detail_ += " (the rule says resume=never)";
+    return false;
+  }
   const bool late = now >= request.deadline_;
   if (late && !answering && request.need_.prefer_ == Preference::kGoodput) {
     why.detail_ += " (a second prefill would miss the target)";
@@ -226,6 +231,7 @@
   request.shape_ = event.shape_;
   request.configuration_ = router.configuration_.current_;
   request.rule_ = &rule;
+  request.pool_ = PickPool(rule.outcome_, RequestIdHash{}(request.id_));
   request.arrived_at_ = step.now_.steady_;
   request.content_type_ = event.content_type_;
   request.body_ = event.body_;
--- a/packages/core/src/plain.cc
+++ b/packages/core/src/plain.cc
@@ -26,7 +26,7 @@
   for (const auto& [name, server] : router.fleet_.servers_) {
     const bool avoided =
         std::find(avoid.begin(), avoid.end(), name) != avoid.end();
-    if (server.info_.service_ != request.rule_->outcome_.pool_ || avoided ||
+    if (server.info_.service_ != request.pool_ || avoided ||
         !IsUsable(server, step.now_.steady_)) {
       continue;
     }
@@ -57,7 +57,7 @@
   if (name.empty()) {
     Verdict verdict = Refused(
         Reason::kNoServer,
-        "no server of " + request.rule_->outcome_.pool_ + " can be used");
+        "no server of " + request.pool_ + " can be used");
     verdict.run_state_ = request.run_state_;
     if (request.once_) {
       FinishCall(router.calls_, request.shape_.idempotency_key_, request.id_,
--- a/packages/core/src/rule.cc
+++ b/packages/core/src/rule.cc
@@ -37,6 +37,7 @@
     const std::string& value_;
   };
   const Condition conditions[] = {
+      {"host", match.host_, shape.host_},
       {"service", match.service_, shape.service_},
       {"organisation", match.organisation_, shape.organisation_},
       {"model", match.model_, shape.model_},
@@ -59,6 +60,33 @@
   return nullptr;
 }
 
+const std::string& PickPool(const RuleOutcome& outcome, std::uint64_t draw) {
+  std::uint64_t total = 0;
+  for (const PoolShare& share : outcome.split_) {
+    total += share.weight_;
+  }
+  if (total == 0) {
+    return outcome.pool_;
+  }
+  std::uint64_t left = draw % total;
+  for (const PoolShare& share : outcome.split_) {
+    if (left < share.weight_) {
+      return share.pool_;
+    }
+    left -= share.weight_;
+  }
+  return outcome.pool_;
+}
+
+const PoolFacts* FindPool(const RuleSet& rules, const std::string& name) {
+  for (const PoolFacts& pool : rules.pools_) {
+    if (pool.name_ == name) {
+      return &pool;
+    }
+  }
+  return nullptr;
+}
+
 const Rule* MatchRule(const RuleSet& rules, const RequestShape& shape) {
   for (const Rule& rule : rules.rules_) {
     if (FirstMismatch(rule.match_, shape) == nullptr) {
--- /dev/null
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -0,0 +1,109 @@
+#ifndef SISKINDRUM_DISPATCH_DISPATCHER_H_
+#define SISKINDRUM_DISPATCH_DISPATCHER_H_
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "siskindrum/core/router.h"
+#include "siskindrum/dispatch/event.h"
+#include "siskindrum/dispatch/placement.h"
+#include "siskindrum/dispatch/repeat_budget.h"
+#include "siskindrum/dispatch/server_pool.h"
+
+namespace siskindrum::dispatch {
+
+// One request in progress at this entry.
+struct ActiveCall {
+  RequestId id_;
+  CallerCall call_;
+  std::shared_ptr<const core::Configuration> configuration_;  // Keeps `rule_`.
+  const core::Rule* rule_ = nullptr;
+  std::string pool_;
+  TimePoint arrived_at_{};
+  TimePoint deadline_{};
+  // Of the attempt in progress.
+  std::uint32_t attempt_ = 0;
+  Stage stage_ = Stage::kPlain;
+  std::string server_;
+  TimePoint sent_at_{};
+  std::uint32_t counted_prefill_ = 0;  // Tokens counted at `server_`.
+  std::uint32_t counted_held_ = 0;
+  bool prefill_was_alone_ = false;  // Nothing waited there before it.
+  // Of the whole request.
+  std::uint32_t sends_ = 0;  // That count as attempts of the rule.
+  int connect_failures_ = 0;
+  bool sent_before_ = false;  // A further send is a repeat.
+  RunState run_state_ = RunState::kNotRun;
+  bool answer_begun_ = false;
+  bool error_kept_ = false;
+  std::vector<std::string> avoid_;
+  std::string planned_decode_;
+  std::string handle_;  // Not yet taken.
+  std::string handle_address_;
+  std::optional<std::uint64_t> last_event_;  // That the caller has.
+};
+
+struct DispatchCounters {
+  std::uint64_t arrived_ = 0;
+  std::uint64_t delivered_ = 0;
+  std::uint64_t server_errors_ = 0;
+  std::uint64_t refused_not_run_ = 0;
+  std::uint64_t failed_may_have_run_ = 0;
+  std::uint64_t caller_left_ = 0;
+  std::uint64_t attempts_ = 0;
+  std::uint64_t repeats_ = 0;
+  std::uint64_t repeats_denied_ = 0;
+  std::uint64_t resumed_ = 0;
+  std::uint64_t cut_ = 0;
+  std::uint64_t prefills_elsewhere_ = 0;
+  std::uint64_t prefills_direct_ = 0;
+  std::uint64_t handles_freed_ = 0;
+};
+
+struct DispatcherOptions {
+  std::string name_;
+  std::string domain_;
+  core::Incarnation incarnation_ = 0;
+  std::uint64_t seed_ = 0;
+};
+
+// The decisions of an entry that counts alone, without a home for its servers:
+// every entry weighs what it sent itself. Owned by one thread.
+struct Dispatcher {
+  DispatcherOptions options_;
+  std::mt19937_64 random_;
+  core::ConfigurationState configuration_;
+  ServerPool pool_;
+  RepeatBudget budget_;
+  std::unordered_map<RequestId, ActiveCall, core::RequestIdHash> calls_;
+  std::unordered_map<std::string, core::DecisionRecord> decisions_;  // By label.
+  std::deque<std::string> decision_order_;
+  TimePoint last_tick_{};
+  bool list_read_ = false;
+  bool ready_ = false;
+  bool draining_ = false;
+  DispatchCounters counters_;
+};
+
+// Makes a dispatcher that knows nothing yet. Thread-safe: yes.
+Dispatcher MakeDispatcher(const DispatcherOptions& options);
+
+// Handles one event and appends what is to be done. Thread-safe: no; one
+// thread owns `dispatcher`. Times must not go back between calls.
+void HandleEvent(Dispatcher& dispatcher,
+                 const Event& event,
+                 TimePoint now,
+                 std::vector<Action>& actions);
+
+// Decision record of a caller's request, or nullptr. Thread-safe: no.
+const core::DecisionRecord* FindDecision(const Dispatcher& dispatcher,
+                                         const std::string& label);
+
+}  // namespace siskindrum::dispatch
+
+#endif  // SISKINDRUM_DISPATCH_DISPATCHER_H_
--- /dev/null
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -0,0 +1,70 @@
+#ifndef SISKINDRUM_DISPATCH_LIMITS_H_
+#define SISKINDRUM_DISPATCH_LIMITS_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "siskindrum/core/types.h"
+
+namespace siskindrum::dispatch {
+
+// Tunables of the decisions, in one place.
+
+using core::Milliseconds;
+
+// How long a server that vanished from the list may still be used when no
+// listed one is left. Below the time within which a leaving server must get no
+// new work (two seconds on the platforms known).
+inline constexpr Milliseconds kLapsedUse{1500};
+// A server that nobody lists or uses is forgotten after this.
+inline constexpr Milliseconds kServerForget{5000};
+
+inline constexpr Milliseconds kSuspendFirst{250};  // Doubles with each failure.
+inline constexpr Milliseconds kSuspendMost{4000};
+inline constexpr Milliseconds kRefusalPause{100};  // After "not run" of a server.
+inline constexpr double kErrorMemory = 0.9;  // Weight of the past errors.
+
+// Expectations before anything was measured.
+inline constexpr double kPrefillTokensPerMs = 50.0;
+inline constexpr Milliseconds kPlainTime{60};
+inline constexpr double kPrefillOverheadMs = 20.0;
+inline constexpr double kTransferMs = 12.0;
+// A decode engine that prefills itself does so at about half the speed.
+inline constexpr double kDirectPrefillFactor = 2.0;
+
+// What a server in another failure domain must be better by.
+inline constexpr double kFarPlainMs = 15.0;
+inline constexpr double kFarEngineMs = 25.0;
+
+// A decision older than this is not sent.
+inline constexpr Milliseconds kDecisionAge{400};
+inline constexpr Milliseconds kConnectTime{300};
+
+// Patience before an idempotent call goes to another server.
+inline constexpr Milliseconds kPlainPatience{260};
+// Patience with a prefill: a multiple of what it should take, and no less than.
+inline constexpr double kPrefillPatienceFactor = 3.0;
+inline constexpr Milliseconds kPrefillPatience{350};
+// Patience with the first event, beyond what the prefill should take.
+inline constexpr Milliseconds kFirstEventPatience{700};
+// Between two events of a stream that may go on elsewhere.
+inline constexpr Milliseconds kEventPatience{900};
+
+// Repeats that an entry may send in a window: a part of the calls it sent in
+// it, and a few besides.
+inline constexpr double kRepeatRatio = 0.15;
+inline constexpr std::size_t kRepeatBurst = 5;
+inline constexpr Milliseconds kRepeatWindow{10000};
+
+inline constexpr int kConnectAttempts = 3;  // For one request; nothing is sent.
+
+// Advice to callers that are refused.
+inline constexpr Milliseconds kRetryNoServer{600};
+inline constexpr Milliseconds kRetryBusy{150};
+
+inline constexpr Milliseconds kTickInterval{20};
+inline constexpr std::size_t kExplainRecords = 2000;
+
+}  // namespace siskindrum::dispatch
+
+#endif  // SISKINDRUM_DISPATCH_LIMITS_H_
--- /dev/null
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -0,0 +1,90 @@
+#ifndef SISKINDRUM_DISPATCH_SERVER_POOL_H_
+#define SISKINDRUM_DISPATCH_SERVER_POOL_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "siskindrum/core/fleet.h"
+#include "siskindrum/core/types.h"
+
+namespace siskindrum::dispatch {
+
+using core::Milliseconds;
+using core::TimePoint;
+
+enum class Listing {
+  kListed,
+  kLapsed,    // Vanished from the list without a word.
+  kDraining,  // Said so, or the list did: gets no new work.
+  kCount
+};
+
+// A backend server as this entry knows it.
+struct KnownServer {
+  core::ServerInfo info_;
+  Listing listing_ = Listing::kListed;
+  TimePoint changed_at_{};  // Of the listing.
+  std::uint32_t calls_ = 0;           // Of this entry, in progress.
+  std::uint32_t prefill_tokens_ = 0;  // Of this entry, not yet read.
+  std::uint32_t held_tokens_ = 0;     // Of this entry's answers in progress.
+  std::uint32_t failures_ = 0;        // In a row.
+  TimePoint suspended_until_{};
+  TimePoint silent_since_{};  // Sent to since then without any answer.
+  double error_share_ = 0;    // Of its answers, lately.
+  double mean_ms_ = 0;        // Of its plain answers; zero: unknown.
+  double prefill_tokens_per_ms_ = 0;  // Zero: unknown.
+};
+
+// All servers by name.
+struct ServerPool {
+  std::map<std::string, KnownServer> servers_;
+};
+
+// What the list said since it was last asked.
+struct ListChanges {
+  std::vector<core::ServerInfo> seen_;
+  std::vector<std::string> removed_;
+  bool whole_ = false;  // `seen_` is the whole list.
+};
+
+// Takes changes of the list. Thread-safe: no.
+void TakeChanges(ServerPool& pool, const ListChanges& changes, TimePoint now);
+
+// Forgets servers that vanished long ago and serve nothing. Returns how many
+// were forgotten. Thread-safe: no.
+std::size_t ForgetVanished(ServerPool& pool, TimePoint now);
+
+// The server, or nullptr. Thread-safe: no.
+KnownServer* FindServer(ServerPool& pool, const std::string& name);
+
+// True when new work may be sent to it. A lapsed one is a last resort, and
+// only for a while. Thread-safe: no.
+bool MayServe(const KnownServer& server, TimePoint now);
+
+// One call was sent, or ended. Thread-safe: no.
+void NoteSent(KnownServer& server, TimePoint now);
+void NoteEnded(KnownServer& server);
+
+// It answered anything at all: it lives. Thread-safe: no.
+void NoteAlive(KnownServer& server);
+
+// It answered whole; `error` when the answer was an error of its own.
+// Thread-safe: no.
+void NoteAnswer(KnownServer& server, bool error);
+
+// It refused without running the call. Thread-safe: no.
+void NoteRefusal(KnownServer& server, TimePoint now);
+
+// It could not be reached, fell silent or broke off. Suspends it for a time
+// that doubles with each failure in a row. Thread-safe: no.
+void NoteFailure(KnownServer& server, TimePoint now);
+
+// Exponential mean of a measurement; the first one counts whole.
+// Thread-safe: yes.
+double Smooth(double mean, double sample, double weight);
+
+}  // namespace siskindrum::dispatch
+
+#endif  // SISKINDRUM_DISPATCH_SERVER_POOL_H_
--- /dev/null
+++ b/packages/dispatch/src/call_end.cc
@@ -0,0 +1,207 @@
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "dispatcher_p.h"
+
+namespace siskindrum::dispatch {
+
+namespace {
+
+// Spreads the return of callers that are refused together.
+Milliseconds Spread(Step& step, Milliseconds advice) {
+  std::uniform_int_distribution<std::int64_t> part(75, 150);
+  return Milliseconds(advice.count() * part(step.dispatcher_.random_) / 100);
+}
+
+Milliseconds AdviceFor(core::Reason reason) {
+  return reason == core::Reason::kNoServer || reason == core::Reason::kNotReady
+             ? kRetryNoServer
+             : kRetryBusy;
+}
+
+void LogEnd(Step& step, const ActiveCall& call, const std::string& outcome,
+            const std::string& detail) {
+  core::LogEvent log{
+      "request_done",
+      {{"request", call.call_.label_},
+       {"outcome", outcome},
+       {"verdict", core::ToString(call.run_state_)},
+       {"rule_line",
+        std::to_string(call.rule_ == nullptr ? 0 : call.rule_->line_)},
+       {"revision", std::to_string(call.configuration_ == nullptr
+                                       ? 0
+                                       : call.configuration_->revision_)},
+       {"server", call.server_},
+       {"sends", std::to_string(call.sends_)},
+       {"ms", FormatMs(step.now_ - call.arrived_at_)}}};
+  if (!detail.empty()) {
+    log.fields_.push_back({"detail", detail});
+  }
+  step.actions_.push_back(std::move(log));
+}
+
+void RecordEnd(Step& step, const ActiveCall& call, const std::string& outcome) {
+  const auto found = step.dispatcher_.decisions_.find(call.call_.label_);
+  if (found == step.dispatcher_.decisions_.end()) {
+    return;
+  }
+  found->second.outcome_ = outcome;
+  found->second.attempts_ = call.attempt_;
+  found->second.total_ = std::chrono::duration_cast<Milliseconds>(
+      step.now_ - call.arrived_at_);
+}
+
+}  // namespace
+
+std::string FormatMs(core::Nanoseconds duration) {
+  return std::to_string(
+      std::chrono::duration_cast<Milliseconds>(duration).count());
+}
+
+bool IsRepeatable(const ActiveCall& call) {
+  const core::RuleOutcome& outcome = call.rule_->outcome_;
+  return outcome.kind_ == core::BackendKind::kPlain
+             ? outcome.repeat_ == core::Repeat::kAllowed
+             : outcome.resume_ == core::Resume::kAllowed;
+}
+
+PlacementNeed NeedOf(const Step& step, const ActiveCall& call) {
+  PlacementNeed need;
+  need.pool_ = call.pool_;
+  need.domain_ = step.dispatcher_.options_.domain_;
+  need.prompt_tokens_ = call.call_.shape_.prompt_tokens_;
+  need.answer_tokens_ = call.call_.answer_tokens_;
+  need.facts_ = core::FindPool(call.configuration_->rules_, call.pool_);
+  need.avoid_ = call.avoid_;
+  return need;
+}
+
+void ReleaseAttempt(Step& step, ActiveCall& call) {
+  KnownServer* server = FindServer(step.dispatcher_.pool_, call.server_);
+  if (server != nullptr) {
+    NoteEnded(*server);
+    server->prefill_tokens_ -=
+        std::min(server->prefill_tokens_, call.counted_prefill_);
+    server->held_tokens_ -= std::min(server->held_tokens_, call.counted_held_);
+  }
+  call.counted_prefill_ = 0;
+  call.counted_held_ = 0;
+  call.server_.clear();
+}
+
+void DropHandle(Step& step, ActiveCall& call) {
+  if (call.handle_.empty()) {
+    return;
+  }
+  ++step.dispatcher_.counters_.handles_freed_;
+  step.actions_.emplace_back(FreeHandle{call.handle_address_, call.handle_});
+  call.handle_.clear();
+}
+
+void EndCall(Step& step, ActiveCall& call, const std::string& outcome) {
+  LogEnd(step, call, outcome, "");
+  RecordEnd(step, call, outcome);
+  ReleaseAttempt(step, call);
+  DropHandle(step, call);
+  step.dispatcher_.calls_.erase(call.id_);
+}
+
+void FailCall(Step& step,
+              ActiveCall& call,
+              core::Reason reason,
+              const std::string& detail) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  std::string outcome = "refused";
+  if (call.error_kept_ && !call.answer_begun_) {
+    outcome = "server_error";
+    ++dispatcher.counters_.server_errors_;
+    step.actions_.emplace_back(DeliverKept{call.id_});
+  } else {
+    Refuse refuse;
+    refuse.request_ = call.id_;
+    refuse.verdict_.run_state_ = call.run_state_;
+    refuse.verdict_.reason_ = reason;
+    refuse.verdict_.detail_ = detail;
+    if (call.answer_begun_) {
+      outcome = "cut";
+      ++dispatcher.counters_.cut_;
+    } else if (call.run_state_ == RunState::kNotRun) {
+      refuse.verdict_.retry_after_ = Spread(step, AdviceFor(reason));
+      ++dispatcher.counters_.refused_not_run_;
+    } else {
+      outcome = "failed";
+      ++dispatcher.counters_.failed_may_have_run_;
+    }
+    step.actions_.emplace_back(std::move(refuse));
+  }
+  LogEnd(step, call, outcome,
+         absl::StrCat(core::ToString(reason), detail.empty() ? "" : ": ",
+                      detail));
+  RecordEnd(step, call, outcome);
+  ReleaseAttempt(step, call);
+  DropHandle(step, call);
+  dispatcher.calls_.erase(call.id_);
+}
+
+bool TakeAttempt(Step& step, ActiveCall& call, std::string* denied) {
+  if (call.sends_ > call.rule_->outcome_.retries_) {
+    *denied = "no attempt is left by the rule";
+    return false;
+  }
+  if (!call.sent_before_) {
+    return true;
+  }
+  if (!TakeRepeat(step.dispatcher_.budget_, call.pool_, step.now_)) {
+    ++step.dispatcher_.counters_.repeats_denied_;
+    *denied = "the budget of repeats is spent";
+    return false;
+  }
+  ++step.dispatcher_.counters_.repeats_;
+  return true;
+}
+
+StartAttempt BeginAttempt(Step& step,
+                          ActiveCall& call,
+                          Stage stage,
+                          KnownServer& server) {
+  ++step.dispatcher_.counters_.attempts_;
+  ++call.attempt_;
+  call.stage_ = stage;
+  call.server_ = server.info_.name_;
+  call.sent_at_ = step.now_;
+  NoteSent(server, step.now_);
+  StartAttempt start;
+  start.request_ = call.id_;
+  start.attempt_ = call.attempt_;
+  start.stage_ = stage;
+  start.server_ = server.info_.name_;
+  start.address_ = server.info_.address_;
+  start.decided_at_ = step.now_;
+  start.deadline_ = call.deadline_;
+  start.may_resume_ = IsRepeatable(call);
+  return start;
+}
+
+void LogAttempt(Step& step,
+                const ActiveCall& call,
+                const StartAttempt& start,
+                double expected_ms) {
+  const KnownServer* server =
+      FindServer(step.dispatcher_.pool_, start.server_);
+  step.actions_.emplace_back(core::LogEvent{
+      "attempt_started",
+      {{"request", call.call_.label_},
+       {"attempt", std::to_string(start.attempt_)},
+       {"stage", ToString(start.stage_)},
+       {"pool", call.pool_},
+       {"server", start.server_},
+       {"rule_line", std::to_string(call.rule_->line_)},
+       {"revision", std::to_string(call.configuration_->revision_)},
+       {"server_calls", std::to_string(server->calls_)},
+       {"prefill_tokens", std::to_string(server->prefill_tokens_)},
+       {"listed_ms", FormatMs(step.now_ - server->changed_at_)},
+       {"expected_ms",
+        std::to_string(static_cast<std::int64_t>(expected_ms))}}});
+}
+
+}  // namespace siskindrum::dispatch
--- /dev/null
+++ b/packages/dispatch/src/dispatcher.cc
@@ -0,0 +1,283 @@
+#include "siskindrum/dispatch/dispatcher.h"
+
+#include "absl/strings/str_cat.h"
+#include "dispatcher_p.h"
+
+namespace siskindrum::dispatch {
+
+namespace {
+
+template <class... Handlers>
+struct Overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <class... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+ActiveCall* FindCall(Dispatcher& dispatcher, const RequestId& id) {
+  const auto found = dispatcher.calls_.find(id);
+  return found == dispatcher.calls_.end() ? nullptr : &found->second;
+}
+
+void AddDecision(Dispatcher& dispatcher, const ActiveCall& call) {
+  core::DecisionRecord record;
+  record.request_ = call.id_;
+  record.configuration_ = call.configuration_;
+  record.rule_ = call.rule_;
+  record.shape_ = call.call_.shape_;
+  record.home_ = dispatcher.options_.name_;
+  const std::string& label = call.call_.label_;
+  if (!dispatcher.decisions_.contains(label)) {
+    dispatcher.decision_order_.push_back(label);
+  }
+  dispatcher.decisions_[label] = std::move(record);
+  if (dispatcher.decision_order_.size() > kExplainRecords) {
+    dispatcher.decisions_.erase(dispatcher.decision_order_.front());
+    dispatcher.decision_order_.pop_front();
+  }
+}
+
+void RouteCall(Step& step, ActiveCall& call) {
+  const core::RuleOutcome& outcome = call.rule_->outcome_;
+  call.pool_ = core::PickPool(outcome, step.dispatcher_.random_());
+  NoteCall(step.dispatcher_.budget_, call.pool_, step.now_);
+  AddDecision(step.dispatcher_, call);
+  if (outcome.kind_ == core::BackendKind::kPlain) {
+    SendPlain(step, call);
+  } else {
+    SendToEngines(step, call);
+  }
+}
+
+void OnArrived(Step& step, const CallArrived& event) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  ++dispatcher.counters_.arrived_;
+  ActiveCall& call = dispatcher.calls_[event.request_];
+  call.id_ = event.request_;
+  call.call_ = event.call_;
+  call.arrived_at_ = event.arrived_at_;
+  call.last_event_ = event.call_.last_event_;
+  call.configuration_ = dispatcher.configuration_.current_;
+  call.deadline_ = TimePoint::max();
+  if (call.configuration_ == nullptr) {
+    FailCall(step, call, core::Reason::kNotReady, "no configuration yet");
+    return;
+  }
+  call.rule_ =
+      core::MatchRule(call.configuration_->rules_, call.call_.shape_);
+  if (call.rule_ == nullptr) {
+    FailCall(step, call, core::Reason::kNoRule, "");
+    return;
+  }
+  if (call.rule_->outcome_.action_ == core::Action::kRefuse) {
+    FailCall(step, call, core::Reason::kRefusedByRule, "");
+    return;
+  }
+  Milliseconds limit = call.rule_->outcome_.timeout_;
+  if (call.call_.time_left_.count() > 0) {
+    limit = std::min(limit, call.call_.time_left_);
+  }
+  call.deadline_ = call.arrived_at_ + limit;
+  if (step.now_ >= call.deadline_) {
+    FailCall(step, call, core::Reason::kDeadline, "it had passed on arrival");
+    return;
+  }
+  RouteCall(step, call);
+}
+
+void OnCallerLeft(Step& step, const CallerLeft& event) {
+  ActiveCall* call = FindCall(step.dispatcher_, event.request_);
+  if (call != nullptr) {
+    ++step.dispatcher_.counters_.caller_left_;
+    EndCall(step, *call, "caller_left");
+  }
+}
+
+ActiveCall* FindAttempt(Step& step, const RequestId& id, std::uint32_t attempt) {
+  ActiveCall* call = FindCall(step.dispatcher_, id);
+  return call != nullptr && call->attempt_ == attempt ? call : nullptr;
+}
+
+void LogAttemptDone(Step& step, const ActiveCall& call,
+                    const std::string& outcome, const std::string& detail) {
+  step.actions_.emplace_back(core::LogEvent{
+      "attempt_failed",
+      {{"request", call.call_.label_},
+       {"attempt", std::to_string(call.attempt_)},
+       {"stage", ToString(call.stage_)},
+       {"server", call.server_},
+       {"outcome", outcome},
+       {"ms", FormatMs(step.now_ - call.sent_at_)},
+       {"detail", detail}}});
+}
+
+void OnPrefill(Step& step, const PrefillDone& event) {
+  ActiveCall* call = FindAttempt(step, event.request_, event.attempt_);
+  if (call == nullptr) {
+    return;
+  }
+  if (!event.ok_) {
+    LogAttemptDone(step, *call, event.refused_ ? "refused" : "failed",
+                   event.detail_);
+  }
+  OnPrefillDone(step, *call, event);
+}
+
+const char* ToString(AttemptOutcome outcome) {
+  switch (outcome) {
+    case AttemptOutcome::kDelivered:
+      return "delivered";
+    case AttemptOutcome::kServerError:
+      return "server_error";
+    case AttemptOutcome::kRefused:
+      return "refused";
+    default:
+      return "failed";
+  }
+}
+
+void OnAttemptDone(Step& step, const AttemptDone& event) {
+  ActiveCall* call = FindAttempt(step, event.request_, event.attempt_);
+  if (call == nullptr) {
+    return;
+  }
+  if (event.outcome_ != AttemptOutcome::kDelivered) {
+    LogAttemptDone(step, *call, ToString(event.outcome_),
+                   absl::StrCat(core::ToString(event.run_state_), " status ",
+                                event.status_, " ", event.detail_));
+  }
+  if (call->stage_ == Stage::kPlain) {
+    OnPlainDone(step, *call, event);
+  } else {
+    OnDecodeDone(step, *call, event);
+  }
+}
+
+void UpdateReady(Step& step) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  const bool ready = dispatcher.configuration_.current_ != nullptr &&
+                     dispatcher.list_read_ && !dispatcher.draining_;
+  if (ready != dispatcher.ready_) {
+    dispatcher.ready_ = ready;
+    step.actions_.emplace_back(ReadyChanged{ready});
+    step.actions_.emplace_back(
+        core::LogEvent{"ready_changed", {{"ready", ready ? "yes" : "no"}}});
+  }
+}
+
+void OnList(Step& step, const ListSeen& event) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  TakeChanges(dispatcher.pool_, event.changes_, step.now_);
+  dispatcher.list_read_ = true;
+  for (const core::ServerInfo& info : event.changes_.seen_) {
+    step.actions_.emplace_back(core::LogEvent{
+        "server_listed",
+        {{"server", info.name_},
+         {"address", info.address_},
+         {"pool", info.service_},
+         {"role", core::ToString(info.role_)},
+         {"domain", info.domain_},
+         {"leaving", info.leaving_ ? "yes" : "no"}}});
+  }
+  for (const std::string& name : event.changes_.removed_) {
+    step.actions_.emplace_back(
+        core::LogEvent{"server_vanished", {{"server", name}}});
+  }
+  UpdateReady(step);
+}
+
+void OnConfiguration(Step& step, const ConfigurationRead& event) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  const core::Offer offer = core::OfferConfiguration(
+      dispatcher.configuration_, event.configuration_, step.now_);
+  step.actions_.emplace_back(core::LogEvent{
+      "configuration_offered",
+      {{"revision", std::to_string(event.configuration_->revision_)},
+       {"source", event.source_},
+       {"outcome", core::ToString(offer)}}});
+  if (offer == core::Offer::kTaken) {
+    step.actions_.emplace_back(
+        BoundCallers{event.configuration_->rules_.callers_});
+  }
+  UpdateReady(step);
+}
+
+void OnTick(Step& step) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  std::vector<RequestId> late;
+  for (const auto& [id, call] : dispatcher.calls_) {
+    if (step.now_ >= call.deadline_) {
+      late.push_back(id);
+    }
+  }
+  for (const RequestId& id : late) {
+    ActiveCall& call = dispatcher.calls_.at(id);
+    // What was handed to a server may run until that server says otherwise; a
+    // prefill alone is no run.
+    if (!call.server_.empty() && call.stage_ != Stage::kPrefill) {
+      call.run_state_ = core::Worse(call.run_state_, RunState::kMayHaveRun);
+    }
+    FailCall(step, call, core::Reason::kDeadline, "");
+  }
+  ForgetVanished(dispatcher.pool_, step.now_);
+  dispatcher.last_tick_ = step.now_;
+}
+
+}  // namespace
+
+const char* ToString(Stage stage) {
+  switch (stage) {
+    case Stage::kPlain:
+      return "plain";
+    case Stage::kPrefill:
+      return "prefill";
+    case Stage::kDecode:
+      return "decode";
+    case Stage::kCount:
+      break;
+  }
+  return "unknown";
+}
+
+Dispatcher MakeDispatcher(const DispatcherOptions& options) {
+  Dispatcher dispatcher;
+  dispatcher.options_ = options;
+  dispatcher.random_.seed(options.seed_);
+  return dispatcher;
+}
+
+void HandleEvent(Dispatcher& dispatcher,
+                 const Event& event,
+                 TimePoint now,
+                 std::vector<Action>& actions) {
+  Step step{dispatcher, now, actions};
+  std::visit(
+      Overloaded{
+          [&](const CallArrived& e) { OnArrived(step, e); },
+          [&](const CallerLeft& e) { OnCallerLeft(step, e); },
+          [&](const PrefillDone& e) { OnPrefill(step, e); },
+          [&](const AnswerBegan& e) {
+            ActiveCall* call = FindAttempt(step, e.request_, e.attempt_);
+            if (call != nullptr) {
+              OnAnswerBegan(step, *call);
+            }
+          },
+          [&](const AttemptDone& e) { OnAttemptDone(step, e); },
+          [&](const ListSeen& e) { OnList(step, e); },
+          [&](const ConfigurationRead& e) { OnConfiguration(step, e); },
+          [&](const DrainBegan&) {
+            dispatcher.draining_ = true;
+            UpdateReady(step);
+          },
+          [&](const Ticked&) { OnTick(step); },
+      },
+      event);
+}
+
+const core::DecisionRecord* FindDecision(const Dispatcher& dispatcher,
+                                         const std::string& label) {
+  const auto found = dispatcher.decisions_.find(label);
+  return found == dispatcher.decisions_.end() ? nullptr : &found->second;
+}
+
+}  // namespace siskindrum::dispatch
--- /dev/null
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -0,0 +1,59 @@
+#ifndef SISKINDRUM_DISPATCH_DISPATCHER_P_H_
+#define SISKINDRUM_DISPATCH_DISPATCHER_P_H_
+
+#include <string>
+#include <vector>
+
+#include "siskindrum/dispatch/dispatcher.h"
+#include "siskindrum/dispatch/limits.h"
+
+namespace siskindrum::dispatch {
+
+// One event being handled.
+struct Step {
+  Dispatcher& dispatcher_;
+  TimePoint now_{};
+  std::vector<Action>& actions_;
+};
+
+// call_end.cc: how requests end, and what a failed attempt allows.
+
+bool IsRepeatable(const ActiveCall& call);
+PlacementNeed NeedOf(const Step& step, const ActiveCall& call);
+// Takes back what the attempt in progress counts for at its server.
+void ReleaseAttempt(Step& step, ActiveCall& call);
+// Frees a prefill result that was not taken.
+void DropHandle(Step& step, ActiveCall& call);
+// Ends the request with the strongest true verdict; `call` is gone afterwards.
+void FailCall(Step& step,
+              ActiveCall& call,
+              core::Reason reason,
+              const std::string& detail);
+void EndCall(Step& step, ActiveCall& call, const std::string& outcome);
+// True when the rule and the budget let the request go to one more server.
+bool TakeAttempt(Step& step, ActiveCall& call, std::string* denied);
+// Counts and fills in what all attempts share.
+StartAttempt BeginAttempt(Step& step,
+                          ActiveCall& call,
+                          Stage stage,
+                          KnownServer& server);
+void LogAttempt(Step& step,
+                const ActiveCall& call,
+                const StartAttempt& start,
+                double expected_ms);
+
+// plain_call.cc
+void SendPlain(Step& step, ActiveCall& call);
+void OnPlainDone(Step& step, ActiveCall& call, const AttemptDone& event);
+
+// engine_call.cc
+void SendToEngines(Step& step, ActiveCall& call);
+void OnPrefillDone(Step& step, ActiveCall& call, const PrefillDone& event);
+void OnDecodeDone(Step& step, ActiveCall& call, const AttemptDone& event);
+void OnAnswerBegan(Step& step, ActiveCall& call);
+
+std::string FormatMs(core::Nanoseconds duration);
+
+}  // namespace siskindrum::dispatch
+
+#endif  // SISKINDRUM_DISPATCH_DISPATCHER_P_H_
--- /dev/null
+++ b/packages/dispatch/src/engine_call.cc
@@ -0,0 +1,210 @@
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "dispatcher_p.h"
+
+namespace siskindrum::dispatch {
+
+namespace {
+
+Milliseconds ToMs(double ms) {
+  return Milliseconds(static_cast<std::int64_t>(ms));
+}
+
+void RecordServers(Step& step,
+                   const ActiveCall& call,
+                   const std::string& prefill,
+                   const std::string& decode) {
+  const auto found = step.dispatcher_.decisions_.find(call.call_.label_);
+  if (found != step.dispatcher_.decisions_.end()) {
+    found->second.prefill_ = prefill;
+    found->second.decode_ = decode;
+  }
+}
+
+void SendPrefill(Step& step,
+                 ActiveCall& call,
+                 const EnginePlan& plan,
+                 KnownServer& server) {
+  ++step.dispatcher_.counters_.prefills_elsewhere_;
+  call.planned_decode_ = plan.decode_;
+  call.prefill_was_alone_ = server.prefill_tokens_ == 0;
+  const std::uint32_t tokens = call.call_.shape_.prompt_tokens_;
+  const double expected = PrefillMs(server, tokens);
+  call.counted_prefill_ = tokens;
+  server.prefill_tokens_ += tokens;
+  StartAttempt start = BeginAttempt(step, call, Stage::kPrefill, server);
+  start.patience_ =
+      std::max(kPrefillPatience, ToMs(kPrefillPatienceFactor * expected));
+  RecordServers(step, call, server.info_.name_, plan.decode_);
+  LogAttempt(step, call, start, plan.expected_ms_);
+  step.actions_.emplace_back(std::move(start));
+}
+
+// Sends the request to a decode engine, with the prefill result if there is
+// one.
+void SendDecode(Step& step, ActiveCall& call, const EnginePlan& plan) {
+  KnownServer* server = FindServer(step.dispatcher_.pool_, plan.decode_);
+  if (server == nullptr) {
+    FailCall(step, call, core::Reason::kNoServer,
+             absl::StrCat("no decode engine of ", call.pool_, " can be used"));
+    return;
+  }
+  std::string denied;
+  if (!TakeAttempt(step, call, &denied)) {
+    FailCall(step, call, core::Reason::kRetriesExhausted, denied);
+    return;
+  }
+  const bool direct = call.handle_.empty();
+  const std::uint32_t prompt = call.call_.shape_.prompt_tokens_;
+  double expected = kTransferMs + kPrefillOverheadMs;
+  if (direct) {
+    ++step.dispatcher_.counters_.prefills_direct_;
+    expected = kDirectPrefillFactor * PrefillMs(*server, prompt);
+    call.counted_prefill_ = prompt;
+    server->prefill_tokens_ += prompt;
+  }
+  call.counted_held_ = prompt + call.call_.answer_tokens_;
+  server->held_tokens_ += call.counted_held_;
+  StartAttempt start = BeginAttempt(step, call, Stage::kDecode, *server);
+  start.source_address_ = call.handle_address_;
+  start.handle_ = call.handle_;
+  start.resume_after_ = call.last_event_;
+  const bool may_go_on = IsRepeatable(call) &&
+                         call.sends_ < call.rule_->outcome_.retries_;
+  if (may_go_on) {
+    start.patience_ = kFirstEventPatience + ToMs(2 * expected);
+    start.event_patience_ = kEventPatience;
+  }
+  call.handle_.clear();
+  call.handle_address_.clear();
+  RecordServers(step, call, direct ? server->info_.name_ : "",
+                server->info_.name_);
+  LogAttempt(step, call, start, expected);
+  step.actions_.emplace_back(std::move(start));
+}
+
+void SendDirect(Step& step, ActiveCall& call) {
+  SendDecode(step, call,
+             PlaceDecode(step.dispatcher_.pool_, NeedOf(step, call), true,
+                         step.now_));
+}
+
+}  // namespace
+
+void SendToEngines(Step& step, ActiveCall& call) {
+  const EnginePlan plan =
+      PlaceEngines(step.dispatcher_.pool_, NeedOf(step, call), step.now_);
+  KnownServer* prefill = FindServer(step.dispatcher_.pool_, plan.prefill_);
+  if (plan.decode_.empty() || prefill == nullptr) {
+    SendDecode(step, call, plan);
+  } else {
+    SendPrefill(step, call, plan, *prefill);
+  }
+}
+
+void OnPrefillDone(Step& step, ActiveCall& call, const PrefillDone& event) {
+  const std::string name = call.server_;
+  KnownServer* server = FindServer(step.dispatcher_.pool_, name);
+  const double took =
+      std::chrono::duration<double, std::milli>(step.now_ - call.sent_at_)
+          .count();
+  const std::uint32_t tokens = call.counted_prefill_;
+  const bool alone = call.prefill_was_alone_;
+  ReleaseAttempt(step, call);
+  if (event.ok_) {
+    if (server != nullptr) {
+      NoteAlive(*server);
+      constexpr double kWeight = 0.2;
+      if (alone && took > kPrefillOverheadMs) {
+        server->prefill_tokens_per_ms_ =
+            Smooth(server->prefill_tokens_per_ms_,
+                   tokens / (took - kPrefillOverheadMs / 2), kWeight);
+      }
+      call.handle_address_ = server->info_.address_;
+    }
+    call.handle_ = event.handle_;
+    SendDecode(step, call,
+               PlaceDecode(step.dispatcher_.pool_, NeedOf(step, call), false,
+                           step.now_));
+    return;
+  }
+  call.avoid_.push_back(name);
+  if (event.refused_) {
+    // A prefill that was refused counts as an attempt; the first accepted one
+    // does not.
+    ++call.sends_;
+    call.sent_before_ = true;
+    if (server != nullptr) {
+      NoteRefusal(*server, step.now_);
+    }
+  } else if (server != nullptr) {
+    NoteFailure(*server, step.now_);
+  }
+  SendDirect(step, call);
+}
+
+void OnAnswerBegan(Step& step, ActiveCall& call) {
+  KnownServer* server = FindServer(step.dispatcher_.pool_, call.server_);
+  if (server != nullptr) {
+    NoteAlive(*server);
+    server->prefill_tokens_ -=
+        std::min(server->prefill_tokens_, call.counted_prefill_);
+  }
+  call.counted_prefill_ = 0;
+  call.answer_begun_ = true;
+  call.run_state_ = RunState::kRan;
+}
+
+void OnDecodeDone(Step& step, ActiveCall& call, const AttemptDone& event) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  const std::string name = call.server_;
+  KnownServer* server = FindServer(dispatcher.pool_, name);
+  if (event.last_event_.has_value()) {
+    call.last_event_ = event.last_event_;
+  }
+  const bool is_error = event.outcome_ == AttemptOutcome::kServerError;
+  if (server != nullptr &&
+      (event.outcome_ == AttemptOutcome::kDelivered || is_error)) {
+    NoteAnswer(*server, is_error);
+  }
+  if (event.outcome_ == AttemptOutcome::kDelivered) {
+    call.run_state_ = RunState::kRan;
+    ++dispatcher.counters_.delivered_;
+    EndCall(step, call, "delivered");
+    return;
+  }
+  ReleaseAttempt(step, call);
+  call.avoid_.push_back(name);
+  if (event.outcome_ == AttemptOutcome::kRefused) {
+    if (server != nullptr) {
+      NoteRefusal(*server, step.now_);
+    }
+    ++call.sends_;
+    call.sent_before_ = true;
+    SendDirect(step, call);
+    return;
+  }
+  if (!is_error && server != nullptr) {
+    NoteFailure(*server, step.now_);
+  }
+  call.error_kept_ = call.error_kept_ || is_error;
+  call.run_state_ = core::Worse(call.run_state_, event.run_state_);
+  if (event.run_state_ == RunState::kNotRun) {
+    if (++call.connect_failures_ < kConnectAttempts) {
+      SendDirect(step, call);
+      return;
+    }
+  } else {
+    ++call.sends_;
+    call.sent_before_ = true;
+    if (IsRepeatable(call)) {
+      dispatcher.counters_.resumed_ += call.answer_begun_ ? 1 : 0;
+      SendDirect(step, call);
+      return;
+    }
+  }
+  FailCall(step, call, event.reason_, event.detail_);
+}
+
+}  // namespace siskindrum::dispatch
--- /dev/null
+++ b/packages/dispatch/src/placement.cc
@@ -0,0 +1,186 @@
+#include "siskindrum/dispatch/placement.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "siskindrum/dispatch/limits.h"
+
+namespace siskindrum::dispatch {
+
+namespace {
+
+// Added to the cost of servers that should be used only when no other is left.
+constexpr double kLapsedCost = 1e6;
+constexpr double kSuspendedCost = 1e5;
+constexpr double kAvoidedCost = 1e4;
+// Share of full slots or memory from which an engine counts as full.
+constexpr double kFullShare = 0.9;
+constexpr double kFullCost = 5e3;
+constexpr double kErrorMs = 300.0;  // At an error share of one.
+constexpr double kSlotMs = 3.0;     // Of each answer in progress.
+constexpr double kBusyShareMs = 25.0;
+constexpr std::uint32_t kDefaultPlainSlots = 6;
+constexpr std::uint32_t kDefaultEngineSlots = 20;
+
+double Ms(core::Nanoseconds duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+bool Avoided(const PlacementNeed& need, const std::string& name) {
+  return std::find(need.avoid_.begin(), need.avoid_.end(), name) !=
+         need.avoid_.end();
+}
+
+// What speaks against a server whatever it is used for.
+double CommonCost(const KnownServer& server,
+                  const PlacementNeed& need,
+                  double far_ms,
+                  TimePoint now) {
+  double cost = server.error_share_ * kErrorMs;
+  if (server.info_.domain_ != need.domain_) {
+    cost += far_ms;
+  }
+  if (server.listing_ == Listing::kLapsed) {
+    cost += kLapsedCost;
+  }
+  if (server.suspended_until_ > now) {
+    cost += kSuspendedCost + Ms(server.suspended_until_ - now);
+  }
+  if (Avoided(need, server.info_.name_)) {
+    cost += kAvoidedCost;
+  }
+  return cost;
+}
+
+double PlainCost(const KnownServer& server,
+                 const PlacementNeed& need,
+                 TimePoint now) {
+  const std::uint32_t slots =
+      server.info_.slots_ > 0 ? server.info_.slots_ : kDefaultPlainSlots;
+  const double mean = server.mean_ms_ > 0
+                          ? server.mean_ms_
+                          : static_cast<double>(kPlainTime.count());
+  double cost = CommonCost(server, need, kFarPlainMs, now);
+  cost += kBusyShareMs * server.calls_ / slots;
+  if (server.calls_ >= slots) {
+    cost += mean * (server.calls_ + 1 - slots) / slots;
+  }
+  if (server.calls_ > 0) {
+    cost += std::max(0.0, Ms(now - server.silent_since_) - 2 * mean);
+  }
+  return cost;
+}
+
+double DecodeCost(const KnownServer& server,
+                  const PlacementNeed& need,
+                  TimePoint now) {
+  const std::uint32_t slots =
+      server.info_.slots_ > 0 ? server.info_.slots_ : kDefaultEngineSlots;
+  double cost = CommonCost(server, need, kFarEngineMs, now);
+  cost += kSlotMs * server.calls_;
+  if (server.calls_ > kFullShare * slots) {
+    cost += kFullCost;
+  }
+  const std::uint32_t memory =
+      need.facts_ != nullptr ? need.facts_->memory_tokens_ : 0;
+  const double tokens = static_cast<double>(server.held_tokens_) +
+                        need.prompt_tokens_ + need.answer_tokens_;
+  if (memory > 0 && tokens > kFullShare * memory) {
+    cost += kFullCost;
+  }
+  return cost;
+}
+
+double DirectMs(const KnownServer& server, std::uint32_t tokens) {
+  return kDirectPrefillFactor * PrefillMs(server, tokens);
+}
+
+struct Choice {
+  const KnownServer* server_ = nullptr;
+  double cost_ = std::numeric_limits<double>::max();
+};
+
+template <class Cost>
+Choice Cheapest(const ServerPool& pool,
+                const PlacementNeed& need,
+                core::ServerRole role,
+                TimePoint now,
+                Cost cost) {
+  Choice best;
+  for (const auto& [name, server] : pool.servers_) {
+    const bool fits = server.info_.role_ == role ||
+                      (server.info_.role_ == core::ServerRole::kMixed &&
+                       role != core::ServerRole::kPlain);
+    if (!fits || server.info_.service_ != need.pool_ ||
+        !MayServe(server, now)) {
+      continue;
+    }
+    const double one = cost(server);
+    if (one < best.cost_) {
+      best = {&server, one};
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+double PrefillMs(const KnownServer& server, std::uint32_t tokens) {
+  const double rate = server.prefill_tokens_per_ms_ > 0
+                          ? server.prefill_tokens_per_ms_
+                          : kPrefillTokensPerMs;
+  return kPrefillOverheadMs + (server.prefill_tokens_ + tokens) / rate;
+}
+
+std::string PlacePlain(const ServerPool& pool,
+                       const PlacementNeed& need,
+                       TimePoint now) {
+  const Choice best =
+      Cheapest(pool, need, core::ServerRole::kPlain, now,
+               [&](const KnownServer& server) {
+                 return PlainCost(server, need, now);
+               });
+  return best.server_ == nullptr ? "" : best.server_->info_.name_;
+}
+
+EnginePlan PlaceDecode(const ServerPool& pool,
+                       const PlacementNeed& need,
+                       bool direct,
+                       TimePoint now) {
+  const Choice best = Cheapest(
+      pool, need, core::ServerRole::kDecode, now,
+      [&](const KnownServer& server) {
+        return DecodeCost(server, need, now) +
+               (direct ? DirectMs(server, need.prompt_tokens_) : 0);
+      });
+  if (best.server_ == nullptr) {
+    return {};
+  }
+  return {"", best.server_->info_.name_, best.cost_};
+}
+
+EnginePlan PlaceEngines(const ServerPool& pool,
+                        const PlacementNeed& need,
+                        TimePoint now) {
+  const EnginePlan direct = PlaceDecode(pool, need, true, now);
+  const EnginePlan decode = PlaceDecode(pool, need, false, now);
+  if (decode.decode_.empty()) {
+    return {};
+  }
+  const Choice prefill = Cheapest(
+      pool, need, core::ServerRole::kPrefill, now,
+      [&](const KnownServer& server) {
+        return CommonCost(server, need, kFarEngineMs, now) +
+               PrefillMs(server, need.prompt_tokens_);
+      });
+  if (prefill.server_ == nullptr) {
+    return direct;
+  }
+  const double split_ms = prefill.cost_ + decode.expected_ms_ + kTransferMs;
+  if (direct.expected_ms_ < split_ms) {
+    return direct;
+  }
+  return {prefill.server_->info_.name_, decode.decode_, split_ms};
+}
+
+}  // namespace siskindrum::dispatch
--- /dev/null
+++ b/packages/dispatch/src/plain_call.cc
@@ -0,0 +1,92 @@
+#include "absl/strings/str_cat.h"
+#include "dispatcher_p.h"
+
+namespace siskindrum::dispatch {
+
+void SendPlain(Step& step, ActiveCall& call) {
+  const std::string name =
+      PlacePlain(step.dispatcher_.pool_, NeedOf(step, call), step.now_);
+  KnownServer* server = FindServer(step.dispatcher_.pool_, name);
+  if (server == nullptr) {
+    FailCall(step, call, core::Reason::kNoServer,
+             absl::StrCat("no server of ", call.pool_, " can be used"));
+    return;
+  }
+  std::string denied;
+  if (!TakeAttempt(step, call, &denied)) {
+    FailCall(step, call, core::Reason::kRetriesExhausted, denied);
+    return;
+  }
+  StartAttempt start = BeginAttempt(step, call, Stage::kPlain, *server);
+  const bool may_go_on = IsRepeatable(call) &&
+                         call.sends_ < call.rule_->outcome_.retries_;
+  start.patience_ = may_go_on ? kPlainPatience : Milliseconds(0);
+  LogAttempt(step, call, start, server->mean_ms_);
+  step.actions_.emplace_back(std::move(start));
+}
+
+void OnPlainDone(Step& step, ActiveCall& call, const AttemptDone& event) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  const std::string name = call.server_;
+  KnownServer* server = FindServer(dispatcher.pool_, name);
+  const bool is_error = event.outcome_ == AttemptOutcome::kServerError;
+  if (event.outcome_ == AttemptOutcome::kDelivered || is_error) {
+    if (server != nullptr) {
+      NoteAnswer(*server, is_error);
+      constexpr double kWeight = 0.1;
+      server->mean_ms_ = Smooth(
+          server->mean_ms_,
+          std::chrono::duration<double, std::milli>(step.now_ - call.sent_at_)
+              .count(),
+          kWeight);
+    }
+    call.run_state_ = RunState::kRan;
+  }
+  if (event.outcome_ == AttemptOutcome::kDelivered) {
+    ++dispatcher.counters_.delivered_;
+    EndCall(step, call, "delivered");
+    return;
+  }
+  ReleaseAttempt(step, call);
+  call.avoid_.push_back(name);
+  if (is_error) {
+    call.error_kept_ = true;
+    call.sent_before_ = true;
+    ++call.sends_;
+    if (IsRepeatable(call)) {
+      SendPlain(step, call);
+    } else {
+      FailCall(step, call, core::Reason::kServerError, event.detail_);
+    }
+    return;
+  }
+  if (event.outcome_ == AttemptOutcome::kRefused) {
+    if (server != nullptr) {
+      NoteRefusal(*server, step.now_);
+    }
+    call.sent_before_ = true;
+    ++call.sends_;
+    SendPlain(step, call);
+    return;
+  }
+  if (server != nullptr) {
+    NoteFailure(*server, step.now_);
+  }
+  call.run_state_ = core::Worse(call.run_state_, event.run_state_);
+  if (event.run_state_ == RunState::kNotRun) {
+    if (++call.connect_failures_ < kConnectAttempts) {
+      SendPlain(step, call);
+      return;
+    }
+  } else {
+    call.sent_before_ = true;
+    ++call.sends_;
+    if (IsRepeatable(call) && !call.answer_begun_) {
+      SendPlain(step, call);
+      return;
+    }
+  }
+  FailCall(step, call, event.reason_, event.detail_);
+}
+
+}  // namespace siskindrum::dispatch
--- /dev/null
+++ b/packages/dispatch/src/server_pool.cc
@@ -0,0 +1,129 @@
+#include "siskindrum/dispatch/server_pool.h"
+
+#include <algorithm>
+#include <set>
+
+#include "siskindrum/dispatch/limits.h"
+
+namespace siskindrum::dispatch {
+
+namespace {
+
+void SetListing(KnownServer& server, Listing listing, TimePoint now) {
+  if (server.listing_ != listing) {
+    server.listing_ = listing;
+    server.changed_at_ = now;
+  }
+}
+
+void TakeSeen(ServerPool& pool, const core::ServerInfo& info, TimePoint now) {
+  KnownServer& server = pool.servers_[info.name_];
+  const bool is_new = server.info_.name_.empty();
+  if (!is_new && server.info_.address_ != info.address_) {
+    server.failures_ = 0;
+    server.suspended_until_ = {};
+  }
+  server.info_ = info;
+  if (is_new) {
+    server.changed_at_ = now;
+  }
+  SetListing(server, info.leaving_ ? Listing::kDraining : Listing::kListed,
+             now);
+}
+
+void TakeRemoved(ServerPool& pool, const std::string& name, TimePoint now) {
+  KnownServer* server = FindServer(pool, name);
+  if (server != nullptr && server->listing_ == Listing::kListed) {
+    SetListing(*server, Listing::kLapsed, now);
+  }
+}
+
+}  // namespace
+
+void TakeChanges(ServerPool& pool, const ListChanges& changes, TimePoint now) {
+  std::set<std::string> seen;
+  for (const core::ServerInfo& info : changes.seen_) {
+    TakeSeen(pool, info, now);
+    seen.insert(info.name_);
+  }
+  for (const std::string& name : changes.removed_) {
+    TakeRemoved(pool, name, now);
+  }
+  if (!changes.whole_) {
+    return;
+  }
+  for (auto& [name, server] : pool.servers_) {
+    if (!seen.contains(name)) {
+      TakeRemoved(pool, name, now);
+    }
+  }
+}
+
+std::size_t ForgetVanished(ServerPool& pool, TimePoint now) {
+  return std::erase_if(pool.servers_, [now](const auto& entry) {
+    const KnownServer& server = entry.second;
+    return server.listing_ != Listing::kListed && server.calls_ == 0 &&
+           now - server.changed_at_ > kServerForget;
+  });
+}
+
+KnownServer* FindServer(ServerPool& pool, const std::string& name) {
+  const auto found = pool.servers_.find(name);
+  return found == pool.servers_.end() ? nullptr : &found->second;
+}
+
+bool MayServe(const KnownServer& server, TimePoint now) {
+  switch (server.listing_) {
+    case Listing::kListed:
+      return true;
+    case Listing::kLapsed:
+      return now - server.changed_at_ < kLapsedUse;
+    default:
+      return false;
+  }
+}
+
+void NoteSent(KnownServer& server, TimePoint now) {
+  if (server.calls_ == 0) {
+    server.silent_since_ = now;
+  }
+  ++server.calls_;
+}
+
+void NoteEnded(KnownServer& server) {
+  if (server.calls_ > 0) {
+    --server.calls_;
+  }
+}
+
+void NoteAlive(KnownServer& server) {
+  server.failures_ = 0;
+  server.suspended_until_ = {};
+}
+
+void NoteAnswer(KnownServer& server, bool error) {
+  NoteAlive(server);
+  server.error_share_ = kErrorMemory * server.error_share_ +
+                        (1 - kErrorMemory) * (error ? 1.0 : 0.0);
+}
+
+void NoteRefusal(KnownServer& server, TimePoint now) {
+  server.failures_ = 0;
+  server.suspended_until_ =
+      std::max(server.suspended_until_, now + kRefusalPause);
+}
+
+void NoteFailure(KnownServer& server, TimePoint now) {
+  Milliseconds pause = kSuspendFirst;
+  for (std::uint32_t i = 0; i < server.failures_ && pause < kSuspendMost; ++i) {
+    pause *= 2;
+  }
+  ++server.failures_;
+  server.suspended_until_ = now + std::min(pause, kSuspendMost);
+}
+
+double Smooth(double mean, double sample, double weight) {
+  return mean == 0 ? sample : mean + weight * (sample - mean);
+}
+
+}  // namespace siskindrum::dispatch
--- a/packages/entry/src/callers.cc
+++ b/packages/entry/src/callers.cc
@@ -34,11 +34,16 @@
                    1, end == std::string::npos ? std::string::npos : end - 1);
 }
 
+std::string HostWithoutPort(const std::string& host) {
+  return host.substr(0, host.rfind(':'));
+}
+
 core::RequestShape ShapeOf(const httplib::Request& request,
                            const settings::Settings& settings) {
   core::RequestShape shape;
   shape.organisation_ = OrganisationOf(request);
   shape.method_ = request.method;
+  shape.host_ = HostWithoutPort(HeaderText(request, "Host"));
   shape.path_ = request.target;
   shape.domain_ = settings.domain_;
   core::ParsePriority(HeaderText(request, "Siskindrum-Priority"),
--- a/packages/entry/src/channel_p.h
+++ b/packages/entry/src/channel_p.h
@@ -8,7 +8,7 @@
 #include "absl/synchronization/mutex.h"
 #include "siskindrum/backend/http_call.h"
 #include "siskindrum/core/event.h"
-#include "siskindrum/entry/ring.h"
+#include "siskindrum/telemetry/ring.h"
 
 namespace siskindrum::entry {
 
@@ -17,7 +17,7 @@
 // Joins the thread that serves one caller with the core.
 struct Channel {
   core::RequestId request_;
-  Ring<core::RouterAction> actions_{kChannelActions};
+  telemetry::Ring<core::RouterAction> actions_{kChannelActions};
   backend::HttpCall call_;
   std::atomic<bool> gone_{false};
   int rule_line_ = 0;
--- a/packages/entry/src/core_thread_p.h
+++ b/packages/entry/src/core_thread_p.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "siskindrum/core/router.h"
-#include "siskindrum/entry/ring.h"
+#include "siskindrum/telemetry/ring.h"
 #include "siskindrum/telemetry/metrics.h"
 
 namespace siskindrum::entry {
@@ -50,7 +50,7 @@
 
   core::Router router_;  // Owned by the thread once it runs.
   telemetry::Metrics& metrics_;
-  Ring<CoreInput> inputs_{kCoreEvents};
+  telemetry::Ring<CoreInput> inputs_{kCoreEvents};
   Dispatch dispatch_;
   std::vector<core::RouterAction> actions_;
   std::atomic<std::uint64_t> next_sequence_{0};
--- a/packages/entry/src/duties.cc
+++ b/packages/entry/src/duties.cc
@@ -3,7 +3,7 @@
 #include <random>
 
 #include "siskindrum/backend/plain.h"
-#include "siskindrum/platform/platform.h"
+#include "siskindrum/registry/registry.h"
 #include "siskindrum/rules/rules.h"
 #include "siskindrum/telemetry/log.h"
 
@@ -16,7 +16,6 @@
 constexpr std::size_t kCancelRing = 4096;
 constexpr std::size_t kCallThreads = 16;
 constexpr std::size_t kCallRing = 256;
-constexpr std::size_t kLogRing = 16384;
 constexpr core::Milliseconds kSlice{50};
 constexpr core::Milliseconds kAfterError{500};
 constexpr std::chrono::seconds kIdle{1};
@@ -208,7 +207,7 @@
     context_.metrics_.Add(telemetry::Counter::kPlatformCalls);
     const std::uint64_t after = std::max(revision_.load(), refused);
     auto published =
-        platform::FetchConfiguration(configuration_call_, address, after, wait);
+        registry::FetchConfiguration(configuration_call_, address, after, wait);
     if (!published.has_value()) {
       if (!Pause(Jittered(kAfterError), false)) {
         return;
@@ -239,7 +238,7 @@
   const std::string address = settings::ToString(platform.instances_);
   while (!stopping_) {
     context_.metrics_.Add(telemetry::Counter::kPlatformCalls);
-    auto list = platform::FetchInstances(instances_call_, address);
+    auto list = registry::FetchInstances(instances_call_, address);
     if (list.has_value()) {
       context_.core_.Post(std::move(*list));
     }
@@ -252,38 +251,4 @@
   }
 }
 
-LogWriter::LogWriter(telemetry::Metrics& metrics)
-    : metrics_(metrics), ring_(kLogRing) {}
-LogWriter::~LogWriter() {
-  Stop();
-}
-
-void LogWriter::Start() {
-  thread_ = std::thread([this] { Run(); });
-}
-
-void LogWriter::Stop() {
-  ring_.Close();
-  if (thread_.joinable()) {
-    thread_.join();
-  }
-}
-
-void LogWriter::Add(core::LogEvent event) {
-  if (!ring_.Push(std::move(event))) {
-    metrics_.Add(telemetry::Counter::kRingFull);
-  }
-}
-
-void LogWriter::Run() {
-  while (true) {
-    const auto event = ring_.Pop(kIdle);
-    if (event.has_value()) {
-      telemetry::WriteEvent(*event);
-    } else if (ring_.IsClosed()) {
-      return;
-    }
-  }
-}
-
 }  // namespace siskindrum::entry
--- a/packages/entry/src/duties_p.h
+++ b/packages/entry/src/duties_p.h
@@ -8,7 +8,8 @@
 #include "absl/synchronization/mutex.h"
 #include "core_thread_p.h"
 #include "driver_p.h"
-#include "siskindrum/entry/ring.h"
+#include "siskindrum/telemetry/log_writer.h"
+#include "siskindrum/telemetry/ring.h"
 
 namespace siskindrum::entry {
 
@@ -46,7 +47,7 @@
   void Run();
 
   DriverContext context_;
-  Ring<core::CancelAt> ring_;
+  telemetry::Ring<core::CancelAt> ring_;
   std::vector<std::thread> threads_;
 };
 
@@ -64,7 +65,7 @@
   void Run();
 
   DriverContext context_;
-  Ring<core::SendPlain> ring_;
+  telemetry::Ring<core::SendPlain> ring_;
   std::vector<std::thread> threads_;
 };
 
@@ -96,24 +97,6 @@
   std::vector<std::thread> threads_;
 };
 
-// Writes log lines, so that no other duty waits for the terminal.
-class LogWriter {
- public:
-  explicit LogWriter(telemetry::Metrics& metrics);
-  ~LogWriter();
-  void Start();
-  void Stop();
-  // Thread-safe: yes. A full ring drops the line and counts it.
-  void Add(core::LogEvent event);
-
- private:
-  void Run();
-
-  telemetry::Metrics& metrics_;
-  Ring<core::LogEvent> ring_;
-  std::thread thread_;
-};
-
 }  // namespace siskindrum::entry
 
 #endif  // SISKINDRUM_ENTRY_DUTIES_P_H_
--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -79,7 +79,7 @@
   Canceller canceller_;
   ForwardedCalls calls_;
   PlatformReader platform_;
-  LogWriter logs_;
+  telemetry::LogWriter logs_;
   Callers callers_;
   Operators operators_;
   std::atomic<bool> drained_{false};
--- a/packages/entry/src/main.cc
+++ b/packages/entry/src/main.cc
@@ -1,4 +1,5 @@
-// The entry instance: siskindrum --settings FILE.
+// The entry instance: siskindrum --settings FILE, or on the users' platform
+// siskindrum --on-platform [--settings FILE].
 
 #include <csignal>
 #include <iostream>
@@ -6,6 +7,7 @@
 
 #include <boost/program_options.hpp>
 
+#include "platform/adapter.h"
 #include "siskindrum/entry/entry.h"
 #include "siskindrum/settings/settings.h"
 #include "siskindrum/telemetry/log.h"
@@ -76,7 +78,8 @@
   description.add_options()("help", "show this text")(
       "version", "show the version")("settings", po::value(&file),
                                      "settings file in JSON")(
-      "check", "check the settings file and exit");
+      "check", "check the settings file and exit")(
+      "on-platform", "serve on the platform that wrote the settings file");
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, description), values);
@@ -93,6 +96,9 @@
     std::cout << kVersion << "\n";
     return 0;
   }
+  if (values.contains("on-platform")) {
+    return siskindrum::adapter::RunOnPlatform(file);
+  }
   if (file.empty()) {
     std::cerr << "--settings FILE is needed\n" << description;
     return kExitUsage;
--- /dev/null
+++ b/packages/gateway/include/siskindrum/gateway/decision_thread.h
@@ -0,0 +1,49 @@
+#ifndef SISKINDRUM_GATEWAY_DECISION_THREAD_H_
+#define SISKINDRUM_GATEWAY_DECISION_THREAD_H_
+
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/synchronization/mutex.h"
+#include "siskindrum/dispatch/dispatcher.h"
+#include "siskindrum/telemetry/ring.h"
+
+namespace siskindrum::gateway {
+
+// Runs a dispatcher on a thread of its own. Events come through a bounded
+// ring; actions go to a sink, which must be thread-safe and must not block.
+class DecisionThread {
+ public:
+  using Sink = std::function<void(std::vector<dispatch::Action>)>;
+
+  explicit DecisionThread(const dispatch::DispatcherOptions& options);
+  ~DecisionThread();
+  DecisionThread(const DecisionThread&) = delete;
+  DecisionThread& operator=(const DecisionThread&) = delete;
+
+  void Start(Sink sink);
+  void Stop();
+
+  // Hands over an event; false when the ring is full. Thread-safe: yes.
+  bool Post(dispatch::Event event);
+
+  // Calls `reader` with the dispatcher while nothing changes it.
+  // Thread-safe: yes.
+  void Read(const std::function<void(const dispatch::Dispatcher&)>& reader);
+
+ private:
+  void Run();
+  void Handle(const dispatch::Event& event);
+
+  telemetry::Ring<dispatch::Event> ring_;
+  absl::Mutex mutex_;
+  dispatch::Dispatcher dispatcher_;  // Guarded by mutex_.
+  Sink sink_;
+  std::thread thread_;
+};
+
+}  // namespace siskindrum::gateway
+
+#endif  // SISKINDRUM_GATEWAY_DECISION_THREAD_H_
--- /dev/null
+++ b/packages/gateway/include/siskindrum/gateway/dialect.h
@@ -0,0 +1,69 @@
+#ifndef SISKINDRUM_GATEWAY_DIALECT_H_
+#define SISKINDRUM_GATEWAY_DIALECT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <tl/expected.hpp>
+
+#include "siskindrum/core/verdict.h"
+#include "siskindrum/dispatch/event.h"
+#include "siskindrum/http/message.h"
+
+namespace siskindrum::gateway {
+
+// What one attempt tells a server beside the caller's own request.
+struct SendFacts {
+  dispatch::Stage stage_ = dispatch::Stage::kPlain;
+  std::string server_;               // Its identity in the list.
+  core::Milliseconds time_left_{0};  // Until the deadline.
+  std::string source_address_;       // Of a prefill result; empty: none.
+  std::string handle_;
+  std::optional<std::uint64_t> resume_after_;
+};
+
+// Whose answer it is, by its head.
+enum class AnswerOwner {
+  kOurs,
+  kOther,    // It answers another request.
+  kUnnamed,  // It does not say.
+  kCount
+};
+
+// What an answer's head says.
+struct AnswerFacts {
+  AnswerOwner owner_ = AnswerOwner::kUnnamed;
+  bool not_run_ = false;  // The server says that it did not run the request.
+  bool authentic_ = false;  // It bears the server's own mark.
+};
+
+struct PrefillResult {
+  std::string handle_;
+  std::uint32_t tokens_ = 0;
+};
+
+// Names of one platform on the wire: plain functions, so that nothing outside
+// the adapter knows them. All are thread-safe.
+struct Dialect {
+  // Reads what decisions need; the error says what is wrong with the request.
+  tl::expected<dispatch::CallerCall, std::string> (*read_call_)(
+      const http::Head& head) = nullptr;
+  // Makes the head that a server gets, without the framing of the body.
+  http::Head (*server_head_)(const http::Head& caller_head,
+                             const SendFacts& facts) = nullptr;
+  AnswerFacts (*read_answer_)(const http::Head& head,
+                              const std::string& label) = nullptr;
+  tl::expected<PrefillResult, std::string> (*read_prefill_)(
+      std::string_view body) = nullptr;
+  // Makes the answer for a request that has none from a server.
+  http::Head (*refusal_)(const core::Verdict& verdict,
+                         const std::string& label) = nullptr;
+  // Makes the request that frees a prefill result.
+  http::Head (*free_handle_)(const std::string& handle) = nullptr;
+};
+
+}  // namespace siskindrum::gateway
+
+#endif  // SISKINDRUM_GATEWAY_DIALECT_H_
--- /dev/null
+++ b/packages/gateway/src/event_splitter.cc
@@ -0,0 +1,71 @@
+#include "siskindrum/gateway/event_splitter.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+
+namespace siskindrum::gateway {
+
+namespace {
+
+// Length of the first whole event, its empty line included; zero: none.
+std::size_t EventLength(std::string_view text) {
+  const std::size_t lf = text.find("\n\n");
+  const std::size_t crlf = text.find("\r\n\r\n");
+  if (lf == std::string_view::npos && crlf == std::string_view::npos) {
+    return 0;
+  }
+  if (crlf == std::string_view::npos || lf < crlf) {
+    return lf + 2;
+  }
+  return crlf + 4;
+}
+
+std::optional<std::uint64_t> EventId(std::string_view event) {
+  for (absl::string_view line :
+       absl::StrSplit(absl::string_view(event.data(), event.size()), '\n')) {
+    if (!absl::ConsumePrefix(&line, "id:")) {
+      continue;
+    }
+    std::uint64_t id = 0;
+    if (absl::SimpleAtoi(absl::StripAsciiWhitespace(line), &id)) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string TakeBytes(EventSplitter& splitter, std::string_view bytes) {
+  splitter.partial_.append(bytes);
+  std::string whole;
+  std::size_t taken = 0;
+  while (true) {
+    const std::string_view rest =
+        std::string_view(splitter.partial_).substr(taken);
+    const std::size_t length = EventLength(rest);
+    if (length == 0) {
+      break;
+    }
+    taken += length;
+    const std::optional<std::uint64_t> id = EventId(rest.substr(0, length));
+    const bool known = id.has_value() && splitter.last_event_.has_value() &&
+                       *id <= *splitter.last_event_;
+    if (known) {
+      continue;
+    }
+    if (id.has_value()) {
+      splitter.last_event_ = id;
+    }
+    whole.append(rest.substr(0, length));
+  }
+  splitter.partial_.erase(0, taken);
+  return whole;
+}
+
+void DropPartial(EventSplitter& splitter) {
+  splitter.partial_.clear();
+}
+
+}  // namespace siskindrum::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway.cc
@@ -0,0 +1,390 @@
+#include "siskindrum/gateway/gateway.h"
+
+#include <random>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/strip.h"
+#include "exchange_p.h"
+#include "listener_p.h"
+#include "operators_p.h"
+#include "siskindrum/gateway/decision_thread.h"
+#include "siskindrum/http/clock.h"
+#include "siskindrum/telemetry/log_writer.h"
+
+namespace siskindrum::gateway {
+
+namespace {
+
+constexpr core::Milliseconds kSweepInterval{20};
+constexpr int kCallerSweeps = 5;  // Of the above between two of callers.
+// After a drain began: until balancers have surely seen that this entry is not
+// ready, and idle callers are let go.
+constexpr core::Milliseconds kDrainIdle{3000};
+constexpr core::Milliseconds kFreeHandleTime{2000};
+
+core::Incarnation MakeIncarnation() {
+  std::random_device random;
+  return static_cast<std::uint64_t>(random()) << 32 | random();
+}
+
+dispatch::DispatcherOptions MakeOptions(const GatewayOptions& options) {
+  dispatch::DispatcherOptions made;
+  made.name_ = options.name_;
+  made.domain_ = options.domain_;
+  made.incarnation_ = MakeIncarnation();
+  made.seed_ = made.incarnation_;
+  return made;
+}
+
+http::Head TextHead(int status) {
+  http::Head head;
+  head.status_ = status;
+  head.fields_ = {{"Content-Type", "text/plain; charset=utf-8"}};
+  return head;
+}
+
+}  // namespace
+
+struct Gateway::State {
+  explicit State(const GatewayOptions& options)
+      : options_(options),
+        decision_options_(MakeOptions(options)),
+        pool_(context_),
+        decisions_(decision_options_),
+        logs_(metrics_),
+        exchange_context_{options_.dialect_, pool_,
+                          [this](dispatch::Event event) {
+                            Post(std::move(event));
+                          }},
+        callers_(context_, CallerHandlers()),
+        probes_(context_, ProbeHandlers()),
+        operators_(context_, OperatorHandlers()),
+        timer_(context_) {}
+
+  GatewayOptions options_;
+  dispatch::DispatcherOptions decision_options_;
+  boost::asio::io_context context_{1};
+  http::BackendPool pool_;
+  telemetry::Metrics metrics_;
+  DecisionThread decisions_;
+  telemetry::LogWriter logs_;
+  ExchangeContext exchange_context_;
+  Listener callers_;
+  Listener probes_;
+  Listener operators_;
+  boost::asio::steady_timer timer_;
+  std::unordered_map<http::CallerConnection*, std::shared_ptr<Exchange>>
+      by_caller_;
+  std::unordered_map<core::RequestId,
+                     std::weak_ptr<Exchange>,
+                     core::RequestIdHash>
+      by_id_;
+  std::uint64_t next_sequence_ = 0;
+  int sweeps_ = 0;
+  bool ready_ = false;
+  bool draining_ = false;
+  core::TimePoint drain_began_{};
+
+  void Post(dispatch::Event event) {
+    if (!decisions_.Post(std::move(event))) {
+      metrics_.Add(telemetry::Counter::kRingFull);
+      logs_.Add({"ring_full", {{"ring", "decisions"}}});
+    }
+  }
+
+  http::CallerHandlers CallerHandlers() {
+    http::CallerHandlers handlers;
+    handlers.on_request_ =
+        [this](const std::shared_ptr<http::CallerConnection>& caller,
+               http::CallerRequest request) {
+          OnRequest(caller, std::move(request));
+        };
+    handlers.on_gone_ = [this](http::CallerConnection& caller) {
+      OnGone(caller);
+    };
+    handlers.on_writable_ = [this](http::CallerConnection& caller) {
+      const auto found = by_caller_.find(&caller);
+      if (found != by_caller_.end()) {
+        found->second->OnCallerWritable();
+      }
+    };
+    return handlers;
+  }
+
+  http::CallerHandlers ProbeHandlers() {
+    http::CallerHandlers handlers;
+    handlers.on_request_ =
+        [this](const std::shared_ptr<http::CallerConnection>& caller,
+               const http::CallerRequest& /*request*/) {
+          caller->Respond(TextHead(ready_ ? 200 : 503), "");
+        };
+    handlers.on_gone_ = [](http::CallerConnection&) {};
+    handlers.on_writable_ = [](http::CallerConnection&) {};
+    return handlers;
+  }
+
+  http::CallerHandlers OperatorHandlers() {
+    http::CallerHandlers handlers = ProbeHandlers();
+    handlers.on_request_ =
+        [this](const std::shared_ptr<http::CallerConnection>& caller,
+               const http::CallerRequest& request) {
+          OnOperator(*caller, request.head_.target_);
+        };
+    return handlers;
+  }
+
+  void OnOperator(http::CallerConnection& caller, const std::string& target) {
+    std::string text;
+    absl::string_view label = target;
+    decisions_.Read([&](const dispatch::Dispatcher& dispatcher) {
+      if (target == "/metrics") {
+        text = MetricsText(metrics_, dispatcher, pool_.Counters());
+      } else if (target == "/dump") {
+        text = DumpText(dispatcher, http::MonotonicNow());
+      } else if (absl::ConsumePrefix(&label, "/explain?request=")) {
+        text = ExplainText(dispatcher, std::string(label));
+      }
+    });
+    if (text.empty()) {
+      caller.Respond(TextHead(404),
+                     "expected /metrics, /dump or /explain?request=ID\n");
+    } else {
+      caller.Respond(TextHead(200), text);
+    }
+  }
+
+  void OnRequest(const std::shared_ptr<http::CallerConnection>& caller,
+                 http::CallerRequest request) {
+    by_caller_.erase(caller.get());
+    const auto call = options_.dialect_.read_call_(request.head_);
+    if (!call.has_value()) {
+      logs_.Add({"request_malformed", {{"error", call.error()}}});
+      caller->Respond(TextHead(400), call.error() + "\n");
+      return;
+    }
+    const core::RequestId id{decision_options_.incarnation_, ++next_sequence_};
+    dispatch::CallArrived arrived{id, *call, request.arrived_at_};
+    auto exchange = std::make_shared<Exchange>(
+        id, call->label_, caller, std::move(request), exchange_context_);
+    by_caller_[caller.get()] = exchange;
+    by_id_[id] = exchange;
+    if (!decisions_.Post(std::move(arrived))) {
+      metrics_.Add(telemetry::Counter::kRingFull);
+      core::Verdict verdict;
+      verdict.reason_ = core::Reason::kOverloaded;
+      verdict.detail_ = "the ring to the decisions is full";
+      verdict.retry_after_ = core::Milliseconds(1000);
+      exchange->Refuse(verdict);
+    }
+  }
+
+  void OnGone(http::CallerConnection& caller) {
+    const auto found = by_caller_.find(&caller);
+    if (found == by_caller_.end()) {
+      return;
+    }
+    const std::shared_ptr<Exchange> exchange = found->second;
+    by_caller_.erase(found);
+    if (!exchange->IsDone()) {
+      exchange->Abandon();
+      Post(dispatch::CallerLeft{exchange->Id()});
+    }
+  }
+
+  std::shared_ptr<Exchange> Find(const core::RequestId& id) {
+    const auto found = by_id_.find(id);
+    return found == by_id_.end() ? nullptr : found->second.lock();
+  }
+
+  void Do(const dispatch::StartAttempt& start) {
+    if (const auto exchange = Find(start.request_)) {
+      exchange->Start(start);
+    }
+  }
+  void Do(const dispatch::Refuse& refuse) {
+    if (const auto exchange = Find(refuse.request_)) {
+      exchange->Refuse(refuse.verdict_);
+    }
+  }
+  void Do(const dispatch::DeliverKept& deliver) {
+    if (const auto exchange = Find(deliver.request_)) {
+      exchange->DeliverKept();
+    }
+  }
+  void Do(const dispatch::FreeHandle& free) {
+    http::Head head = options_.dialect_.free_handle_(free.handle_);
+    http::BackendCall call;
+    call.address_ = free.address_;
+    call.bytes_ = http::FormatRequestHead(head);
+    call.write_before_ = http::MonotonicNow() + kFreeHandleTime;
+    call.on_head_ = [](const http::Head&) { return http::AnswerUse::kTake; };
+    call.on_body_ = [](std::string_view) {};
+    call.on_end_ = [this, handle = free.handle_](const http::CallEnd& end) {
+      if (end.failure_ != http::CallFailure::kNone) {
+        logs_.Add({"handle_not_freed",
+                   {{"handle", handle}, {"detail", end.detail_}}});
+      }
+    };
+    pool_.Send(std::move(call));
+  }
+  void Do(const dispatch::BoundCallers& bound) {
+    http::CallerLimits limits;
+    limits.parser_.head_bytes_ = bound.bounds_.head_bytes_;
+    limits.parser_.body_bytes_ = bound.bounds_.body_bytes_;
+    limits.head_time_ = bound.bounds_.head_time_;
+    limits.idle_time_ = bound.bounds_.idle_time_;
+    callers_.SetLimits(limits);
+  }
+  void Do(const dispatch::ReadyChanged& changed) { ready_ = changed.ready_; }
+  void Do(const dispatch::ServerGone& gone) { pool_.Forget(gone.address_); }
+  void Do(const core::LogEvent& event) { logs_.Add(event); }
+
+  void Dispatch(std::vector<dispatch::Action> actions) {
+    // Log lines need no turn of the network thread.
+    std::vector<dispatch::Action> rest;
+    for (dispatch::Action& action : actions) {
+      if (auto* log = std::get_if<core::LogEvent>(&action)) {
+        logs_.Add(std::move(*log));
+      } else {
+        rest.push_back(std::move(action));
+      }
+    }
+    if (rest.empty()) {
+      return;
+    }
+    boost::asio::post(context_, [this, rest = std::move(rest)] {
+      for (const dispatch::Action& action : rest) {
+        std::visit([this](const auto& one) { Do(one); }, action);
+      }
+    });
+  }
+
+  void ArmTimer() {
+    timer_.expires_after(kSweepInterval);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        Sweep();
+        ArmTimer();
+      }
+    });
+  }
+
+  void Sweep() {
+    const core::TimePoint now = http::MonotonicNow();
+    pool_.Sweep(now);
+    std::vector<std::shared_ptr<Exchange>> open;
+    std::erase_if(by_caller_, [&open](const auto& entry) {
+      if (!entry.second->IsDone()) {
+        open.push_back(entry.second);
+      }
+      return entry.second->IsDone();
+    });
+    for (const auto& exchange : open) {
+      exchange->Sweep(now);
+    }
+    if (++sweeps_ % kCallerSweeps == 0) {
+      callers_.Sweep(now);
+      probes_.Sweep(now);
+      operators_.Sweep(now);
+      std::erase_if(by_id_,
+                    [](const auto& entry) { return entry.second.expired(); });
+    }
+    if (draining_) {
+      AdvanceDrain(now);
+    }
+  }
+
+  void AdvanceDrain(core::TimePoint now) {
+    const core::Nanoseconds age = now - drain_began_;
+    if (age < kDrainIdle) {
+      return;
+    }
+    callers_.Close();
+    callers_.Drain(true);
+    const bool ended = by_caller_.empty() && callers_.Connections() == 0;
+    if (ended || age > options_.drain_limit_) {
+      logs_.Add({"drain_ended",
+                 {{"requests_cut", std::to_string(by_caller_.size())}}});
+      context_.stop();
+    }
+  }
+};
+
+Gateway::Gateway(const GatewayOptions& options)
+    : state_(std::make_unique<State>(options)) {}
+
+Gateway::~Gateway() {
+  state_->decisions_.Stop();
+  state_->logs_.Stop();
+}
+
+tl::expected<void, std::string> Gateway::Start() {
+  State& state = *state_;
+  const GatewayOptions& options = state.options_;
+  auto opened = state.callers_.Open(options.callers_address_);
+  if (opened.has_value() && !options.ready_address_.empty()) {
+    opened = state.probes_.Open(options.ready_address_);
+  }
+  if (opened.has_value() && !options.operators_address_.empty()) {
+    opened = state.operators_.Open(options.operators_address_);
+  }
+  if (!opened.has_value()) {
+    return opened;
+  }
+  state.logs_.Start();
+  state.logs_.Add({"entry_started",
+                   {{"name", options.name_},
+                    {"domain", options.domain_},
+                    {"incarnation", std::to_string(
+                                        state.decision_options_.incarnation_)},
+                    {"callers", options.callers_address_}}});
+  state.decisions_.Start([&state](std::vector<dispatch::Action> actions) {
+    state.Dispatch(std::move(actions));
+  });
+  state.ArmTimer();
+  return {};
+}
+
+void Gateway::Run() {
+  state_->context_.run();
+  state_->decisions_.Stop();
+  state_->logs_.Add({"entry_stopped", {{"name", state_->options_.name_}}});
+  state_->logs_.Stop();
+}
+
+void Gateway::Drain() {
+  State& state = *state_;
+  if (state.draining_) {
+    return;
+  }
+  state.draining_ = true;
+  state.drain_began_ = http::MonotonicNow();
+  state.logs_.Add({"drain_began",
+                   {{"requests", std::to_string(state.by_caller_.size())}}});
+  state.Post(dispatch::DrainBegan{});
+  state.callers_.Drain(false);
+}
+
+boost::asio::io_context& Gateway::Context() {
+  return state_->context_;
+}
+
+http::BackendPool& Gateway::Pool() {
+  return state_->pool_;
+}
+
+void Gateway::Post(dispatch::Event event) {
+  state_->Post(std::move(event));
+}
+
+void Gateway::Log(core::LogEvent event) {
+  state_->logs_.Add(std::move(event));
+}
+
+}  // namespace siskindrum::gateway
--- /dev/null
+++ b/packages/http/include/siskindrum/http/clock.h
@@ -0,0 +1,17 @@
+#ifndef SISKINDRUM_HTTP_CLOCK_H_
+#define SISKINDRUM_HTTP_CLOCK_H_
+
+#include "siskindrum/core/types.h"
+
+namespace siskindrum::http {
+
+// Monotonic time that goes on while the machine is suspended, so that a
+// process that wakes up sees how old its beliefs are. Thread-safe: yes.
+core::TimePoint MonotonicNow();
+
+// MonotonicNow with the calendar time. Thread-safe: yes.
+core::Now ReadClocks();
+
+}  // namespace siskindrum::http
+
+#endif  // SISKINDRUM_HTTP_CLOCK_H_
--- /dev/null
+++ b/packages/http/src/backend_connection.cc
@@ -0,0 +1,332 @@
+#include "backend_connection_p.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/strip.h"
+#include "siskindrum/http/clock.h"
+#include "socket_p.h"
+
+namespace siskindrum::http {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 16 * 1024;
+// Kept for this long where the server names no time.
+constexpr core::Milliseconds kDefaultKeep{1000};
+// Left of the server's own time, so that it does not close under a request.
+constexpr core::Milliseconds kKeepMargin{700};
+constexpr std::uint32_t kAnswerHeadBytes = 64 * 1024;
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+bool ParseEndpoint(const std::string& address, tcp::endpoint* endpoint) {
+  const std::size_t colon = address.rfind(':');
+  std::uint32_t port = 0;
+  if (colon == std::string::npos ||
+      !absl::SimpleAtoi(address.substr(colon + 1), &port) || port == 0 ||
+      port > 65535) {
+    return false;
+  }
+  error_code error;
+  const auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
+  *endpoint = tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+  return !error;
+}
+
+}  // namespace
+
+BackendConnection::BackendConnection(boost::asio::io_context& context,
+                                     const std::string& address,
+                                     const ConnectionOwner& owner)
+    : socket_(context),
+      address_(address),
+      owner_(owner),
+      read_buffer_(std::make_unique<char[]>(kReadBytes)) {}
+
+void BackendConnection::Connect(BackendCall call) {
+  call_ = std::move(call);
+  connect_until_ = MonotonicNow() + call_.connect_time_;
+  tcp::endpoint endpoint;
+  error_code error;
+  if (!ParseEndpoint(address_, &endpoint)) {
+    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      self->End(CallFailure::kConnectFailed, "the address is not ip:port");
+    });
+    return;
+  }
+  socket_.open(endpoint.protocol(), error);
+  if (error) {
+    boost::asio::post(socket_.get_executor(),
+                      [self = shared_from_this(), error] {
+                        self->End(CallFailure::kConnectFailed, error.message());
+                      });
+    return;
+  }
+  PrepareSocket(socket_);
+  socket_.async_connect(endpoint,
+                        [self = shared_from_this()](const error_code& result) {
+                          self->OnConnected(result);
+                        });
+}
+
+void BackendConnection::OnConnected(const error_code& error) {
+  if (state_ != State::kConnecting) {
+    return;
+  }
+  if (error) {
+    End(CallFailure::kConnectFailed, error.message());
+    return;
+  }
+  BeginCall();
+}
+
+bool BackendConnection::Reuse(BackendCall& call) {
+  if (state_ != State::kIdle) {
+    return false;
+  }
+  char byte = 0;
+  const ssize_t peeked =
+      recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (peeked >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK)) {
+    CloseIdle();
+    return false;
+  }
+  call_ = std::move(call);
+  ++call_number_;
+  paused_ = false;
+  sent_ = false;
+  parser_.reset();
+  boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->state_ == State::kInCall) {
+      self->BeginCall();
+    }
+  });
+  state_ = State::kInCall;
+  return true;
+}
+
+void BackendConnection::BeginCall() {
+  state_ = State::kInCall;
+  sent_ = false;
+  written_ = false;
+  skipping_ = false;
+  failing_ = false;
+  if (MonotonicNow() > call_.write_before_) {
+    End(CallFailure::kStale, "the decision was too old to be sent");
+    return;
+  }
+  ResetParser();
+  Write();
+  if (state_ == State::kInCall) {
+    Read();
+  }
+}
+
+void BackendConnection::Write() {
+  sent_ = true;
+  boost::asio::async_write(
+      socket_, boost::asio::buffer(call_.bytes_),
+      [self = shared_from_this()](const error_code& error,
+                                  std::size_t /*count*/) {
+        // A failed write is left to the reading side: the server may have
+        // answered before it stopped reading.
+        if (!error) {
+          self->written_ = true;
+        }
+      });
+}
+
+void BackendConnection::Read() {
+  if (reading_ || paused_ || state_ == State::kClosed) {
+    return;
+  }
+  reading_ = true;
+  socket_.async_read_some(
+      boost::asio::buffer(read_buffer_.get(), kReadBytes),
+      [self = shared_from_this()](const error_code& error, std::size_t count) {
+        self->reading_ = false;
+        self->OnRead(error, count);
+      });
+}
+
+void BackendConnection::OnRead(const error_code& error, std::size_t count) {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  if (state_ == State::kIdle) {
+    CloseIdle();
+    return;
+  }
+  if (parser_ == nullptr) {
+    End(CallFailure::kConnectionLost, "the server closed a kept connection");
+    return;
+  }
+  if (error) {
+    if (error == boost::asio::error::eof && !skipping_) {
+      parser_->FeedEnd();
+      if (parser_->IsDone()) {
+        FinishAnswer();
+        return;
+      }
+    }
+    End(CallFailure::kConnectionLost, error.message());
+    return;
+  }
+  pending_.append(read_buffer_.get(), count);
+  Parse();
+  if (state_ == State::kInCall || state_ == State::kIdle) {
+    Read();
+  }
+}
+
+void BackendConnection::Parse() {
+  const auto self = shared_from_this();
+  while (state_ == State::kInCall && !pending_.empty()) {
+    const std::string bytes = std::move(pending_);
+    pending_.clear();
+    const std::size_t used = parser_->Feed(bytes);
+    if (state_ != State::kInCall) {
+      return;
+    }
+    pending_.append(bytes, used);
+    if (failing_ || parser_->Error() != ParseError::kNone) {
+      End(CallFailure::kMalformed, failing_ ? "an answer that is not ours"
+                                            : ToString(parser_->Error()));
+      return;
+    }
+    if (!parser_->IsDone()) {
+      return;
+    }
+    if (skipping_ || parser_->GetHead().status_ / 100 == 1) {
+      ResetParser();
+      continue;
+    }
+    FinishAnswer();
+  }
+}
+
+void BackendConnection::ResetParser() {
+  skipping_ = false;
+  ParserSink sink;
+  sink.on_head_ = [this] { OnHead(); };
+  sink.on_body_ = [this](std::string_view data) {
+    if (!skipping_ && !failing_ && state_ == State::kInCall) {
+      call_.on_body_(data);
+    }
+  };
+  parser_ = std::make_unique<MessageParser>(
+      MessageParser::Kind::kResponse, ParserLimits{kAnswerHeadBytes, 0},
+      std::move(sink));
+  if (call_.head_only_) {
+    parser_->ExpectNoBody();
+  }
+}
+
+void BackendConnection::OnHead() {
+  const Head& head = parser_->GetHead();
+  if (head.status_ / 100 == 1) {
+    return;
+  }
+  const AnswerUse use = call_.on_head_(head);
+  if (use == AnswerUse::kSkip) {
+    ++owner_.counters_->foreign_answers_;
+    skipping_ = true;
+  } else if (use == AnswerUse::kFail) {
+    failing_ = true;
+  }
+}
+
+core::Milliseconds BackendConnection::KeepTime() const {
+  const std::string* value = FindField(parser_->GetHead(), "Keep-Alive");
+  const std::size_t at =
+      value == nullptr ? std::string::npos : value->find("timeout=");
+  if (at == std::string::npos) {
+    return kDefaultKeep;
+  }
+  const std::size_t begin = at + std::string_view("timeout=").size();
+  const std::size_t end = value->find_first_not_of("0123456789", begin);
+  std::int64_t seconds = 0;
+  if (!absl::SimpleAtoi(value->substr(begin, end - begin), &seconds) ||
+      seconds > 3600) {
+    return kDefaultKeep;
+  }
+  return core::Milliseconds(seconds * 1000) - kKeepMargin;
+}
+
+void BackendConnection::FinishAnswer() {
+  const Head& head = parser_->GetHead();
+  const core::Milliseconds keep = KeepTime();
+  const bool kept = KeepsConnection(head) && written_ && pending_.empty() &&
+                    !parser_->EndsWithConnection() && keep.count() > 0;
+  const auto on_end = std::move(call_.on_end_);
+  call_ = BackendCall();
+  const auto self = shared_from_this();
+  if (kept) {
+    state_ = State::kIdle;
+    idle_until_ = MonotonicNow() + keep;
+    owner_.on_idle_(self);
+  } else {
+    Close();
+  }
+  on_end({CallFailure::kNone, true, ""});
+}
+
+void BackendConnection::End(CallFailure failure, const std::string& detail) {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  const auto on_end = std::move(call_.on_end_);
+  const bool sent = sent_;
+  call_ = BackendCall();
+  Close();
+  on_end({failure, sent, detail});
+}
+
+void BackendConnection::Cancel(std::uint64_t call) {
+  if (call == call_number_ && state_ != State::kIdle) {
+    Close();
+  }
+}
+
+void BackendConnection::Shut() {
+  Close();
+}
+
+void BackendConnection::Pause(std::uint64_t call) {
+  paused_ = paused_ || call == call_number_;
+}
+
+void BackendConnection::Resume(std::uint64_t call) {
+  if (paused_ && call == call_number_) {
+    paused_ = false;
+    Read();
+  }
+}
+
+void BackendConnection::CloseIdle() {
+  if (state_ == State::kIdle) {
+    Close();
+  }
+}
+
+void BackendConnection::Sweep(core::TimePoint now) {
+  if (state_ == State::kConnecting && now > connect_until_) {
+    End(CallFailure::kConnectTimeout, "the connect took too long");
+  }
+}
+
+void BackendConnection::Close() {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  const auto self = shared_from_this();
+  state_ = State::kClosed;
+  CloseSocket(socket_, false);
+  owner_.on_closed_(*this);
+}
+
+}  // namespace siskindrum::http
--- /dev/null
+++ b/packages/http/src/backend_connection_p.h
@@ -0,0 +1,88 @@
+#ifndef SISKINDRUM_HTTP_BACKEND_CONNECTION_P_H_
+#define SISKINDRUM_HTTP_BACKEND_CONNECTION_P_H_
+
+#include <utility>
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "siskindrum/http/backend_pool.h"
+#include "siskindrum/http/parser.h"
+
+namespace siskindrum::http {
+
+// What a connection tells its pool.
+struct ConnectionOwner {
+  std::function<void(const std::shared_ptr<BackendConnection>&)> on_idle_;
+  std::function<void(BackendConnection&)> on_closed_;
+  PoolCounters* counters_ = nullptr;
+};
+
+// One connection to a server: connects, writes a request, reads its answer,
+// and may then be kept for the next.
+class BackendConnection
+    : public std::enable_shared_from_this<BackendConnection> {
+ public:
+  BackendConnection(boost::asio::io_context& context,
+                    const std::string& address,
+                    const ConnectionOwner& owner);
+
+  // Connects and then sends the call. Call once.
+  void Connect(BackendCall call);
+  // Sends a call over a kept connection; false when the server has closed it
+  // or has sent bytes that nobody waits for.
+  bool Reuse(BackendCall& call);
+  // These do nothing unless that call is still in progress.
+  void Cancel(std::uint64_t call);
+  void Pause(std::uint64_t call);
+  void Resume(std::uint64_t call);
+  // Closes whatever is in progress, without a word to its owner.
+  void Shut();
+  void Sweep(core::TimePoint now);
+  void CloseIdle();
+
+  const std::string& Address() const { return address_; }
+  std::uint64_t CallNumber() const { return call_number_; }
+  core::TimePoint IdleUntil() const { return idle_until_; }
+
+ private:
+  enum class State { kConnecting, kInCall, kIdle, kClosed, kCount };
+
+  void OnConnected(const boost::system::error_code& error);
+  void BeginCall();
+  void Write();
+  void Read();
+  void OnRead(const boost::system::error_code& error, std::size_t count);
+  void Parse();
+  void ResetParser();
+  void OnHead();
+  void FinishAnswer();
+  void End(CallFailure failure, const std::string& detail);
+  void Close();
+  core::Milliseconds KeepTime() const;
+
+  boost::asio::ip::tcp::socket socket_;
+  std::string address_;
+  const ConnectionOwner& owner_;
+  State state_ = State::kConnecting;
+  BackendCall call_;
+  std::uint64_t call_number_ = 1;
+  std::unique_ptr<MessageParser> parser_;
+  std::string pending_;
+  std::unique_ptr<char[]> read_buffer_;
+  bool reading_ = false;
+  bool paused_ = false;
+  bool sent_ = false;
+  bool written_ = false;
+  bool skipping_ = false;
+  bool failing_ = false;
+  bool parsing_ = false;
+  core::TimePoint connect_until_{};
+  core::TimePoint idle_until_{};
+};
+
+}  // namespace siskindrum::http
+
+#endif  // SISKINDRUM_HTTP_BACKEND_CONNECTION_P_H_
--- /dev/null
+++ b/packages/http/src/parser.cc
@@ -0,0 +1,237 @@
+#include "siskindrum/http/parser.h"
+
+#include <utility>
+#include <variant>
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace siskindrum::http {
+
+namespace {
+
+namespace beast = boost::beast;
+using beast::error_code;
+
+// What both kinds of the library's parser write to.
+struct Reading {
+  Head head_;
+  ParserSink sink_;
+  bool head_done_ = false;
+};
+
+// Adapts the callbacks of the library's parser.
+template <bool kIsRequest>
+class LibraryParser : public beast::http::basic_parser<kIsRequest> {
+ public:
+  explicit LibraryParser(Reading& reading) : reading_(reading) {}
+
+ private:
+  using string_view = beast::string_view;
+
+  void on_request_impl(beast::http::verb /*method*/,
+                       string_view method,
+                       string_view target,
+                       int version,
+                       error_code& /*error*/) override {
+    reading_.head_.method_ = std::string(method);
+    reading_.head_.target_ = std::string(target);
+    reading_.head_.version_ = version;
+  }
+  void on_response_impl(int status,
+                        string_view reason,
+                        int version,
+                        error_code& /*error*/) override {
+    reading_.head_.status_ = status;
+    reading_.head_.reason_ = std::string(reason);
+    reading_.head_.version_ = version;
+  }
+  void on_field_impl(beast::http::field /*name*/,
+                     string_view name,
+                     string_view value,
+                     error_code& /*error*/) override {
+    if (!reading_.head_done_) {
+      reading_.head_.fields_.push_back({std::string(name), std::string(value)});
+    }
+  }
+  void on_header_impl(error_code& /*error*/) override {
+    reading_.head_done_ = true;
+    if (reading_.sink_.on_head_) {
+      reading_.sink_.on_head_();
+    }
+  }
+  void on_body_init_impl(boost::optional<std::uint64_t> const& /*length*/,
+                         error_code& /*error*/) override {}
+  std::size_t on_body_impl(string_view body, error_code& /*error*/) override {
+    PassBody(body);
+    return body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t /*size*/,
+                            string_view /*extensions*/,
+                            error_code& /*error*/) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/,
+                                 string_view body,
+                                 error_code& /*error*/) override {
+    PassBody(body);
+    return body.size();
+  }
+  void on_finish_impl(error_code& /*error*/) override {}
+
+  void PassBody(string_view body) {
+    if (reading_.sink_.on_body_ && !body.empty()) {
+      reading_.sink_.on_body_({body.data(), body.size()});
+    }
+  }
+
+  Reading& reading_;
+};
+
+using RequestParser = LibraryParser<true>;
+using ResponseParser = LibraryParser<false>;
+
+ParseError ToParseError(const error_code& error) {
+  if (error == beast::http::error::header_limit) {
+    return ParseError::kHeadTooLarge;
+  }
+  if (error == beast::http::error::body_limit) {
+    return ParseError::kBodyTooLarge;
+  }
+  if (error == beast::http::error::partial_message ||
+      error == beast::http::error::end_of_stream) {
+    return ParseError::kIncomplete;
+  }
+  return ParseError::kMalformed;
+}
+
+}  // namespace
+
+const char* ToString(ParseError error) {
+  switch (error) {
+    case ParseError::kNone:
+      return "none";
+    case ParseError::kMalformed:
+      return "malformed";
+    case ParseError::kHeadTooLarge:
+      return "head_too_large";
+    case ParseError::kBodyTooLarge:
+      return "body_too_large";
+    case ParseError::kIncomplete:
+      return "incomplete";
+    case ParseError::kCount:
+      break;
+  }
+  return "unknown";
+}
+
+struct MessageParser::State {
+  Reading reading_;
+  std::variant<std::monostate, RequestParser, ResponseParser> parser_;
+  ParseError error_ = ParseError::kNone;
+  bool started_ = false;
+
+  template <class Visitor>
+  auto Visit(Visitor visitor) {
+    if (auto* request = std::get_if<RequestParser>(&parser_)) {
+      return visitor(*request);
+    }
+    return visitor(std::get<ResponseParser>(parser_));
+  }
+};
+
+MessageParser::MessageParser(Kind kind,
+                             const ParserLimits& limits,
+                             ParserSink sink)
+    : state_(std::make_unique<State>()) {
+  state_->reading_.sink_ = std::move(sink);
+  if (kind == Kind::kRequest) {
+    state_->parser_.emplace<RequestParser>(state_->reading_);
+  } else {
+    state_->parser_.emplace<ResponseParser>(state_->reading_);
+  }
+  state_->Visit([&limits](auto& parser) {
+    parser.eager(true);
+    parser.header_limit(limits.head_bytes_);
+    if (limits.body_bytes_ == 0) {
+      parser.body_limit(boost::none);
+    } else {
+      parser.body_limit(limits.body_bytes_);
+    }
+    return 0;
+  });
+}
+
+MessageParser::~MessageParser() = default;
+
+std::size_t MessageParser::Feed(std::string_view bytes) {
+  State& state = *state_;
+  std::size_t used = 0;
+  while (used < bytes.size() && !IsDone() &&
+         state.error_ == ParseError::kNone) {
+    error_code error;
+    const std::size_t taken = state.Visit([&](auto& parser) {
+      return parser.put(
+          boost::asio::const_buffer(bytes.data() + used, bytes.size() - used),
+          error);
+    });
+    state.started_ = true;
+    used += taken;
+    if (error == beast::http::error::need_more) {
+      break;
+    }
+    if (error) {
+      state.error_ = ToParseError(error);
+    } else if (taken == 0) {
+      break;
+    }
+  }
+  return used;
+}
+
+void MessageParser::FeedEnd() {
+  State& state = *state_;
+  if (IsDone() || state.error_ != ParseError::kNone) {
+    return;
+  }
+  if (!IsHeadDone()) {
+    state.error_ = ParseError::kIncomplete;
+    return;
+  }
+  error_code error;
+  state.Visit([&error](auto& parser) {
+    parser.put_eof(error);
+    return 0;
+  });
+  if (error) {
+    state.error_ = ToParseError(error);
+  }
+}
+
+void MessageParser::ExpectNoBody() {
+  if (auto* response = std::get_if<ResponseParser>(&state_->parser_)) {
+    response->skip(true);
+  }
+}
+
+bool MessageParser::IsStarted() const {
+  return state_->started_;
+}
+bool MessageParser::IsHeadDone() const {
+  return state_->reading_.head_done_;
+}
+bool MessageParser::IsDone() const {
+  return state_->Visit([](auto& parser) { return parser.is_done(); });
+}
+bool MessageParser::EndsWithConnection() const {
+  return state_->Visit([](auto& parser) { return parser.need_eof(); });
+}
+ParseError MessageParser::Error() const {
+  return state_->error_;
+}
+const Head& MessageParser::GetHead() const {
+  return state_->reading_.head_;
+}
+Head& MessageParser::GetHead() {
+  return state_->reading_.head_;
+}
+
+}  // namespace siskindrum::http
--- a/packages/platform/include/siskindrum/platform/platform.h
+++ b/packages/registry/include/siskindrum/registry/registry.h
@@ -1,5 +1,5 @@
-#ifndef SISKINDRUM_PLATFORM_PLATFORM_H_
-#define SISKINDRUM_PLATFORM_PLATFORM_H_
+#ifndef SISKINDRUM_REGISTRY_REGISTRY_H_
+#define SISKINDRUM_REGISTRY_REGISTRY_H_
 
 #include <cstdint>
 #include <string>
@@ -10,7 +10,7 @@
 #include "siskindrum/core/event.h"
 #include "siskindrum/core/types.h"
 
-namespace siskindrum::platform {
+namespace siskindrum::registry {
 
 // A rules file as the configuration service publishes it.
 struct Published {
@@ -39,6 +39,6 @@
     backend::HttpCall& call,
     const std::string& address);
 
-}  // namespace siskindrum::platform
+}  // namespace siskindrum::registry
 
-#endif  // SISKINDRUM_PLATFORM_PLATFORM_H_
+#endif  // SISKINDRUM_REGISTRY_REGISTRY_H_
--- a/packages/platform/src/platform.cc
+++ b/packages/registry/src/registry.cc
@@ -1,4 +1,4 @@
-#include "siskindrum/platform/platform.h"
+#include "siskindrum/registry/registry.h"
 
 #include <set>
 
@@ -6,7 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 
-namespace siskindrum::platform {
+namespace siskindrum::registry {
 
 namespace {
 
@@ -150,4 +150,4 @@
   return ParseInstances(answer->body_);
 }
 
-}  // namespace siskindrum::platform
+}  // namespace siskindrum::registry
--- a/packages/rules/src/rules.cc
+++ b/packages/rules/src/rules.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
 #include "lexer_p.h"
 #include "siskindrum/core/hash.h"
@@ -25,6 +26,7 @@
 };
 
 constexpr std::uint32_t kMaxTokens = 10'000'000;
+constexpr std::uint32_t kMaxBytes = 1'000'000'000;
 constexpr std::uint32_t kMaxCount = 1'000'000;
 constexpr std::int64_t kMaxDurationMs = 3'600'000;
 
@@ -80,6 +82,8 @@
 }
 
 std::string* PatternField(RuleMatch& match, const std::string& key) {
+  if (key == "host")
+    return &match.host_;
   if (key == "service")
     return &match.service_;
   if (key == "organisation")
@@ -115,7 +119,7 @@
   std::string* field = PatternField(match, word.key_);
   if (field == nullptr || word.comparison_ != "=") {
     return absl::StrCat("unknown condition '", word.text_,
-                        "'; expected service=, organisation=, model=, path=, "
+                        "'; expected host=, service=, organisation=, model=, path=, "
                         "method=, domain=, prompt>=, prompt< or priority=");
   }
   if (!field->empty()) {
@@ -157,6 +161,13 @@
                ? ""
                : "expected repeat=allowed or repeat=never";
   }
+  if (word.key_ == "resume") {
+    outcome.resume_ =
+        value == "never" ? core::Resume::kNever : core::Resume::kAllowed;
+    return value == "never" || value == "allowed"
+               ? ""
+               : "expected resume=allowed or resume=never";
+  }
   outcome.fencing_ =
       value == "checked" ? core::Fencing::kChecked : core::Fencing::kIgnored;
   return value == "checked" || value == "ignored"
@@ -181,6 +192,10 @@
                ? ""
                : "expected retries=0 to 10";
   }
+  if (word.key_ == "rank") {
+    return ParseCount(word.value_, 9, &outcome.rank_) ? ""
+                                                      : "expected rank=0 to 9";
+  }
   if (word.key_ == "share") {
     return ParseCount(word.value_, 1000, &outcome.share_) && outcome.share_ > 0
                ? ""
@@ -196,6 +211,33 @@
              : "expected limit=N/s, N from 1 to 1000000";
 }
 
+// Reads "NAME", or "NAME:WEIGHT,NAME:WEIGHT" where pools share.
+std::string ParsePools(RuleOutcome& outcome, const std::string& value) {
+  constexpr char kExpected[] =
+      "expected pool=NAME or pool=NAME:WEIGHT,NAME:WEIGHT, weights 0 to "
+      "1000000 and not all zero";
+  outcome.split_.clear();
+  if (value.find(':') == std::string::npos) {
+    outcome.pool_ = value;
+    return value.empty() ? "pool is empty" : "";
+  }
+  std::uint64_t total = 0;
+  for (const absl::string_view part : absl::StrSplit(value, ',')) {
+    const std::size_t colon = part.rfind(':');
+    core::PoolShare share;
+    if (colon == absl::string_view::npos || colon == 0 ||
+        !ParseCount(std::string(part.substr(colon + 1)), kMaxCount,
+                    &share.weight_)) {
+      return kExpected;
+    }
+    share.pool_ = std::string(part.substr(0, colon));
+    total += share.weight_;
+    outcome.split_.push_back(std::move(share));
+  }
+  outcome.pool_ = outcome.split_.front().pool_;
+  return total > 0 ? "" : kExpected;
+}
+
 std::string ParseOutcome(RuleOutcome& outcome, const Word& word) {
   if (word.comparison_.empty()) {
     return ParseFlag(outcome, word);
@@ -205,8 +247,7 @@
   }
   const std::string& key = word.key_;
   if (key == "pool") {
-    outcome.pool_ = word.value_;
-    return word.value_.empty() ? "pool is empty" : "";
+    return ParsePools(outcome, word.value_);
   }
   if (key == "priority") {
     outcome.has_priority_ = true;
@@ -214,13 +255,14 @@
                ? ""
                : "expected priority=low, normal or high";
   }
-  if (key == "prefer" || key == "repeat" || key == "fencing") {
+  if (key == "prefer" || key == "repeat" || key == "fencing" ||
+      key == "resume") {
     return ParseChoice(outcome, word);
   }
   if (key == "first_token" || key == "between_tokens" || key == "timeout") {
     return ParseOutcomeDuration(outcome, word);
   }
-  if (key == "retries" || key == "share" || key == "limit") {
+  if (key == "retries" || key == "share" || key == "limit" || key == "rank") {
     return ParseOutcomeCount(outcome, word);
   }
   return absl::StrCat("unknown outcome '", word.text_, "'");
@@ -236,6 +278,10 @@
     AddError(parser, line, column, "a rule needs pool=NAME or refuse");
   }
   const bool plain = outcome.kind_ == core::BackendKind::kPlain;
+  if (plain && outcome.resume_ == core::Resume::kNever) {
+    AddError(parser, line, column,
+             "resume=never does not fit a plain service; use repeat=never");
+  }
   if (!plain && outcome.repeat_ == core::Repeat::kNever) {
     AddError(
         parser, line, column,
@@ -305,6 +351,55 @@
       {words[1].text_, words[3].text_, line.number_});
 }
 
+// Reads: pool NAME slots=N memory=TOKENS connections=N
+void ParsePoolLine(Parser& parser, const Line& line) {
+  core::PoolFacts facts;
+  facts.line_ = line.number_;
+  const std::vector<Word>& words = line.words_;
+  if (words.size() < 2 || !words[1].comparison_.empty()) {
+    AddError(parser, line, words.back().column_, "expected: pool NAME ...");
+    return;
+  }
+  facts.name_ = words[1].text_;
+  if (core::FindPool(parser.parsed_.rules_, facts.name_) != nullptr) {
+    AddError(parser, line, words[1].column_, "the pool stands twice");
+  }
+  for (auto word = words.begin() + 2; word != words.end(); ++word) {
+    std::uint32_t* field = word->key_ == "slots"         ? &facts.slots_
+                           : word->key_ == "memory"      ? &facts.memory_tokens_
+                           : word->key_ == "connections" ? &facts.connections_
+                                                         : nullptr;
+    if (field == nullptr || word->comparison_ != "=" ||
+        !ParseCount(word->value_, kMaxTokens, field)) {
+      AddError(parser, line, word->column_,
+               "expected slots=N, memory=TOKENS or connections=N");
+    }
+  }
+  parser.parsed_.rules_.pools_.push_back(std::move(facts));
+}
+
+// Reads: callers head=BYTES body=BYTES head_time=DURATION idle=DURATION
+void ParseCallersLine(Parser& parser, const Line& line) {
+  core::CallerBounds& bounds = parser.parsed_.rules_.callers_;
+  for (auto word = line.words_.begin() + 1; word != line.words_.end();
+       ++word) {
+    const std::string& value = word->value_;
+    const bool good =
+        word->key_ == "head"
+            ? ParseCount(value, kMaxBytes, &bounds.head_bytes_)
+        : word->key_ == "body"
+            ? ParseCount(value, kMaxBytes, &bounds.body_bytes_)
+        : word->key_ == "head_time" ? ParseDuration(value, &bounds.head_time_)
+        : word->key_ == "idle"      ? ParseDuration(value, &bounds.idle_time_)
+                                    : false;
+    if (!good || word->comparison_ != "=") {
+      AddError(parser, line, word->column_,
+               "expected head=BYTES, body=BYTES, head_time=DURATION or "
+               "idle=DURATION");
+    }
+  }
+}
+
 void ParseLine(Parser& parser, const Line& line) {
   if (line.words_.empty()) {
     return;
@@ -318,10 +413,16 @@
     ParseRuleLine(parser, line);
   } else if (verb == "seat") {
     ParseSeatLine(parser, line);
+  } else if (verb == "pool") {
+    ParsePoolLine(parser, line);
+  } else if (verb == "callers") {
+    ParseCallersLine(parser, line);
   } else {
     AddError(
         parser, line, line.words_.front().column_,
-        absl::StrCat("expected 'when', 'default' or 'seat', not '", verb, "'"));
+        absl::StrCat("expected 'when', 'default', 'seat', 'pool' or "
+                     "'callers', not '",
+                     verb, "'"));
   }
 }
 
@@ -345,6 +446,7 @@
       wide.any_priority_ ||
       (!narrow.any_priority_ && wide.priority_ == narrow.priority_);
   return priorities && CoversPattern(wide.service_, narrow.service_) &&
+         CoversPattern(wide.host_, narrow.host_) &&
          CoversPattern(wide.organisation_, narrow.organisation_) &&
          CoversPattern(wide.model_, narrow.model_) &&
          CoversPattern(wide.path_, narrow.path_) &&
--- a/packages/telemetry/include/siskindrum/telemetry/metrics.h
+++ b/packages/telemetry/include/siskindrum/telemetry/metrics.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "siskindrum/core/router.h"
 #include "siskindrum/core/types.h"
@@ -16,6 +17,7 @@
   kRequest,        // Arrival to end.
   kPrefill,
   kDecision,  // One event handled by the core.
+  kPlainCall,     // Arrival to end of a plain call.
   kCount
 };
 
@@ -29,6 +31,12 @@
   kCount
 };
 
+// A counter that its owner keeps.
+struct NamedCount {
+  const char* name_ = "";  // Without the prefix "siskindrum_".
+  std::uint64_t value_ = 0;
+};
+
 // Histograms and counters of one process.
 class Metrics {
  public:
@@ -49,6 +57,8 @@
   // Writes all in the text format of Prometheus, with the router's counters.
   // Thread-safe: yes, as long as nothing changes `counters` meanwhile.
   std::string ToText(const core::RouterCounters& counters) const;
+  // The same with counters of another owner. Thread-safe: yes.
+  std::string ToText(const std::vector<NamedCount>& counters) const;
 
  private:
   struct State;
--- a/packages/entry/include/siskindrum/entry/ring.h
+++ b/packages/telemetry/include/siskindrum/telemetry/ring.h
@@ -1,5 +1,5 @@
-#ifndef SISKINDRUM_ENTRY_RING_H_
-#define SISKINDRUM_ENTRY_RING_H_
+#ifndef SISKINDRUM_TELEMETRY_RING_H_
+#define SISKINDRUM_TELEMETRY_RING_H_
 
 #include <optional>
 #include <utility>
@@ -11,7 +11,7 @@
 #include "absl/time/time.h"
 #include "siskindrum/core/types.h"
 
-namespace siskindrum::entry {
+namespace siskindrum::telemetry {
 
 // A bounded queue between threads. A full ring refuses; it never makes the
 // writer wait.
@@ -69,6 +69,6 @@
   bool closed_ = false;
 };
 
-}  // namespace siskindrum::entry
+}  // namespace siskindrum::telemetry
 
-#endif  // SISKINDRUM_ENTRY_RING_H_
+#endif  // SISKINDRUM_TELEMETRY_RING_H_
--- a/packages/telemetry/src/metrics.cc
+++ b/packages/telemetry/src/metrics.cc
@@ -23,7 +23,7 @@
 const char* NameOf(std::size_t timing) {
   static constexpr const char* kNames[kTimings] = {
       "first_token_seconds", "between_tokens_seconds", "request_seconds",
-      "prefill_seconds", "decision_seconds"};
+      "prefill_seconds", "decision_seconds", "plain_call_seconds"};
   return kNames[timing];
 }
 
@@ -72,12 +72,8 @@
                   name, " ", value, "\n");
 }
 
-void AppendRouterCounters(std::string& text,
-                          const core::RouterCounters& counters) {
-  const struct {
-    const char* name_;
-    std::uint64_t value_;
-  } rows[] = {
+std::vector<NamedCount> CountsOf(const core::RouterCounters& counters) {
+  return {
       {"requests_total", counters.arrived_},
       {"answered_total", counters.answered_},
       {"failed_not_run_total", counters.failed_not_run_},
@@ -97,9 +93,6 @@
       {"freezes_total", counters.freezes_},
       {"peer_messages_total", counters.peer_messages_},
   };
-  for (const auto& row : rows) {
-    AppendCounter(text, row.name_, row.value_);
-  }
 }
 
 }  // namespace
@@ -129,6 +122,10 @@
 }
 
 std::string Metrics::ToText(const core::RouterCounters& counters) const {
+  return ToText(CountsOf(counters));
+}
+
+std::string Metrics::ToText(const std::vector<NamedCount>& counters) const {
   std::string text;
   for (std::size_t i = 0; i < kTimings; ++i) {
     AppendHistogram(text, NameOf(i), state_->series_[i]);
@@ -136,7 +133,9 @@
   for (std::size_t i = 0; i < kCounters; ++i) {
     AppendCounter(text, NameOfCounter(i), state_->counters_[i]);
   }
-  AppendRouterCounters(text, counters);
+  for (const NamedCount& count : counters) {
+    AppendCounter(text, count.name_, count.value_);
+  }
   return text;
 }
 
