--- a/packages/http/src/parser.cc
+++ b/packages/http/src/parser.cc
@@ -1,5 +1,6 @@
 #include "siskindrum/http/parser.h"
 
+#include <limits>
 #include <utility>
 #include <variant>
 
@@ -151,11 +152,9 @@
   state_->Visit([&limits](auto& parser) {
     parser.eager(true);
     parser.header_limit(limits.head_bytes_);
-    if (limits.body_bytes_ == 0) {
-      parser.body_limit(boost::none);
-    } else {
-      parser.body_limit(limits.body_bytes_);
-    }
+    parser.body_limit(limits.body_bytes_ == 0
+                          ? std::numeric_limits<std::uint64_t>::max()
+                          : limits.body_bytes_);
     return 0;
   });
 }
