Reserve decode memory before the prefill; wait at the entry for room

Cause: answers hold 5,900 tokens for 3.4 s, so memory at the decode engines binds, not slots. Each entry saw its own answers only, and 166 of 469 prefills were thrown away when the engine refused (941,000 tokens read for nothing). Ruled out: slots (64 of them, at most 18 used), prefill time (p50 129 ms). Change: a reservation at the decode engine comes before the prefill; without room the request waits at the entry, those first that can still be in time.

--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -32,7 +32,6 @@
   std::string server_;
   TimePoint sent_at_{};
   std::uint32_t counted_prefill_ = 0;  // Tokens counted at `server_`.
-  std::uint32_t counted_held_ = 0;
   bool prefill_was_alone_ = false;  // Nothing waited there before it.
   // Of the whole request.
   std::uint32_t sends_ = 0;  // That count as attempts of the rule.
@@ -42,7 +41,14 @@
   bool answer_begun_ = false;
   bool error_kept_ = false;
   std::vector<std::string> avoid_;
-  std::string planned_decode_;
+  // Of the decode engine chosen for it.
+  std::string decode_server_;
+  std::uint32_t counted_held_ = 0;  // Tokens counted there.
+  std::string hold_;                // The reservation there; empty: none.
+  TimePoint hold_until_{};
+  std::size_t reserves_ = 0;  // In a row.
+  bool direct_ = false;       // The decode engine is to prefill.
+  bool waiting_ = false;      // For room at a decode engine.
   std::string handle_;  // Not yet taken.
   std::string handle_address_;
   std::optional<std::uint64_t> last_event_;  // That the caller has.
@@ -63,6 +69,9 @@
   std::uint64_t prefills_elsewhere_ = 0;
   std::uint64_t prefills_direct_ = 0;
   std::uint64_t handles_freed_ = 0;
+  std::uint64_t reserves_ = 0;
+  std::uint64_t reserves_refused_ = 0;
+  std::uint64_t waits_ = 0;
 };
 
 struct DispatcherOptions {
@@ -80,6 +89,7 @@
   core::ConfigurationState configuration_;
   ServerPool pool_;
   RepeatBudget budget_;
+  std::vector<RequestId> waiting_;  // For room, as they came.
   std::unordered_map<RequestId, ActiveCall, core::RequestIdHash> calls_;
   std::unordered_map<std::string, core::DecisionRecord> decisions_;  // By label.
   std::deque<std::string> decision_order_;
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -21,6 +21,7 @@
 // What one attempt asks of a server.
 enum class Stage {
   kPlain,
+  kReserve,  // Asks a decode engine for a place and memory.
   kPrefill,
   kDecode,  // With a prefill's result, or with a prefill of its own.
   kCount
@@ -61,6 +62,16 @@
   std::string detail_;
 };
 
+// A reservation was made, or was not.
+struct ReserveDone {
+  RequestId request_;
+  std::uint32_t attempt_ = 0;
+  bool ok_ = false;
+  bool refused_ = false;  // The engine has no room.
+  std::string hold_;
+  std::string detail_;
+};
+
 // The first part of the answer was passed on to the caller.
 struct AnswerBegan {
   RequestId request_;
@@ -101,6 +112,7 @@
 using Event = std::variant<CallArrived,
                            CallerLeft,
                            PrefillDone,
+                           ReserveDone,
                            AnswerBegan,
                            AttemptDone,
                            ListSeen,
@@ -124,6 +136,9 @@
   Milliseconds event_patience_{0};  // Between events; zero: no limit.
   std::string source_address_;      // Of the prefill result; empty: none.
   std::string handle_;
+  std::string hold_;               // Of the reservation; empty: none.
+  std::uint32_t hold_tokens_ = 0;  // To reserve.
+  Milliseconds hold_time_{0};
   std::optional<std::uint64_t> resume_after_;
   bool may_resume_ = false;  // The answer may go on at another server.
 };
@@ -145,6 +160,12 @@
   std::string handle_;
 };
 
+// Gives back a reservation that nobody will use.
+struct DropHold {
+  std::string address_;
+  std::string hold_;
+};
+
 // The bounds of callers have changed.
 struct BoundCallers {
   core::CallerBounds bounds_;
@@ -164,6 +185,7 @@
                             Refuse,
                             DeliverKept,
                             FreeHandle,
+                            DropHold,
                             BoundCallers,
                             ReadyChanged,
                             ServerGone,
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -56,6 +56,21 @@
 inline constexpr std::size_t kRepeatBurst = 5;
 inline constexpr Milliseconds kRepeatWindow{10000};
 
+// Reservation of a decode engine's place and memory: longer than a prefill
+// takes, and how long the engine may take to say yes or no.
+inline constexpr Milliseconds kHoldTime{1200};
+inline constexpr Milliseconds kHoldPatience{120};
+// A reservation this close to its end is not relied on.
+inline constexpr Milliseconds kHoldMargin{100};
+// After an engine had no room, unless an answer of this entry ends there.
+inline constexpr Milliseconds kFullPause{60};
+// Longest wait for room; callers give up on a stream that has not begun soon
+// afterwards.
+inline constexpr Milliseconds kMostWait{2500};
+inline constexpr std::size_t kMostReserves = 8;  // In a row for one request.
+// Share of an answer's expected tokens that are reserved besides the prompt.
+inline constexpr double kHoldAnswerShare = 1.0;
+
 inline constexpr int kConnectAttempts = 3;  // For one request; nothing is sent.
 
 // Advice to callers that are refused.
--- a/packages/dispatch/include/siskindrum/dispatch/placement.h
+++ b/packages/dispatch/include/siskindrum/dispatch/placement.h
@@ -24,6 +24,7 @@
   std::string prefill_;  // Empty: the decode engine prefills itself.
   std::string decode_;
   double expected_ms_ = 0;  // Until the first token.
+  bool full_ = false;       // Even the best decode engine has no room.
 };
 
 // Chooses the server of a plain call: fewest calls for its places, near before
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -82,13 +82,25 @@
     NoteEnded(*server);
     server->prefill_tokens_ -=
         std::min(server->prefill_tokens_, call.counted_prefill_);
-    server->held_tokens_ -= std::min(server->held_tokens_, call.counted_held_);
   }
   call.counted_prefill_ = 0;
-  call.counted_held_ = 0;
   call.server_.clear();
 }
 
+void ReleaseDecode(Step& step, ActiveCall& call) {
+  KnownServer* server = FindServer(step.dispatcher_.pool_, call.decode_server_);
+  if (server != nullptr) {
+    server->held_tokens_ -= std::min(server->held_tokens_, call.counted_held_);
+    server->full_until_ = {};
+    if (!call.hold_.empty()) {
+      step.actions_.emplace_back(DropHold{server->info_.address_, call.hold_});
+    }
+  }
+  call.counted_held_ = 0;
+  call.hold_.clear();
+  call.decode_server_.clear();
+}
+
 void DropHandle(Step& step, ActiveCall& call) {
   if (call.handle_.empty()) {
     return;
@@ -102,6 +114,7 @@
   LogEnd(step, call, outcome, "");
   RecordEnd(step, call, outcome);
   ReleaseAttempt(step, call);
+  ReleaseDecode(step, call);
   DropHandle(step, call);
   step.dispatcher_.calls_.erase(call.id_);
 }
@@ -139,6 +152,7 @@
                       detail));
   RecordEnd(step, call, outcome);
   ReleaseAttempt(step, call);
+  ReleaseDecode(step, call);
   DropHandle(step, call);
   dispatcher.calls_.erase(call.id_);
 }
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -45,7 +45,7 @@
   if (outcome.kind_ == core::BackendKind::kPlain) {
     SendPlain(step, call);
   } else {
-    SendToEngines(step, call);
+    SeekDecode(step, call);
   }
 }
 
@@ -123,6 +123,17 @@
   OnPrefillDone(step, *call, event);
 }
 
+void OnReserve(Step& step, const ReserveDone& event) {
+  ActiveCall* call = FindAttempt(step, event.request_, event.attempt_);
+  if (call == nullptr) {
+    return;
+  }
+  if (!event.ok_ && !event.refused_) {
+    LogAttemptDone(step, *call, "failed", event.detail_);
+  }
+  OnReserveDone(step, *call, event);
+}
+
 const char* ToString(AttemptOutcome outcome) {
   switch (outcome) {
     case AttemptOutcome::kDelivered:
@@ -150,6 +161,7 @@
     OnPlainDone(step, *call, event);
   } else {
     OnDecodeDone(step, *call, event);
+    PumpWaiting(step);
   }
 }
 
@@ -214,11 +226,13 @@
     ActiveCall& call = dispatcher.calls_.at(id);
     // What was handed to a server may run until that server says otherwise; a
     // prefill alone is no run.
-    if (!call.server_.empty() && call.stage_ != Stage::kPrefill) {
+    if (!call.server_.empty() && call.stage_ != Stage::kPrefill &&
+        call.stage_ != Stage::kReserve) {
       call.run_state_ = core::Worse(call.run_state_, RunState::kMayHaveRun);
     }
     FailCall(step, call, core::Reason::kDeadline, "");
   }
+  PumpWaiting(step);
   ForgetVanished(dispatcher.pool_, step.now_);
   dispatcher.last_tick_ = step.now_;
 }
@@ -229,6 +243,8 @@
   switch (stage) {
     case Stage::kPlain:
       return "plain";
+    case Stage::kReserve:
+      return "reserve";
     case Stage::kPrefill:
       return "prefill";
     case Stage::kDecode:
@@ -256,6 +272,7 @@
           [&](const CallArrived& e) { OnArrived(step, e); },
           [&](const CallerLeft& e) { OnCallerLeft(step, e); },
           [&](const PrefillDone& e) { OnPrefill(step, e); },
+          [&](const ReserveDone& e) { OnReserve(step, e); },
           [&](const AnswerBegan& e) {
             ActiveCall* call = FindAttempt(step, e.request_, e.attempt_);
             if (call != nullptr) {
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -22,6 +22,9 @@
 PlacementNeed NeedOf(const Step& step, const ActiveCall& call);
 // Takes back what the attempt in progress counts for at its server.
 void ReleaseAttempt(Step& step, ActiveCall& call);
+// Takes back what the request counts for at its decode engine, and gives back
+// the reservation there unless it was used.
+void ReleaseDecode(Step& step, ActiveCall& call);
 // Frees a prefill result that was not taken.
 void DropHandle(Step& step, ActiveCall& call);
 // Ends the request with the strongest true verdict; `call` is gone afterwards.
@@ -47,11 +50,21 @@
 void OnPlainDone(Step& step, ActiveCall& call, const AttemptDone& event);
 
 // engine_call.cc
-void SendToEngines(Step& step, ActiveCall& call);
+// Looks for a decode engine with room, reserves it, and goes on from there.
+void SeekDecode(Step& step, ActiveCall& call);
+void OnReserveDone(Step& step, ActiveCall& call, const ReserveDone& event);
 void OnPrefillDone(Step& step, ActiveCall& call, const PrefillDone& event);
 void OnDecodeDone(Step& step, ActiveCall& call, const AttemptDone& event);
 void OnAnswerBegan(Step& step, ActiveCall& call);
 
+// waiting.cc: requests that wait for room at a decode engine.
+
+// Lets the request wait, or refuses it when its turn would come too late.
+void Wait(Step& step, ActiveCall& call);
+// Looks again for room for those that wait, those first that can still be
+// answered in time, the oldest first.
+void PumpWaiting(Step& step);
+
 std::string FormatMs(core::Nanoseconds duration);
 
 }  // namespace siskindrum::dispatch
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -22,12 +22,8 @@
   }
 }
 
-void SendPrefill(Step& step,
-                 ActiveCall& call,
-                 const EnginePlan& plan,
-                 KnownServer& server) {
+void SendPrefill(Step& step, ActiveCall& call, KnownServer& server) {
   ++step.dispatcher_.counters_.prefills_elsewhere_;
-  call.planned_decode_ = plan.decode_;
   call.prefill_was_alone_ = server.prefill_tokens_ == 0;
   const std::uint32_t tokens = call.call_.shape_.prompt_tokens_;
   const double expected = PrefillMs(server, tokens);
@@ -36,18 +32,18 @@
   StartAttempt start = BeginAttempt(step, call, Stage::kPrefill, server);
   start.patience_ =
       std::max(kPrefillPatience, ToMs(kPrefillPatienceFactor * expected));
-  RecordServers(step, call, server.info_.name_, plan.decode_);
-  LogAttempt(step, call, start, plan.expected_ms_);
+  RecordServers(step, call, server.info_.name_, call.decode_server_);
+  LogAttempt(step, call, start, expected);
   step.actions_.emplace_back(std::move(start));
 }
 
-// Sends the request to a decode engine, with the prefill result if there is
+// Sends the request to its decode engine, with the prefill result if there is
 // one.
-void SendDecode(Step& step, ActiveCall& call, const EnginePlan& plan) {
-  KnownServer* server = FindServer(step.dispatcher_.pool_, plan.decode_);
-  if (server == nullptr) {
-    FailCall(step, call, core::Reason::kNoServer,
-             absl::StrCat("no decode engine of ", call.pool_, " can be used"));
+void SendDecode(Step& step, ActiveCall& call) {
+  KnownServer* server = FindServer(step.dispatcher_.pool_, call.decode_server_);
+  if (server == nullptr || !MayServe(*server, step.now_)) {
+    ReleaseDecode(step, call);
+    SeekDecode(step, call);
     return;
   }
   std::string denied;
@@ -64,18 +60,20 @@
     call.counted_prefill_ = prompt;
     server->prefill_tokens_ += prompt;
   }
-  call.counted_held_ = prompt + call.call_.answer_tokens_;
-  server->held_tokens_ += call.counted_held_;
   StartAttempt start = BeginAttempt(step, call, Stage::kDecode, *server);
   start.source_address_ = call.handle_address_;
   start.handle_ = call.handle_;
   start.resume_after_ = call.last_event_;
+  if (step.now_ + kHoldMargin < call.hold_until_) {
+    start.hold_ = call.hold_;
+  }
   const bool may_go_on = IsRepeatable(call) &&
                          call.sends_ < call.rule_->outcome_.retries_;
   if (may_go_on) {
     start.patience_ = kFirstEventPatience + ToMs(2 * expected);
     start.event_patience_ = kEventPatience;
   }
+  call.hold_.clear();
   call.handle_.clear();
   call.handle_address_.clear();
   RecordServers(step, call, direct ? server->info_.name_ : "",
@@ -84,23 +82,93 @@
   step.actions_.emplace_back(std::move(start));
 }
 
+// Goes on from a decode engine that was chosen.
+void SendOn(Step& step, ActiveCall& call) {
+  if (!call.handle_.empty() || call.direct_) {
+    SendDecode(step, call);
+    return;
+  }
+  PlacementNeed need = NeedOf(step, call);
+  const EnginePlan plan = PlaceEngines(step.dispatcher_.pool_, need, step.now_);
+  KnownServer* prefill = FindServer(step.dispatcher_.pool_, plan.prefill_);
+  if (prefill == nullptr) {
+    call.direct_ = true;
+    SendDecode(step, call);
+  } else {
+    SendPrefill(step, call, *prefill);
+  }
+}
+
+void Reserve(Step& step, ActiveCall& call, KnownServer& server) {
+  ++step.dispatcher_.counters_.reserves_;
+  ++call.reserves_;
+  StartAttempt start = BeginAttempt(step, call, Stage::kReserve, server);
+  start.hold_tokens_ = call.counted_held_;
+  start.hold_time_ = std::min(
+      kHoldTime, NeedOf(step, call).facts_->hold_);
+  start.patience_ = kHoldPatience;
+  step.actions_.emplace_back(std::move(start));
+}
+
+// Starts over at a decode engine that prefills itself: what was read elsewhere
+// is gone, or the answer goes on from its middle.
 void SendDirect(Step& step, ActiveCall& call) {
-  SendDecode(step, call,
-             PlaceDecode(step.dispatcher_.pool_, NeedOf(step, call), true,
-                         step.now_));
+  call.direct_ = true;
+  call.reserves_ = 0;
+  SeekDecode(step, call);
 }
 
 }  // namespace
 
-void SendToEngines(Step& step, ActiveCall& call) {
+void SeekDecode(Step& step, ActiveCall& call) {
+  const PlacementNeed need = NeedOf(step, call);
   const EnginePlan plan =
-      PlaceEngines(step.dispatcher_.pool_, NeedOf(step, call), step.now_);
-  KnownServer* prefill = FindServer(step.dispatcher_.pool_, plan.prefill_);
-  if (plan.decode_.empty() || prefill == nullptr) {
-    SendDecode(step, call, plan);
+      PlaceDecode(step.dispatcher_.pool_, need, call.direct_, step.now_);
+  KnownServer* server = FindServer(step.dispatcher_.pool_, plan.decode_);
+  if (server == nullptr) {
+    FailCall(step, call, core::Reason::kNoServer,
+             absl::StrCat("no decode engine of ", call.pool_, " can be used"));
+    return;
+  }
+  if (plan.full_ || call.reserves_ >= kMostReserves) {
+    Wait(step, call);
+    return;
+  }
+  call.decode_server_ = server->info_.name_;
+  call.counted_held_ =
+      need.prompt_tokens_ +
+      static_cast<std::uint32_t>(kHoldAnswerShare * need.answer_tokens_);
+  server->held_tokens_ += call.counted_held_;
+  const bool can_reserve =
+      need.facts_ != nullptr && need.facts_->hold_.count() > 0;
+  if (can_reserve) {
+    Reserve(step, call, *server);
   } else {
-    SendPrefill(step, call, plan, *prefill);
+    SendOn(step, call);
+  }
+}
+
+void OnReserveDone(Step& step, ActiveCall& call, const ReserveDone& event) {
+  KnownServer* server = FindServer(step.dispatcher_.pool_, call.server_);
+  ReleaseAttempt(step, call);
+  if (event.ok_) {
+    if (server != nullptr) {
+      NoteAlive(*server);
+    }
+    call.hold_ = event.hold_;
+    call.hold_until_ = step.now_ + kHoldTime;
+    call.reserves_ = 0;
+    SendOn(step, call);
+    return;
+  }
+  ReleaseDecode(step, call);
+  if (server != nullptr && event.refused_) {
+    ++step.dispatcher_.counters_.reserves_refused_;
+    server->full_until_ = step.now_ + kFullPause;
+  } else if (server != nullptr) {
+    NoteFailure(*server, step.now_);
   }
+  SeekDecode(step, call);
 }
 
 void OnPrefillDone(Step& step, ActiveCall& call, const PrefillDone& event) {
@@ -124,9 +192,7 @@
       call.handle_address_ = server->info_.address_;
     }
     call.handle_ = event.handle_;
-    SendDecode(step, call,
-               PlaceDecode(step.dispatcher_.pool_, NeedOf(step, call), false,
-                           step.now_));
+    SendDecode(step, call);
     return;
   }
   call.avoid_.push_back(name);
@@ -141,7 +207,8 @@
   } else if (server != nullptr) {
     NoteFailure(*server, step.now_);
   }
-  SendDirect(step, call);
+  call.direct_ = true;
+  SendDecode(step, call);
 }
 
 void OnAnswerBegan(Step& step, ActiveCall& call) {
@@ -175,6 +242,7 @@
     return;
   }
   ReleaseAttempt(step, call);
+  ReleaseDecode(step, call);
   call.avoid_.push_back(name);
   if (event.outcome_ == AttemptOutcome::kRefused) {
     if (server != nullptr) {
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -16,6 +16,7 @@
 // Share of full slots or memory from which an engine counts as full.
 constexpr double kFullShare = 0.9;
 constexpr double kFullCost = 5e3;
+constexpr double kFullFrom = kFullCost / 2;
 constexpr double kErrorMs = 300.0;  // At an error share of one.
 constexpr double kSlotMs = 3.0;     // Of each answer in progress.
 constexpr double kBusyShareMs = 25.0;
@@ -78,7 +79,7 @@
       server.info_.slots_ > 0 ? server.info_.slots_ : kDefaultEngineSlots;
   double cost = CommonCost(server, need, kFarEngineMs, now);
   cost += kSlotMs * server.calls_;
-  if (server.calls_ > kFullShare * slots) {
+  if (server.calls_ > kFullShare * slots || server.full_until_ > now) {
     cost += kFullCost;
   }
   const std::uint32_t memory =
@@ -156,7 +157,8 @@
   if (best.server_ == nullptr) {
     return {};
   }
-  return {"", best.server_->info_.name_, best.cost_};
+  return {"", best.server_->info_.name_, best.cost_,
+          best.cost_ > kFullFrom && best.cost_ < kSuspendedCost};
 }
 
 EnginePlan PlaceEngines(const ServerPool& pool,
@@ -180,7 +182,8 @@
   if (direct.expected_ms_ < split_ms) {
     return direct;
   }
-  return {prefill.server_->info_.name_, decode.decode_, split_ms};
+  return {prefill.server_->info_.name_, decode.decode_, split_ms,
+          decode.full_};
 }
 
 }  // namespace siskindrum::dispatch
--- /dev/null
+++ b/packages/dispatch/src/waiting.cc
@@ -0,0 +1,66 @@
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "dispatcher_p.h"
+
+namespace siskindrum::dispatch {
+
+namespace {
+
+// True when a request that gets room now would still meet its target.
+bool IsInTime(const ActiveCall& call, TimePoint now) {
+  const Milliseconds target = call.rule_->outcome_.first_token_;
+  const Milliseconds needed(static_cast<std::int64_t>(
+      kPrefillOverheadMs + kTransferMs +
+      call.call_.shape_.prompt_tokens_ / kPrefillTokensPerMs));
+  return target.count() == 0 || now + needed < call.arrived_at_ + target;
+}
+
+// Latest time at which room is still of use to the caller.
+TimePoint WaitLimit(const ActiveCall& call) {
+  return std::min(call.arrived_at_ + kMostWait, call.deadline_);
+}
+
+}  // namespace
+
+void Wait(Step& step, ActiveCall& call) {
+  if (!call.waiting_) {
+    ++step.dispatcher_.counters_.waits_;
+    call.waiting_ = true;
+    step.dispatcher_.waiting_.push_back(call.id_);
+    step.actions_.emplace_back(core::LogEvent{
+        "request_waits",
+        {{"request", call.call_.label_},
+         {"pool", call.pool_},
+         {"waiting", std::to_string(step.dispatcher_.waiting_.size())}}});
+  }
+  if (step.now_ >= WaitLimit(call) && !call.answer_begun_) {
+    FailCall(step, call, core::Reason::kOverloaded,
+             absl::StrCat("no decode engine of ", call.pool_, " has room"));
+  }
+}
+
+void PumpWaiting(Step& step) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  if (dispatcher.waiting_.empty()) {
+    return;
+  }
+  std::vector<RequestId> order;
+  order.swap(dispatcher.waiting_);
+  std::erase_if(order, [&dispatcher](const RequestId& id) {
+    const auto found = dispatcher.calls_.find(id);
+    return found == dispatcher.calls_.end() || !found->second.waiting_;
+  });
+  std::stable_partition(
+      order.begin(), order.end(), [&](const RequestId& id) {
+        return IsInTime(dispatcher.calls_.at(id), step.now_);
+      });
+  for (const RequestId& id : order) {
+    ActiveCall& call = dispatcher.calls_.at(id);
+    call.waiting_ = false;
+    call.reserves_ = 0;
+    SeekDecode(step, call);
+  }
+}
+
+}  // namespace siskindrum::dispatch
--- a/packages/gateway/include/siskindrum/gateway/dialect.h
+++ b/packages/gateway/include/siskindrum/gateway/dialect.h
@@ -21,9 +21,16 @@
   core::Milliseconds time_left_{0};  // Until the deadline.
   std::string source_address_;       // Of a prefill result; empty: none.
   std::string handle_;
+  std::string hold_;  // Of a reservation; empty: none.
   std::optional<std::uint64_t> resume_after_;
 };
 
+// A request of this system's own to a server.
+struct OwnRequest {
+  http::Head head_;
+  std::string body_;
+};
+
 // Whose answer it is, by its head.
 enum class AnswerOwner {
   kOurs,
@@ -61,7 +68,15 @@
   http::Head (*refusal_)(const core::Verdict& verdict,
                          const std::string& label) = nullptr;
   // Makes the request that frees a prefill result.
-  http::Head (*free_handle_)(const std::string& handle) = nullptr;
+  OwnRequest (*free_handle_)(const std::string& handle) = nullptr;
+  // Makes the request that reserves memory, reads its answer, and makes the
+  // request that gives the reservation back.
+  OwnRequest (*take_hold_)(const std::string& server,
+                           std::uint32_t tokens,
+                           core::Milliseconds time) = nullptr;
+  tl::expected<std::string, std::string> (*read_hold_)(std::string_view body) =
+      nullptr;
+  OwnRequest (*drop_hold_)(const std::string& hold) = nullptr;
 };
 
 }  // namespace siskindrum::gateway
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -50,7 +50,19 @@
       request_(std::move(request)),
       context_(context) {}
 
+std::string FormatOwnRequest(OwnRequest request) {
+  if (!request.body_.empty()) {
+    request.head_.fields_.push_back(
+        {"Content-Length", std::to_string(request.body_.size())});
+  }
+  return http::FormatRequestHead(request.head_) + request.body_;
+}
+
 std::string Exchange::RequestBytes(const dispatch::StartAttempt& start) const {
+  if (start.stage_ == Stage::kReserve) {
+    return FormatOwnRequest(context_.dialect_.take_hold_(
+        start.server_, start.hold_tokens_, start.hold_time_));
+  }
   const core::TimePoint now = http::MonotonicNow();
   SendFacts facts;
   facts.stage_ = start.stage_;
@@ -60,6 +72,7 @@
       std::chrono::duration_cast<core::Milliseconds>(start.deadline_ - now));
   facts.source_address_ = start.source_address_;
   facts.handle_ = start.handle_;
+  facts.hold_ = start.hold_;
   facts.resume_after_ = start.resume_after_;
   http::Head head = context_.dialect_.server_head_(request_.head_, facts);
   const bool has_body = !request_.body_.empty() || head.method_ == "POST" ||
@@ -89,7 +102,8 @@
   http::BackendCall call;
   call.address_ = start.address_;
   call.bytes_ = RequestBytes(start);
-  call.head_only_ = request_.head_.method_ == "HEAD";
+  call.head_only_ = start.stage_ != Stage::kReserve &&
+                    request_.head_.method_ == "HEAD";
   call.write_before_ = std::min(start.decided_at_ + dispatch::kDecisionAge +
                                     dispatch::kConnectTime,
                                 start.deadline_);
@@ -118,6 +132,10 @@
   if (attempt != start_.attempt_ || done_) {
     return http::AnswerUse::kFail;
   }
+  if (start_.stage_ == Stage::kReserve) {
+    answer_ = head;
+    return http::AnswerUse::kTake;
+  }
   const AnswerFacts facts = context_.dialect_.read_answer_(head, label_);
   if (facts.owner_ == AnswerOwner::kOther) {
     return http::AnswerUse::kSkip;
@@ -193,13 +211,32 @@
     return;
   }
   attempt_open_ = false;
-  if (start_.stage_ == Stage::kPrefill) {
+  if (start_.stage_ == Stage::kReserve) {
+    EndReserve(end);
+  } else if (start_.stage_ == Stage::kPrefill) {
     EndPrefill(end);
   } else {
     EndRun(end);
   }
 }
 
+void Exchange::EndReserve(const http::CallEnd& end) {
+  if (end.failure_ != http::CallFailure::kNone) {
+    ReportReserve(false, false, "",
+                  absl::StrCat(http::ToString(end.failure_), " ", end.detail_));
+    return;
+  }
+  constexpr int kNoRoom = 503;
+  if (!IsSuccess(*answer_)) {
+    ReportReserve(false, answer_->status_ == kNoRoom, "",
+                  absl::StrCat("status ", answer_->status_));
+    return;
+  }
+  const auto hold = context_.dialect_.read_hold_(body_);
+  ReportReserve(hold.has_value(), false, hold.value_or(""),
+                hold.has_value() ? "" : hold.error());
+}
+
 void Exchange::EndPrefill(const http::CallEnd& end) {
   if (end.failure_ != http::CallFailure::kNone) {
     ReportPrefill(false, false, end.sent_, "",
@@ -289,6 +326,14 @@
                                        handle, detail});
 }
 
+void Exchange::ReportReserve(bool ok,
+                             bool refused,
+                             const std::string& hold,
+                             const std::string& detail) {
+  context_.post_(dispatch::ReserveDone{id_, start_.attempt_, ok, refused, hold,
+                                       detail});
+}
+
 void Exchange::Refuse(const core::Verdict& verdict) {
   if (done_) {
     return;
@@ -330,7 +375,9 @@
   }
   attempt_open_ = false;
   call_.Cancel();
-  if (start_.stage_ == Stage::kPrefill) {
+  if (start_.stage_ == Stage::kReserve) {
+    ReportReserve(false, false, "", "no answer in time");
+  } else if (start_.stage_ == Stage::kPrefill) {
     ReportPrefill(false, false, true, "", "no result in time");
   } else {
     Report(AttemptOutcome::kFailed, RunState::kMayHaveRun, Reason::kDeadline,
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -20,6 +20,9 @@
   std::string body_;
 };
 
+// Writes a request of this system's own. Thread-safe: yes.
+std::string FormatOwnRequest(OwnRequest request);
+
 // What exchanges share.
 struct ExchangeContext {
   const Dialect& dialect_;
@@ -58,6 +61,7 @@
   http::AnswerUse OnHead(std::uint32_t attempt, const http::Head& head);
   void OnBody(std::uint32_t attempt, std::string_view data);
   void OnEnd(std::uint32_t attempt, const http::CallEnd& end);
+  void EndReserve(const http::CallEnd& end);
   void EndPrefill(const http::CallEnd& end);
   void EndRun(const http::CallEnd& end);
   void PassEvents(std::string_view data);
@@ -66,6 +70,10 @@
               core::RunState run_state,
               core::Reason reason,
               const std::string& detail);
+  void ReportReserve(bool ok,
+                     bool refused,
+                     const std::string& hold,
+                     const std::string& detail);
   void ReportPrefill(bool ok,
                      bool refused,
                      bool sent,
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -26,7 +26,7 @@
 // After a drain began: until balancers have surely seen that this entry is not
 // ready, and idle callers are let go.
 constexpr core::Milliseconds kDrainIdle{3000};
-constexpr core::Milliseconds kFreeHandleTime{2000};
+constexpr core::Milliseconds kOwnRequestTime{2000};
 
 core::Incarnation MakeIncarnation() {
   std::random_device random;
@@ -218,17 +218,32 @@
     }
   }
   void Do(const dispatch::FreeHandle& free) {
-    http::Head head = options_.dialect_.free_handle_(free.handle_);
+    SendOwn(free.address_, options_.dialect_.free_handle_(free.handle_),
+            "handle_not_freed");
+  }
+  void Do(const dispatch::DropHold& drop) {
+    SendOwn(drop.address_, options_.dialect_.drop_hold_(drop.hold_),
+            "hold_not_dropped");
+  }
+
+  // Sends a request of this system's own whose answer changes nothing.
+  void SendOwn(const std::string& address,
+               OwnRequest request,
+               const std::string& failure_event) {
     http::BackendCall call;
-    call.address_ = free.address_;
-    call.bytes_ = http::FormatRequestHead(head);
-    call.write_before_ = http::MonotonicNow() + kFreeHandleTime;
+    call.address_ = address;
+    const std::string target = request.head_.target_;
+    call.bytes_ = FormatOwnRequest(std::move(request));
+    call.write_before_ = http::MonotonicNow() + kOwnRequestTime;
     call.on_head_ = [](const http::Head&) { return http::AnswerUse::kTake; };
     call.on_body_ = [](std::string_view) {};
-    call.on_end_ = [this, handle = free.handle_](const http::CallEnd& end) {
+    call.on_end_ = [this, address, target,
+                    failure_event](const http::CallEnd& end) {
       if (end.failure_ != http::CallFailure::kNone) {
-        logs_.Add({"handle_not_freed",
-                   {{"handle", handle}, {"detail", end.detail_}}});
+        logs_.Add({failure_event,
+                   {{"address", address},
+                    {"target", target},
+                    {"detail", end.detail_}}});
       }
     };
     pool_.Send(std::move(call));
--- a/packages/rules/src/rules.cc
+++ b/packages/rules/src/rules.cc
@@ -351,7 +351,7 @@
       {words[1].text_, words[3].text_, line.number_});
 }
 
-// Reads: pool NAME slots=N memory=TOKENS connections=N
+// Reads: pool NAME slots=N memory=TOKENS connections=N hold=DURATION
 void ParsePoolLine(Parser& parser, const Line& line) {
   core::PoolFacts facts;
   facts.line_ = line.number_;
@@ -365,6 +365,10 @@
     AddError(parser, line, words[1].column_, "the pool stands twice");
   }
   for (auto word = words.begin() + 2; word != words.end(); ++word) {
+    if (word->key_ == "hold" && word->comparison_ == "=" &&
+        ParseDuration(word->value_, &facts.hold_)) {
+      continue;
+    }
     std::uint32_t* field = word->key_ == "slots"         ? &facts.slots_
                            : word->key_ == "memory"      ? &facts.memory_tokens_
                            : word->key_ == "connections" ? &facts.connections_
@@ -372,7 +376,7 @@
     if (field == nullptr || word->comparison_ != "=" ||
         !ParseCount(word->value_, kMaxTokens, field)) {
       AddError(parser, line, word->column_,
-               "expected slots=N, memory=TOKENS or connections=N");
+               "expected slots=N, memory=TOKENS, connections=N or hold=DURATION");
     }
   }
   parser.parsed_.rules_.pools_.push_back(std::move(facts));
