--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -68,14 +68,21 @@
 // afterwards.
 inline constexpr Milliseconds kMostWait{2500};
 inline constexpr std::size_t kMostReserves = 8;  // In a row for one request.
-// Share of an answer's expected tokens that are reserved besides the prompt.
-inline constexpr double kHoldAnswerShare = 1.0;
+// Room that must be left beside a reservation, as a share of an engine's
+// memory: answers in progress go on growing. A request that can no longer meet
+// its target leaves more, for those that still can.
+inline constexpr double kHeadroomInTime = 0.05;
+inline constexpr double kHeadroomLate = 0.25;
+// From the end of a prefill to the first event, beside the transfer.
+inline constexpr Milliseconds kFirstStep{60};
 
 inline constexpr int kConnectAttempts = 3;  // For one request; nothing is sent.
 
 // Advice to callers that are refused.
 inline constexpr Milliseconds kRetryNoServer{600};
 inline constexpr Milliseconds kRetryBusy{150};
+// About as long as a burst's answers take to end.
+inline constexpr Milliseconds kRetryOverloaded{2500};
 
 inline constexpr Milliseconds kTickInterval{20};
 inline constexpr std::size_t kExplainRecords = 2000;
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -16,7 +16,8 @@
 Milliseconds AdviceFor(core::Reason reason) {
   return reason == core::Reason::kNoServer || reason == core::Reason::kNotReady
              ? kRetryNoServer
-             : kRetryBusy;
+         : reason == core::Reason::kOverloaded ? kRetryOverloaded
+                                               : kRetryBusy;
 }
 
 void LogEnd(Step& step, const ActiveCall& call, const std::string& outcome,
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -59,6 +59,8 @@
 
 // waiting.cc: requests that wait for room at a decode engine.
 
+// True when a request that gets room now would still meet its target.
+bool IsInTime(const Step& step, const ActiveCall& call);
 // Lets the request wait, or refuses it when its turn would come too late.
 void Wait(Step& step, ActiveCall& call);
 // Looks again for room for those that wait, those first that can still be
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -103,9 +103,14 @@
   ++step.dispatcher_.counters_.reserves_;
   ++call.reserves_;
   StartAttempt start = BeginAttempt(step, call, Stage::kReserve, server);
-  start.hold_tokens_ = call.counted_held_;
-  start.hold_time_ = std::min(
-      kHoldTime, NeedOf(step, call).facts_->hold_);
+  const core::PoolFacts& facts = *NeedOf(step, call).facts_;
+  const double headroom =
+      IsInTime(step, call) ? kHeadroomInTime : kHeadroomLate;
+  start.hold_tokens_ =
+      std::min(facts.memory_tokens_,
+               call.counted_held_ + static_cast<std::uint32_t>(
+                                        headroom * facts.memory_tokens_));
+  start.hold_time_ = std::min(kHoldTime, facts.hold_);
   start.patience_ = kHoldPatience;
   step.actions_.emplace_back(std::move(start));
 }
@@ -136,8 +141,7 @@
   }
   call.decode_server_ = server->info_.name_;
   call.counted_held_ =
-      need.prompt_tokens_ +
-      static_cast<std::uint32_t>(kHoldAnswerShare * need.answer_tokens_);
+      need.prompt_tokens_ + need.answer_tokens_;
   server->held_tokens_ += call.counted_held_;
   const bool can_reserve =
       need.facts_ != nullptr && need.facts_->hold_.count() > 0;
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -7,15 +7,6 @@
 
 namespace {
 
-// True when a request that gets room now would still meet its target.
-bool IsInTime(const ActiveCall& call, TimePoint now) {
-  const Milliseconds target = call.rule_->outcome_.first_token_;
-  const Milliseconds needed(static_cast<std::int64_t>(
-      kPrefillOverheadMs + kTransferMs +
-      call.call_.shape_.prompt_tokens_ / kPrefillTokensPerMs));
-  return target.count() == 0 || now + needed < call.arrived_at_ + target;
-}
-
 // Latest time at which room is still of use to the caller.
 TimePoint WaitLimit(const ActiveCall& call) {
   return std::min(call.arrived_at_ + kMostWait, call.deadline_);
@@ -23,6 +14,25 @@
 
 }  // namespace
 
+bool IsInTime(const Step& step, const ActiveCall& call) {
+  const Milliseconds target = call.rule_->outcome_.first_token_;
+  if (target.count() == 0 || call.answer_begun_) {
+    return true;
+  }
+  const EnginePlan plan =
+      PlaceEngines(step.dispatcher_.pool_, NeedOf(step, call), step.now_);
+  const KnownServer* prefill =
+      FindServer(step.dispatcher_.pool_, plan.prefill_);
+  const double prefill_ms =
+      prefill == nullptr
+          ? kDirectPrefillFactor * kPrefillOverheadMs
+          : PrefillMs(*prefill, call.call_.shape_.prompt_tokens_);
+  const Milliseconds needed =
+      Milliseconds(static_cast<std::int64_t>(prefill_ms + kTransferMs)) +
+      kFirstStep;
+  return step.now_ + needed < call.arrived_at_ + target;
+}
+
 void Wait(Step& step, ActiveCall& call) {
   if (!call.waiting_) {
     ++step.dispatcher_.counters_.waits_;
@@ -53,7 +63,7 @@
   });
   std::stable_partition(
       order.begin(), order.end(), [&](const RequestId& id) {
-        return IsInTime(dispatcher.calls_.at(id), step.now_);
+        return IsInTime(step, dispatcher.calls_.at(id));
       });
   for (const RequestId& id : order) {
     ActiveCall& call = dispatcher.calls_.at(id);
