--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -68,11 +68,10 @@
 // afterwards.
 inline constexpr Milliseconds kMostWait{2500};
 inline constexpr std::size_t kMostReserves = 8;  // In a row for one request.
-// Room that must be left beside a reservation, as a share of an engine's
-// memory: answers in progress go on growing. A request that can no longer meet
-// its target leaves more, for those that still can.
-inline constexpr double kHeadroomInTime = 0.05;
-inline constexpr double kHeadroomLate = 0.25;
+// Share of an answer's expected tokens that are reserved besides the prompt. A
+// reservation stays with its answer, so that more than it needs is lost to
+// others until its end.
+inline constexpr double kHoldAnswerShare = 1.0;
 // From the end of a prefill to the first event, beside the transfer.
 inline constexpr Milliseconds kFirstStep{60};
 
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -104,12 +104,9 @@
   ++call.reserves_;
   StartAttempt start = BeginAttempt(step, call, Stage::kReserve, server);
   const core::PoolFacts& facts = *NeedOf(step, call).facts_;
-  const double headroom =
-      IsInTime(step, call) ? kHeadroomInTime : kHeadroomLate;
   start.hold_tokens_ =
-      std::min(facts.memory_tokens_,
-               call.counted_held_ + static_cast<std::uint32_t>(
-                                        headroom * facts.memory_tokens_));
+      call.call_.shape_.prompt_tokens_ +
+      static_cast<std::uint32_t>(kHoldAnswerShare * call.call_.answer_tokens_);
   start.hold_time_ = std::min(kHoldTime, facts.hold_);
   start.patience_ = kHoldPatience;
   step.actions_.emplace_back(std::move(start));
