Leave room to requests that can still be in time

Change: while a request in time finds no room, late ones get none and are refused at once, to come back after 4.5 s; those that wait go by the room and time that their answers take.

--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -39,6 +39,8 @@
   bool sent_before_ = false;  // A further send is a repeat.
   RunState run_state_ = RunState::kNotRun;
   bool answer_begun_ = false;
+  TimePoint begun_at_{};
+  TimePoint room_at_{};  // When a decode engine had room; epoch: not yet.
   bool error_kept_ = false;
   std::vector<std::string> avoid_;
   // Of the decode engine chosen for it.
@@ -90,6 +92,7 @@
   ServerPool pool_;
   RepeatBudget budget_;
   std::vector<RequestId> waiting_;  // For room, as they came.
+  TimePoint tight_until_{};  // Room goes to requests in time only.
   std::unordered_map<RequestId, ActiveCall, core::RequestIdHash> calls_;
   std::unordered_map<std::string, core::DecisionRecord> decisions_;  // By label.
   std::deque<std::string> decision_order_;
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -64,6 +64,9 @@
 inline constexpr Milliseconds kHoldMargin{100};
 // After an engine had no room, unless an answer of this entry ends there.
 inline constexpr Milliseconds kFullPause{60};
+// After a request that could still be in time found no room, those that are
+// late anyway get none.
+inline constexpr Milliseconds kTightTime{500};
 // Longest wait for room; callers give up on a stream that has not begun soon
 // afterwards.
 inline constexpr Milliseconds kMostWait{2500};
@@ -81,7 +84,7 @@
 inline constexpr Milliseconds kRetryNoServer{600};
 inline constexpr Milliseconds kRetryBusy{150};
 // About as long as a burst's answers take to end.
-inline constexpr Milliseconds kRetryOverloaded{2500};
+inline constexpr Milliseconds kRetryOverloaded{4500};
 
 inline constexpr Milliseconds kTickInterval{20};
 inline constexpr std::size_t kExplainRecords = 2000;
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -34,7 +34,15 @@
                                        : call.configuration_->revision_)},
        {"server", call.server_},
        {"sends", std::to_string(call.sends_)},
-       {"ms", FormatMs(step.now_ - call.arrived_at_)}}};
+       {"ms", FormatMs(step.now_ - call.arrived_at_)},
+       {"left_ms", std::to_string(call.call_.time_left_.count())}}};
+  if (call.room_at_ != TimePoint{}) {
+    log.fields_.push_back({"room_ms", FormatMs(call.room_at_ - call.arrived_at_)});
+  }
+  if (call.answer_begun_) {
+    log.fields_.push_back(
+        {"first_ms", FormatMs(call.begun_at_ - call.arrived_at_)});
+  }
   if (!detail.empty()) {
     log.fields_.push_back({"detail", detail});
   }
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -157,6 +157,9 @@
       NoteAlive(*server);
     }
     call.hold_ = event.hold_;
+    if (call.room_at_ == TimePoint{}) {
+      call.room_at_ = step.now_;
+    }
     call.hold_until_ = step.now_ + kHoldTime;
     call.reserves_ = 0;
     SendOn(step, call);
@@ -220,6 +223,9 @@
         std::min(server->prefill_tokens_, call.counted_prefill_);
   }
   call.counted_prefill_ = 0;
+  if (!call.answer_begun_) {
+    call.begun_at_ = step.now_;
+  }
   call.answer_begun_ = true;
   call.run_state_ = RunState::kRan;
 }
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -7,6 +7,12 @@
 
 namespace {
 
+// Memory that an answer takes, times how long it takes it, up to a factor.
+double RoomTime(const ActiveCall& call) {
+  const double answer = std::max(1U, call.call_.answer_tokens_);
+  return (call.call_.shape_.prompt_tokens_ + answer / 2) * answer;
+}
+
 // Latest time at which room is still of use to the caller.
 TimePoint WaitLimit(const ActiveCall& call) {
   return std::min(call.arrived_at_ + kMostWait, call.deadline_);
@@ -44,7 +50,14 @@
          {"pool", call.pool_},
          {"waiting", std::to_string(step.dispatcher_.waiting_.size())}}});
   }
-  if (step.now_ >= WaitLimit(call) && !call.answer_begun_) {
+  const bool in_time = IsInTime(step, call);
+  if (in_time) {
+    step.dispatcher_.tight_until_ = step.now_ + kTightTime;
+  }
+  const bool hopeless =
+      step.now_ >= WaitLimit(call) ||
+      (!in_time && step.now_ < step.dispatcher_.tight_until_);
+  if (hopeless && !call.answer_begun_) {
     FailCall(step, call, core::Reason::kOverloaded,
              absl::StrCat("no decode engine of ", call.pool_, " has room"));
   }
@@ -61,15 +74,24 @@
     const auto found = dispatcher.calls_.find(id);
     return found == dispatcher.calls_.end() || !found->second.waiting_;
   });
-  std::stable_partition(
+  const auto late = std::stable_partition(
       order.begin(), order.end(), [&](const RequestId& id) {
         return IsInTime(step, dispatcher.calls_.at(id));
       });
+  std::stable_sort(order.begin(), late,
+                   [&](const RequestId& a, const RequestId& b) {
+                     return RoomTime(dispatcher.calls_.at(a)) <
+                            RoomTime(dispatcher.calls_.at(b));
+                   });
   for (const RequestId& id : order) {
     ActiveCall& call = dispatcher.calls_.at(id);
     call.waiting_ = false;
     call.reserves_ = 0;
-    SeekDecode(step, call);
+    if (step.now_ < dispatcher.tight_until_ && !IsInTime(step, call)) {
+      Wait(step, call);
+    } else {
+      SeekDecode(step, call);
+    }
   }
 }
 
