--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -84,7 +84,7 @@
 inline constexpr Milliseconds kRetryNoServer{600};
 inline constexpr Milliseconds kRetryBusy{150};
 // About as long as a burst's answers take to end.
-inline constexpr Milliseconds kRetryOverloaded{4500};
+inline constexpr Milliseconds kRetryOverloaded{8000};
 
 inline constexpr Milliseconds kTickInterval{20};
 inline constexpr std::size_t kExplainRecords = 2000;
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -115,6 +115,11 @@
 // Starts over at a decode engine that prefills itself: what was read elsewhere
 // is gone, or the answer goes on from its middle.
 void SendDirect(Step& step, ActiveCall& call) {
+  if (call.sends_ > call.rule_->outcome_.retries_) {
+    FailCall(step, call, core::Reason::kRetriesExhausted,
+             "no attempt is left by the rule");
+    return;
+  }
   call.direct_ = true;
   call.reserves_ = 0;
   SeekDecode(step, call);
--- /dev/null
+++ b/packages/dispatch/test/call_test.cc
@@ -0,0 +1,174 @@
+#define BOOST_TEST_MODULE dispatch
+#include <boost/test/unit_test.hpp>
+
+#include "site.h"
+#include "siskindrum/dispatch/limits.h"
+
+namespace siskindrum::dispatch {
+namespace {
+
+BOOST_FIXTURE_TEST_SUITE(PlainCalls, Site)
+
+BOOST_AUTO_TEST_CASE(Booking_WhenAByteMayHaveLeft_IsNeverSentAgain) {
+  const RequestId id = Arrive("/book/1");
+  Done(id, AttemptOutcome::kFailed, RunState::kMayHaveRun);
+  BOOST_TEST(Starts(id, Stage::kPlain) == 1U);
+  BOOST_TEST((Verdict(id).run_state_ == RunState::kMayHaveRun));
+}
+
+BOOST_AUTO_TEST_CASE(Booking_WhenNothingWasSent_GoesToAnotherServer) {
+  const RequestId id = Arrive("/book/1");
+  const std::string first = Last(id).server_;
+  Done(id, AttemptOutcome::kFailed, RunState::kNotRun);
+  BOOST_TEST(Starts(id, Stage::kPlain) == 2U);
+  BOOST_TEST(Last(id).server_ != first);
+}
+
+BOOST_AUTO_TEST_CASE(Booking_WhenTheServerRefusesIt_IsToldNotRunWithAdvice) {
+  const RequestId id = Arrive("/book/1");
+  Done(id, AttemptOutcome::kRefused, RunState::kNotRun);
+  BOOST_TEST((Verdict(id).run_state_ == RunState::kNotRun));
+  BOOST_TEST(Verdict(id).retry_after_.count() > 0);
+}
+
+BOOST_AUTO_TEST_CASE(Booking_WhenItsTimeIsOver_IsNotCalledNotRun) {
+  const RequestId id = Arrive("/book/1");
+  Pass(Milliseconds(900));
+  BOOST_TEST((Verdict(id).run_state_ == RunState::kMayHaveRun));
+  BOOST_TEST((Verdict(id).reason_ == core::Reason::kDeadline));
+}
+
+BOOST_AUTO_TEST_CASE(Booking_WhenTheServerFailsIt_KeepsThatAnswer) {
+  const RequestId id = Arrive("/book/1");
+  Done(id, AttemptOutcome::kServerError, RunState::kRan);
+  BOOST_TEST(kept_.size() == 1U);
+  BOOST_TEST(!IsRefused(id));
+}
+
+BOOST_AUTO_TEST_CASE(Read_WhenTheAnswerIsLost_IsSentAgainAsTheRuleAllows) {
+  const RequestId id = Arrive("/read/1");
+  const std::string first = Last(id).server_;
+  Done(id, AttemptOutcome::kFailed);
+  BOOST_TEST(Last(id).server_ != first);
+  Done(id, AttemptOutcome::kFailed);
+  BOOST_TEST(Starts(id, Stage::kPlain) == 2U);
+  BOOST_TEST((Verdict(id).run_state_ == RunState::kMayHaveRun));
+}
+
+BOOST_AUTO_TEST_CASE(Read_WhenRepeatedWithoutSuccess_GetsTheServersOwnError) {
+  const RequestId id = Arrive("/read/1");
+  Done(id, AttemptOutcome::kServerError, RunState::kRan);
+  BOOST_TEST(kept_.empty());
+  Done(id, AttemptOutcome::kFailed);
+  BOOST_TEST(kept_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Reads_WhenAllFail_RepeatWithinTheBudget) {
+  std::size_t sends = 0;
+  constexpr std::size_t kCalls = 200;
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    const RequestId id = Arrive("/read/1");
+    while (!IsRefused(id)) {
+      Done(id, AttemptOutcome::kFailed);
+    }
+    sends += Starts(id, Stage::kPlain);
+  }
+  // A fifth of the calls is the bound over all entries together.
+  BOOST_TEST(sends - kCalls <= kCalls / 5);
+  BOOST_TEST(sends - kCalls >= kCalls / 10);
+}
+
+BOOST_AUTO_TEST_CASE(Caller_WhenItLeaves_IsForgotten) {
+  const RequestId id = Arrive("/read/1");
+  Handle(CallerLeft{id});
+  BOOST_TEST(dispatcher_.calls_.empty());
+  BOOST_TEST(dispatcher_.pool_.servers_.at(Last(id).server_).calls_ == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Request_WhenNoRuleRoutesIt_IsRefusedByTheRule) {
+  const RequestId id = Arrive("/nowhere/1");
+  BOOST_TEST((Verdict(id).reason_ == core::Reason::kRefusedByRule));
+}
+
+BOOST_AUTO_TEST_CASE(Calls_WhenOneServerIsSilent_GoToTheOthers) {
+  const RequestId silent = Arrive("/book/1");
+  const std::string dead = Last(silent).server_;
+  Pass(Milliseconds(400));
+  std::size_t to_dead = 0;
+  for (int i = 0; i < 20; ++i) {
+    const RequestId id = Arrive("/book/2");
+    to_dead += Last(id).server_ == dead ? 1 : 0;
+    Done(id, AttemptOutcome::kDelivered, RunState::kRan);
+  }
+  BOOST_TEST(to_dead == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(Servers, Site)
+
+BOOST_AUTO_TEST_CASE(Server_WhenItSaysThatItLeaves_GetsNothingNew) {
+  Leave(Plain("s1"));
+  Leave(Plain("s2"));
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(Last(Arrive("/book/1")).server_ == "s3");
+  }
+  Leave(Plain("s3"));
+  BOOST_TEST((Verdict(Arrive("/book/1")).reason_ == core::Reason::kNoServer));
+}
+
+BOOST_AUTO_TEST_CASE(Server_WhenItVanishes_IsTheLastResortAndNotForLong) {
+  Remove("s1");
+  BOOST_TEST(Last(Arrive("/book/1")).server_ != "s1");
+  Remove("s2");
+  Remove("s3");
+  BOOST_TEST(!IsRefused(Arrive("/book/1")));
+  // Two seconds after its entry is gone a server must get nothing new.
+  Pass(Milliseconds(1900));
+  BOOST_TEST(IsRefused(Arrive("/book/1")));
+}
+
+BOOST_AUTO_TEST_CASE(Server_WhenItIsBackInTheList_ServesAgain) {
+  for (const char* name : {"s1", "s2", "s3"}) {
+    Remove(name);
+  }
+  Pass(Milliseconds(3000));
+  List({Plain("s2")}, false);
+  BOOST_TEST(Last(Arrive("/book/1")).server_ == "s2");
+}
+
+BOOST_AUTO_TEST_CASE(Server_WhenItSaidThatItLeaves_IsNotRevivedByVanishing) {
+  Leave(Plain("s1"));
+  Remove("s1");
+  Remove("s2");
+  Remove("s3");
+  for (int i = 0; i < 9; ++i) {
+    BOOST_TEST(Last(Arrive("/book/1")).server_ != "s1");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(WholeList_WhenAServerIsMissing_CountsItAsVanished) {
+  List({Plain("s1")}, true);
+  for (int i = 0; i < 9; ++i) {
+    BOOST_TEST(Last(Arrive("/book/1")).server_ == "s1");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Entry_WhenItHasRulesAndAList_IsReadyUntilItDrains) {
+  BOOST_TEST(ready_);
+  Handle(DrainBegan{});
+  BOOST_TEST(!ready_);
+  BOOST_TEST(!IsRefused(Arrive("/book/1")));
+}
+
+BOOST_AUTO_TEST_CASE(Configuration_WhenOlder_ChangesNothing) {
+  Configure(5, "default then refuse # asked by Ann\n");
+  Configure(4, kRules);
+  BOOST_TEST((Verdict(Arrive("/book/1")).reason_ ==
+              core::Reason::kRefusedByRule));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace siskindrum::dispatch
--- /dev/null
+++ b/packages/dispatch/test/engine_call_test.cc
@@ -0,0 +1,161 @@
+#include <boost/test/unit_test.hpp>
+
+#include "site.h"
+#include "siskindrum/dispatch/limits.h"
+
+namespace siskindrum::dispatch {
+namespace {
+
+struct EngineFixture : Site {
+  // A request whose answer has begun.
+  RequestId Answering(const std::string& path) {
+    const RequestId id = Arrive(path);
+    Reserve(id, true);
+    Prefill(id, true);
+    Begin(id);
+    return id;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(EngineCalls, EngineFixture)
+
+BOOST_AUTO_TEST_CASE(Request_WhenThereIsRoom_ReservesThenPrefillsThenDecodes) {
+  const RequestId id = Arrive("/stream/1");
+  BOOST_TEST((Last(id).stage_ == Stage::kReserve));
+  const std::string decode = Last(id).server_;
+  BOOST_TEST(Last(id).hold_tokens_ == 5700U);
+  Reserve(id, true);
+  BOOST_TEST((Last(id).stage_ == Stage::kPrefill));
+  const std::string prefill = Last(id).address_;
+  Prefill(id, true);
+  BOOST_TEST((Last(id).stage_ == Stage::kDecode));
+  BOOST_TEST(Last(id).server_ == decode);
+  BOOST_TEST(Last(id).source_address_ == prefill);
+  BOOST_TEST(Last(id).handle_ == "kv");
+  BOOST_TEST(Last(id).hold_ == "hold");
+}
+
+BOOST_AUTO_TEST_CASE(Request_WhenNoEngineHasRoom_IsNotPrefilledInVain) {
+  const RequestId id = Arrive("/stream/1");
+  for (int i = 0; i < 3; ++i) {
+    Reserve(id, false);
+  }
+  BOOST_TEST(Starts(id, Stage::kPrefill) == 0U);
+  BOOST_TEST(!IsRefused(id));
+  BOOST_TEST(dispatcher_.waiting_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Prefill_WhenItFails_LeavesItToTheDecodeEngine) {
+  const RequestId id = Arrive("/stream/1");
+  Reserve(id, true);
+  Prefill(id, false);
+  BOOST_TEST((Last(id).stage_ == Stage::kDecode));
+  BOOST_TEST(Last(id).handle_.empty());
+  BOOST_TEST(Last(id).hold_ == "hold");
+}
+
+BOOST_AUTO_TEST_CASE(Prefill_WhenRefused_CountsAsTheOnlyAttempt) {
+  const RequestId id = Arrive("/stream/1");
+  Reserve(id, true);
+  Prefill(id, false, true);
+  BOOST_TEST((Verdict(id).run_state_ == RunState::kNotRun));
+  BOOST_TEST(dropped_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Handle_WhenItIsGone_IsFollowedByADecodeThatPrefills) {
+  const RequestId id = Arrive("/resume/1");
+  Reserve(id, true);
+  Prefill(id, true);
+  Done(id, AttemptOutcome::kRefused, RunState::kNotRun);
+  Reserve(id, true);
+  BOOST_TEST((Last(id).stage_ == Stage::kDecode));
+  BOOST_TEST(Last(id).handle_.empty());
+  BOOST_TEST(Starts(id, Stage::kPrefill) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Stream_WhenItMayNotResume_IsCutAndNotRunTwice) {
+  const RequestId id = Answering("/stream/1");
+  Done(id, AttemptOutcome::kFailed, RunState::kMayHaveRun, 3);
+  BOOST_TEST(Starts(id, Stage::kDecode) == 1U);
+  BOOST_TEST((Verdict(id).run_state_ == RunState::kRan));
+}
+
+BOOST_AUTO_TEST_CASE(Stream_WhenItMayResume_GoesOnBehindTheLastEvent) {
+  const RequestId id = Answering("/resume/1");
+  const std::string first = Last(id).server_;
+  Done(id, AttemptOutcome::kFailed, RunState::kMayHaveRun, 17);
+  Reserve(id, true);
+  BOOST_TEST((Last(id).stage_ == Stage::kDecode));
+  BOOST_TEST(Last(id).server_ != first);
+  BOOST_TEST(Last(id).resume_after_.value() == 17U);
+}
+
+BOOST_AUTO_TEST_CASE(Stream_WhenItFailsAsOftenAsTheRuleAllows_IsCut) {
+  const RequestId id = Answering("/resume/1");
+  Done(id, AttemptOutcome::kFailed, RunState::kMayHaveRun, 17);
+  Reserve(id, true);
+  Begin(id);
+  Done(id, AttemptOutcome::kFailed, RunState::kMayHaveRun, 20);
+  BOOST_TEST(Starts(id, Stage::kDecode) == 2U);
+  BOOST_TEST(IsRefused(id));
+}
+
+BOOST_AUTO_TEST_CASE(Stream_WhenTheCallerResumes_StartsBehindItsEvent) {
+  CallArrived arrived;
+  arrived.request_ = {1, 99};
+  arrived.call_.shape_.path_ = "/resume/1";
+  arrived.call_.last_event_ = 12;
+  arrived.arrived_at_ = now_;
+  Handle(arrived);
+  Reserve({1, 99}, true);
+  Prefill({1, 99}, true);
+  BOOST_TEST(Last({1, 99}).resume_after_.value() == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(Caller_WhenItLeavesAfterThePrefill_FreesWhatIsHeld) {
+  const RequestId id = Arrive("/stream/1");
+  Reserve(id, true);
+  Handle(CallerLeft{id});
+  BOOST_TEST(dropped_.size() == 1U);
+  BOOST_TEST(dispatcher_.calls_.empty());
+  for (const auto& [name, server] : dispatcher_.pool_.servers_) {
+    BOOST_TEST(server.calls_ == 0U);
+    BOOST_TEST(server.held_tokens_ == 0U);
+    BOOST_TEST(server.prefill_tokens_ == 0U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Engine_WhenItsReservationFails_IsPassedOver) {
+  const RequestId id = Arrive("/stream/1");
+  const std::string dead = Last(id).server_;
+  Handle(ReserveDone{id, Last(id).attempt_, false, false, "", "silent"});
+  BOOST_TEST(Last(id).server_ != dead);
+  for (int i = 0; i < 5; ++i) {
+    BOOST_TEST(Last(Arrive("/stream/1")).server_ != dead);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Prefills_WhenAllPrefillEnginesAreGone_RunAtDecodeEngines) {
+  Leave(Engine("p1", core::ServerRole::kPrefill));
+  Leave(Engine("p2", core::ServerRole::kPrefill));
+  const RequestId id = Arrive("/stream/1");
+  Reserve(id, true);
+  BOOST_TEST((Last(id).stage_ == Stage::kDecode));
+}
+
+BOOST_AUTO_TEST_CASE(Late_WhenAnAttemptIsAnsweredTwice_TheSecondIsIgnored) {
+  const RequestId id = Answering("/resume/1");
+  const std::uint32_t old_attempt = Last(id).attempt_;
+  Done(id, AttemptOutcome::kFailed, RunState::kMayHaveRun, 17);
+  AttemptDone late;
+  late.request_ = id;
+  late.attempt_ = old_attempt;
+  late.outcome_ = AttemptOutcome::kDelivered;
+  Handle(late);
+  BOOST_TEST(dispatcher_.calls_.contains(id));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace siskindrum::dispatch
--- /dev/null
+++ b/packages/dispatch/test/site.h
@@ -0,0 +1,181 @@
+#ifndef SISKINDRUM_DISPATCH_TEST_SITE_H_
+#define SISKINDRUM_DISPATCH_TEST_SITE_H_
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "siskindrum/dispatch/dispatcher.h"
+#include "siskindrum/rules/rules.h"
+
+namespace siskindrum::dispatch {
+
+// One entry on virtual time, with the engines p1, p2 (prefill), d1 to d3
+// (decode) and the plain servers s1 to s3.
+struct Site {
+  static constexpr char kRules[] =
+      "pool engines slots=64 memory=60000 hold=2000ms # asked by Ann\n"
+      "when path=/resume/* then pool=engines resume=allowed retries=1 "
+      "first_token=900ms timeout=14s # asked by Bo\n"
+      "when path=/stream/* then pool=engines resume=never retries=0 "
+      "first_token=900ms timeout=14s # asked by Cy\n"
+      "when path=/book/* then pool=desk plain repeat=never retries=0 "
+      "timeout=800ms # asked by Di\n"
+      "when path=/read/* then pool=desk plain repeat=allowed retries=1 "
+      "timeout=800ms # asked by Ed\n"
+      "default then refuse # asked by Flo\n";
+
+  Site() : dispatcher_(MakeDispatcher({"entry-1", "east", 1, 1})) {
+    Configure(1, kRules);
+    std::vector<core::ServerInfo> list;
+    for (const char* name : {"p1", "p2"}) {
+      list.push_back(Engine(name, core::ServerRole::kPrefill));
+    }
+    for (const char* name : {"d1", "d2", "d3"}) {
+      list.push_back(Engine(name, core::ServerRole::kDecode));
+    }
+    for (const char* name : {"s1", "s2", "s3"}) {
+      list.push_back(Plain(name));
+    }
+    List(list, true);
+  }
+
+  static core::ServerInfo Engine(const std::string& name,
+                                 core::ServerRole role) {
+    core::ServerInfo info;
+    info.name_ = name;
+    info.address_ = name + ":1";
+    info.service_ = "engines";
+    info.domain_ = "east";
+    info.role_ = role;
+    info.slots_ = 64;
+    return info;
+  }
+  static core::ServerInfo Plain(const std::string& name) {
+    core::ServerInfo info = Engine(name, core::ServerRole::kPlain);
+    info.service_ = "desk";
+    info.slots_ = 6;
+    return info;
+  }
+
+  void Configure(std::uint64_t revision, const std::string& rules) {
+    Handle(ConfigurationRead{*rules::MakeConfiguration(revision, rules),
+                             "test"});
+  }
+  void List(const std::vector<core::ServerInfo>& seen, bool whole) {
+    Handle(ListSeen{{seen, {}, whole}});
+  }
+  void Remove(const std::string& name) {
+    Handle(ListSeen{{{}, {name}, false}});
+  }
+  void Leave(core::ServerInfo info) {
+    info.leaving_ = true;
+    List({info}, false);
+  }
+
+  void Handle(const Event& event) {
+    std::vector<Action> actions;
+    HandleEvent(dispatcher_, event, now_, actions);
+    for (Action& action : actions) {
+      Take(action);
+    }
+  }
+  // Lets time pass in ticks.
+  void Pass(Milliseconds time) {
+    const TimePoint until = now_ + time;
+    while (now_ < until) {
+      now_ += std::min<core::Nanoseconds>(Milliseconds(20), until - now_);
+      Handle(Ticked{});
+    }
+  }
+
+  RequestId Arrive(const std::string& path,
+                   std::uint32_t prompt = 5000,
+                   std::uint32_t answer = 700) {
+    CallArrived arrived;
+    arrived.request_ = {1, ++requests_};
+    arrived.call_.shape_.path_ = path;
+    arrived.call_.shape_.prompt_tokens_ = prompt;
+    arrived.call_.answer_tokens_ = answer;
+    arrived.call_.label_ = "r" + std::to_string(requests_);
+    arrived.call_.time_left_ = Milliseconds(14000);
+    arrived.arrived_at_ = now_;
+    Handle(arrived);
+    return arrived.request_;
+  }
+
+  // The attempt that the request is in. Requires: there was one.
+  const StartAttempt& Last(const RequestId& id) const {
+    return starts_.at(id).back();
+  }
+  std::size_t Starts(const RequestId& id, Stage stage) const {
+    const auto found = starts_.find(id);
+    return found == starts_.end()
+               ? 0
+               : static_cast<std::size_t>(std::count_if(
+                     found->second.begin(), found->second.end(),
+                     [stage](const StartAttempt& one) {
+                       return one.stage_ == stage;
+                     }));
+  }
+  bool IsRefused(const RequestId& id) const { return refused_.contains(id); }
+  const core::Verdict& Verdict(const RequestId& id) const {
+    return refused_.at(id);
+  }
+
+  void Reserve(const RequestId& id, bool ok) {
+    Handle(ReserveDone{id, Last(id).attempt_, ok, !ok, ok ? "hold" : "", ""});
+  }
+  void Prefill(const RequestId& id, bool ok, bool refused = false) {
+    Handle(PrefillDone{id, Last(id).attempt_, ok, refused, true,
+                       ok ? "kv" : "", ""});
+  }
+  void Begin(const RequestId& id) {
+    Handle(AnswerBegan{id, Last(id).attempt_});
+  }
+  void Done(const RequestId& id,
+            AttemptOutcome outcome,
+            RunState run_state = RunState::kMayHaveRun,
+            std::optional<std::uint64_t> last_event = std::nullopt) {
+    AttemptDone done;
+    done.request_ = id;
+    done.attempt_ = Last(id).attempt_;
+    done.outcome_ = outcome;
+    done.run_state_ = run_state;
+    done.reason_ = core::Reason::kConnectionLost;
+    done.last_event_ = last_event;
+    Handle(done);
+  }
+
+  Dispatcher dispatcher_;
+  TimePoint now_{std::chrono::hours(1)};
+  std::uint64_t requests_ = 0;
+  std::map<RequestId, std::vector<StartAttempt>> starts_;
+  std::map<RequestId, core::Verdict> refused_;
+  std::vector<RequestId> kept_;
+  std::vector<std::string> freed_;    // Prefill results.
+  std::vector<std::string> dropped_;  // Reservations.
+  bool ready_ = false;
+
+ private:
+  void Take(const Action& action) {
+    if (const auto* start = std::get_if<StartAttempt>(&action)) {
+      starts_[start->request_].push_back(*start);
+    } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
+      refused_[refuse->request_] = refuse->verdict_;
+    } else if (const auto* kept = std::get_if<DeliverKept>(&action)) {
+      kept_.push_back(kept->request_);
+    } else if (const auto* free = std::get_if<FreeHandle>(&action)) {
+      freed_.push_back(free->handle_);
+    } else if (const auto* drop = std::get_if<DropHold>(&action)) {
+      dropped_.push_back(drop->hold_);
+    } else if (const auto* ready = std::get_if<ReadyChanged>(&action)) {
+      ready_ = ready->ready_;
+    }
+  }
+};
+
+}  // namespace siskindrum::dispatch
+
+#endif  // SISKINDRUM_DISPATCH_TEST_SITE_H_
--- /dev/null
+++ b/packages/gateway/test/gateway_test.cc
@@ -0,0 +1,336 @@
+#define BOOST_TEST_MODULE gateway
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <future>
+#include <mutex>
+#include <set>
+
+#include <boost/asio/post.hpp>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "loopback.h"
+#include "siskindrum/gateway/event_splitter.h"
+#include "siskindrum/gateway/gateway.h"
+#include "siskindrum/rules/rules.h"
+
+namespace siskindrum::gateway {
+namespace {
+
+// A wire of the tests' own: Id names a request, Mark proves its server.
+Dialect TestDialect() {
+  Dialect dialect;
+  dialect.read_call_ = [](const http::Head& head)
+      -> tl::expected<dispatch::CallerCall, std::string> {
+    const std::string* id = http::FindField(head, "Id");
+    if (id == nullptr) {
+      return tl::unexpected(std::string("expected an Id"));
+    }
+    dispatch::CallerCall call;
+    call.label_ = *id;
+    call.shape_.path_ = head.target_;
+    call.shape_.prompt_tokens_ = 100;
+    return call;
+  };
+  dialect.server_head_ = [](const http::Head& caller, const SendFacts& facts) {
+    http::Head head = caller;
+    http::RemoveConnectionFields(head);
+    head.fields_.push_back({"Stage", dispatch::ToString(facts.stage_)});
+    head.fields_.push_back({"Handle", facts.handle_});
+    if (facts.resume_after_.has_value()) {
+      head.fields_.push_back({"After", std::to_string(*facts.resume_after_)});
+    }
+    return head;
+  };
+  dialect.read_answer_ = [](const http::Head& head, const std::string& label) {
+    AnswerFacts facts;
+    const std::string* id = http::FindField(head, "Id");
+    if (id != nullptr) {
+      facts.owner_ = *id == label ? AnswerOwner::kOurs : AnswerOwner::kOther;
+    }
+    facts.not_run_ = http::FindField(head, "Not-Run") != nullptr;
+    facts.authentic_ = http::FindField(head, "Mark") != nullptr;
+    return facts;
+  };
+  dialect.read_prefill_ =
+      [](std::string_view body) -> tl::expected<PrefillResult, std::string> {
+    return PrefillResult{std::string(body), 0};
+  };
+  dialect.refusal_ = [](const core::Verdict& verdict, const std::string&) {
+    http::Head head;
+    head.status_ = verdict.run_state_ == core::RunState::kNotRun ? 503 : 502;
+    return head;
+  };
+  dialect.free_handle_ = [](const std::string& handle) {
+    OwnRequest request;
+    request.head_.method_ = "DELETE";
+    request.head_.target_ = "/free/" + handle;
+    return request;
+  };
+  dialect.drop_hold_ = dialect.free_handle_;
+  return dialect;
+}
+
+constexpr char kRules[] =
+    "when path=/once* then pool=plain plain repeat=never retries=0 "
+    "timeout=5s # asked by Ann\n"
+    "when path=/read* then pool=plain plain retries=1 timeout=5s "
+    "# asked by Bo\n"
+    "when path=/resume* then pool=engines resume=allowed retries=1 "
+    "timeout=5s # asked by Cy\n"
+    "when path=/stream* then pool=engines resume=never retries=0 "
+    "timeout=5s # asked by Di\n"
+    "default then refuse # asked by Ed\n";
+
+// A gateway on its own thread in front of scripted servers.
+struct GatewayFixture {
+  GatewayFixture() {
+    GatewayOptions options;
+    options.name_ = "entry";
+    options.domain_ = "east";
+    options.callers_address_ =
+        absl::StrCat("127.0.0.1:", port_ = FreePort());
+    options.drain_limit_ = core::Milliseconds(4000);
+    options.dialect_ = TestDialect();
+    gateway_ = std::make_unique<Gateway>(options);
+    BOOST_REQUIRE(gateway_->Start().has_value());
+    thread_ = std::thread([this] { gateway_->Run(); });
+    gateway_->Post(dispatch::ConfigurationRead{
+        *rules::MakeConfiguration(1, kRules), "test"});
+  }
+  ~GatewayFixture() {
+    boost::asio::post(gateway_->Context(),
+                      [this] { gateway_->Context().stop(); });
+    thread_.join();
+  }
+  static std::uint16_t FreePort() {
+    test::ScriptedServer server([](test::Peer&, int) {});
+    return server.Port();
+  }
+  void List(const std::string& name,
+            const std::string& pool,
+            core::ServerRole role,
+            const std::string& address) {
+    core::ServerInfo info;
+    info.name_ = name;
+    info.address_ = address;
+    info.service_ = pool;
+    info.domain_ = "east";
+    info.role_ = role;
+    gateway_->Post(dispatch::ListSeen{{{info}, {}, false}});
+  }
+  std::string Ask(const std::string& path, const std::string& body = "") const {
+    test::Peer peer = test::Peer::Connect(port_);
+    peer.Send(absl::StrCat("POST ", path, " HTTP/1.1\r\nHost: h\r\nId: 7\r\n",
+                           "Connection: close\r\nContent-Length: ", body.size(),
+                           "\r\n\r\n", body));
+    return peer.ReadAll();
+  }
+
+  std::uint16_t port_ = 0;
+  std::unique_ptr<Gateway> gateway_;
+  std::thread thread_;
+};
+
+std::string Answer(const std::string& fields, const std::string& body) {
+  return absl::StrCat("HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\n", fields,
+                      "Content-Length: ", body.size(), "\r\n\r\n", body);
+}
+
+std::string Events(int first, int last) {
+  std::string text;
+  for (int i = first; i <= last; ++i) {
+    absl::StrAppend(&text, "id: ", i, "\ndata: x\n\n");
+  }
+  return text;
+}
+
+constexpr char kStreamHead[] =
+    "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\nContent-Type: text/event-stream\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
+
+BOOST_FIXTURE_TEST_SUITE(Gateways, GatewayFixture)
+
+BOOST_AUTO_TEST_CASE(Call_WhenAnswered_ReturnsTheServersBytes) {
+  std::string request;
+  test::ScriptedServer server([&request](test::Peer& peer, int) {
+    request = peer.ReadUntil("tapes");
+    peer.Send(Answer("X-Own: 1\r\n", "done"));
+  });
+  List("s", "plain", core::ServerRole::kPlain, server.Address());
+  const std::string answer = Ask("/once", "tapes");
+  BOOST_TEST(answer.ends_with("\r\n\r\ndone"));
+  BOOST_TEST(absl::StrContains(answer, "X-Own: 1"));
+  BOOST_TEST(absl::StrContains(request, "POST /once HTTP/1.1"));
+}
+
+BOOST_AUTO_TEST_CASE(Booking_WhenTheConnectionIsLost_IsNotSentAgain) {
+  std::atomic<int> requests{0};
+  test::ScriptedServer server([&requests](test::Peer& peer, int) {
+    if (!peer.ReadUntil("\r\n\r\n").empty()) {
+      ++requests;
+    }
+  });
+  List("s", "plain", core::ServerRole::kPlain, server.Address());
+  BOOST_TEST(Ask("/once").starts_with("HTTP/1.1 502 "));
+  BOOST_TEST(requests == 1);
+}
+
+BOOST_AUTO_TEST_CASE(Answer_WhenItBearsNoMark_IsNotPassedOn) {
+  test::ScriptedServer server([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send("HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 4\r\n\r\nfake");
+  });
+  List("s", "plain", core::ServerRole::kPlain, server.Address());
+  BOOST_TEST(Ask("/once").starts_with("HTTP/1.1 502 "));
+}
+
+BOOST_AUTO_TEST_CASE(Refusal_WhenTheServerDoesNotSayNotRun_PromisesNothing) {
+  test::ScriptedServer server([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send("HTTP/1.1 503 Busy\r\nId: 7\r\nContent-Length: 0\r\n\r\n");
+  });
+  List("s", "plain", core::ServerRole::kPlain, server.Address());
+  BOOST_TEST(Ask("/once").starts_with("HTTP/1.1 502 "));
+}
+
+BOOST_AUTO_TEST_CASE(Refusal_WhenTheServerSaysNotRun_IsPassedOnAsSuch) {
+  test::ScriptedServer server([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  });
+  List("s", "plain", core::ServerRole::kPlain, server.Address());
+  BOOST_TEST(Ask("/once").starts_with("HTTP/1.1 503 "));
+}
+
+BOOST_AUTO_TEST_CASE(Read_WhenAnAnswerIsCut_ComesWholeFromAnother) {
+  test::ScriptedServer server([](test::Peer& peer, int connection) {
+    peer.ReadUntil("\r\n\r\n");
+    const std::string whole = Answer("", "whole");
+    peer.Send(connection == 0 ? whole.substr(0, whole.size() - 2) : whole);
+  });
+  List("s", "plain", core::ServerRole::kPlain, server.Address());
+  BOOST_TEST(Ask("/read").ends_with("\r\n\r\nwhole"));
+}
+
+BOOST_AUTO_TEST_CASE(Stream_WhenItBreaksWithinAnEvent_GoesOnAtAnother) {
+  std::string second;
+  // The first server sends three events and half of the fourth.
+  test::ScriptedServer first([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send(kStreamHead);
+    peer.Send(http::FormatChunk(Events(1, 3) + "id: 4\nda"));
+    std::this_thread::sleep_for(core::Milliseconds(50));
+    peer.Reset();
+  });
+  test::ScriptedServer other([&second](test::Peer& peer, int) {
+    second = peer.ReadUntil("\r\n\r\n");
+    peer.Send(kStreamHead);
+    peer.Send(http::FormatChunk(Events(4, 6)));
+    peer.Send(std::string(http::kLastChunk));
+    peer.ReadAll();
+  });
+  List("d1", "engines", core::ServerRole::kDecode, first.Address());
+  List("d2", "engines", core::ServerRole::kDecode, other.Address());
+  const std::string answer = Ask("/resume");
+  // Of two equal engines the first by name is chosen.
+  std::size_t at = 0;
+  for (int i = 1; i <= 6; ++i) {
+    const std::size_t found = answer.find(absl::StrCat("id: ", i, "\n"), at);
+    BOOST_TEST_INFO(answer);
+    BOOST_TEST(found != std::string::npos);
+    at = found;
+  }
+  BOOST_TEST(answer.ends_with(std::string(http::kLastChunk)));
+  BOOST_TEST(absl::StrContains(second, "After: 3"));
+}
+
+BOOST_AUTO_TEST_CASE(Stream_WhenItCannotGoOn_IsSeenToBeCut) {
+  test::ScriptedServer first([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send(kStreamHead);
+    peer.Send(http::FormatChunk(Events(1, 3)));
+    std::this_thread::sleep_for(core::Milliseconds(50));
+    peer.Reset();
+  });
+  List("d1", "engines", core::ServerRole::kDecode, first.Address());
+  const std::string answer = Ask("/stream");
+  BOOST_TEST(!answer.ends_with(std::string(http::kLastChunk)));
+}
+
+BOOST_AUTO_TEST_CASE(Caller_WhenItLeaves_EndsTheWorkAtTheServer) {
+  std::promise<bool> ended;
+  test::ScriptedServer server([&ended](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.ReadAll();
+    ended.set_value(!peer.TimedOut());
+  });
+  List("s", "plain", core::ServerRole::kPlain, server.Address());
+  {
+    test::Peer peer = test::Peer::Connect(port_);
+    peer.Send("POST /once HTTP/1.1\r\nHost: h\r\nId: 7\r\n"
+              "Content-Length: 0\r\n\r\n");
+    std::this_thread::sleep_for(core::Milliseconds(100));
+  }
+  BOOST_TEST(ended.get_future().get());
+}
+
+BOOST_AUTO_TEST_CASE(Request_WhenMalformed_IsRefusedAndNothingGoesOn) {
+  std::atomic<int> requests{0};
+  test::ScriptedServer server([&requests](test::Peer& peer, int) {
+    requests += peer.ReadUntil("\r\n\r\n").empty() ? 0 : 1;
+  });
+  List("s", "plain", core::ServerRole::kPlain, server.Address());
+  test::Peer peer = test::Peer::Connect(port_);
+  peer.Send(
+      "POST /once HTTP/1.1\r\nHost: h\r\nId: 7\r\nContent-Length: 5\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  BOOST_TEST(peer.ReadAll().starts_with("HTTP/1.1 400 "));
+  BOOST_TEST(requests == 0);
+}
+
+BOOST_AUTO_TEST_CASE(Drain_WhenARequestIsInProgress_LetsItEnd) {
+  test::ScriptedServer server([this](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    boost::asio::post(gateway_->Context(), [this] { gateway_->Drain(); });
+    std::this_thread::sleep_for(core::Milliseconds(500));
+    peer.Send(Answer("", "late"));
+  });
+  List("s", "plain", core::ServerRole::kPlain, server.Address());
+  const std::string answer = Ask("/once");
+  BOOST_TEST(answer.ends_with("late"));
+  BOOST_TEST(absl::StrContains(answer, "Connection: close"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+struct SplitterFixture {
+  EventSplitter splitter_;
+};
+
+BOOST_FIXTURE_TEST_SUITE(Splitter, SplitterFixture)
+
+BOOST_AUTO_TEST_CASE(TakeBytes_WhenAnEventComesInPieces_PassesItWhole) {
+  BOOST_TEST(TakeBytes(splitter_, "id: 1\nda").empty());
+  BOOST_TEST(TakeBytes(splitter_, "ta: x\n").empty());
+  BOOST_TEST(TakeBytes(splitter_, "\nid: 2\n") == "id: 1\ndata: x\n\n");
+  BOOST_TEST(splitter_.last_event_.value() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(TakeBytes_WhenEventsAreRepeated_PassesThemOnce) {
+  TakeBytes(splitter_, Events(1, 4));
+  DropPartial(splitter_);
+  BOOST_TEST(TakeBytes(splitter_, Events(3, 6)) == Events(5, 6));
+}
+
+BOOST_AUTO_TEST_CASE(TakeBytes_WhenLinesEndInCrLf_FindsTheEnd) {
+  BOOST_TEST(TakeBytes(splitter_, "id: 9\r\ndata: x\r\n\r\n").size() == 18U);
+  BOOST_TEST(splitter_.last_event_.value() == 9U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace siskindrum::gateway
--- a/packages/http/src/parser.cc
+++ b/packages/http/src/parser.cc
@@ -21,6 +21,23 @@
   bool head_done_ = false;
 };
 
+// True unless the head frames its body in two ways, or in one that this parser
+// does not know: whoever reads it next might see another end of the body.
+bool IsFramedOnce(const Head& head) {
+  int lengths = 0;
+  int encodings = 0;
+  for (const Field& field : head.fields_) {
+    lengths += SameName(field.name_, "Content-Length") ? 1 : 0;
+    if (SameName(field.name_, "Transfer-Encoding")) {
+      ++encodings;
+      if (!SameName(field.value_, "chunked")) {
+        return false;
+      }
+    }
+  }
+  return lengths + encodings <= 1;
+}
+
 // Adapts the callbacks of the library's parser.
 template <bool kIsRequest>
 class LibraryParser : public beast::http::basic_parser<kIsRequest> {
@@ -55,7 +72,11 @@
       reading_.head_.fields_.push_back({std::string(name), std::string(value)});
     }
   }
-  void on_header_impl(error_code& /*error*/) override {
+  void on_header_impl(error_code& error) override {
+    if (!IsFramedOnce(reading_.head_)) {
+      error = beast::http::error::bad_transfer_encoding;
+      return;
+    }
     reading_.head_done_ = true;
     if (reading_.sink_.on_head_) {
       reading_.sink_.on_head_();
--- /dev/null
+++ b/packages/http/test/backend_pool_test.cc
@@ -0,0 +1,213 @@
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <optional>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "loopback.h"
+#include "siskindrum/http/backend_pool.h"
+#include "siskindrum/http/clock.h"
+
+namespace siskindrum::http {
+namespace {
+
+struct Outcome {
+  std::optional<CallEnd> end_;
+  int status_ = 0;
+  std::string body_;
+};
+
+// Runs calls on the thread of the test against a scripted server.
+struct PoolFixture {
+  static constexpr char kRequest[] = "GET / HTTP/1.1\r\nHost: h\r\nId: 7\r\n\r\n";
+
+  BackendCall MakeCall(const std::string& address, Outcome& outcome) {
+    BackendCall call;
+    call.address_ = address;
+    call.bytes_ = kRequest;
+    call.on_head_ = [&outcome](const Head& head) {
+      const std::string* id = FindField(head, "Id");
+      if (id == nullptr) {
+        return AnswerUse::kFail;
+      }
+      if (*id != "7") {
+        return AnswerUse::kSkip;
+      }
+      outcome.status_ = head.status_;
+      return AnswerUse::kTake;
+    };
+    call.on_body_ = [&outcome](std::string_view data) {
+      outcome.body_.append(data);
+    };
+    call.on_end_ = [&outcome](const CallEnd& end) { outcome.end_ = end; };
+    return call;
+  }
+  Outcome Run(const std::string& address) {
+    Outcome outcome;
+    pool_.Send(MakeCall(address, outcome));
+    RunUntil([&outcome] { return outcome.end_.has_value(); });
+    return outcome;
+  }
+  template <class Condition>
+  void RunUntil(Condition condition) {
+    const core::TimePoint limit =
+        MonotonicNow() + core::Milliseconds(test::kWaitMs);
+    while (!condition() && MonotonicNow() < limit) {
+      context_.restart();
+      context_.run_for(core::Milliseconds(5));
+      pool_.Sweep(MonotonicNow());
+    }
+  }
+  // A server that sends the same bytes for each request.
+  static test::ScriptedServer::Script Sends(const std::string& bytes) {
+    return [bytes](test::Peer& peer, int) {
+      while (!peer.ReadUntil("\r\n\r\n").empty()) {
+        peer.Send(bytes);
+      }
+    };
+  }
+
+  boost::asio::io_context context_{1};
+  BackendPool pool_{context_};
+};
+
+BOOST_FIXTURE_TEST_SUITE(Pool, PoolFixture)
+
+BOOST_AUTO_TEST_CASE(Send_WhenTheAnswerIsWhole_KeepsTheConnection) {
+  test::ScriptedServer server(
+      Sends("HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nok"));
+  BOOST_TEST(Run(server.Address()).body_ == "ok");
+  BOOST_TEST(Run(server.Address()).body_ == "ok");
+  BOOST_TEST(pool_.Counters().opened_ == 1U);
+  BOOST_TEST(pool_.Counters().reused_ == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Send_WhenAnAnswerOfAnotherRequestComesFirst_ReadsPastIt) {
+  test::ScriptedServer server(
+      Sends("HTTP/1.1 200 OK\r\nId: 6\r\nContent-Length: 5\r\n\r\nother"
+            "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nok"));
+  const Outcome outcome = Run(server.Address());
+  BOOST_TEST(outcome.body_ == "ok");
+  BOOST_TEST(pool_.Counters().foreign_answers_ == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Send_WhenBytesFollowTheAnswer_DoesNotKeepTheConnection) {
+  test::ScriptedServer server(
+      Sends("HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nok"
+            "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 5\r\n\r\nagain"));
+  BOOST_TEST(Run(server.Address()).body_ == "ok");
+  BOOST_TEST(Run(server.Address()).body_ == "ok");
+  BOOST_TEST(pool_.Counters().opened_ == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(Send_WhenTheAnswerIsCut_SaysThatItWasSent) {
+  const char* answers[] = {
+      "", "HTTP/1.1 200 O",
+      "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 9\r\n\r\nok",
+      "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"};
+  for (const char* answer : answers) {
+    test::ScriptedServer server([answer](test::Peer& peer, int) {
+      peer.ReadUntil("\r\n\r\n");
+      peer.Send(answer);
+    });
+    const Outcome outcome = Run(server.Address());
+    BOOST_TEST((outcome.end_->failure_ == CallFailure::kConnectionLost));
+    BOOST_TEST(outcome.end_->sent_);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Send_WhenAnAnswerWithoutLengthEndsInOrder_IsWhole) {
+  test::ScriptedServer server([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send("HTTP/1.1 200 OK\r\nId: 7\r\n\r\nwhole");
+  });
+  const Outcome outcome = Run(server.Address());
+  BOOST_TEST((outcome.end_->failure_ == CallFailure::kNone));
+  BOOST_TEST(outcome.body_ == "whole");
+}
+
+BOOST_AUTO_TEST_CASE(Send_WhenAnAnswerWithoutLengthIsReset_IsNotWhole) {
+  test::ScriptedServer server([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send("HTTP/1.1 200 OK\r\nId: 7\r\n\r\npart");
+    std::this_thread::sleep_for(core::Milliseconds(50));
+    peer.Reset();
+  });
+  const Outcome outcome = Run(server.Address());
+  BOOST_TEST((outcome.end_->failure_ == CallFailure::kConnectionLost));
+}
+
+BOOST_AUTO_TEST_CASE(Send_WhenNothingListens_SaysThatNothingWasSent) {
+  std::string address;
+  {
+    test::ScriptedServer server([](test::Peer&, int) {});
+    address = server.Address();
+  }
+  const Outcome outcome = Run(address);
+  BOOST_TEST((outcome.end_->failure_ == CallFailure::kConnectFailed));
+  BOOST_TEST(!outcome.end_->sent_);
+}
+
+BOOST_AUTO_TEST_CASE(Send_WhenTheDecisionIsTooOld_SendsNothing) {
+  test::ScriptedServer server([](test::Peer& peer, int) {
+    BOOST_TEST(peer.ReadAll().empty());
+  });
+  Outcome outcome;
+  BackendCall call = MakeCall(server.Address(), outcome);
+  call.write_before_ = MonotonicNow() - core::Milliseconds(1);
+  pool_.Send(std::move(call));
+  RunUntil([&outcome] { return outcome.end_.has_value(); });
+  BOOST_TEST((outcome.end_->failure_ == CallFailure::kStale));
+  BOOST_TEST(!outcome.end_->sent_);
+}
+
+BOOST_AUTO_TEST_CASE(Send_WhenAKeptConnectionWasClosed_OpensAnother) {
+  test::ScriptedServer server([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send("HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nok");
+  });
+  BOOST_TEST(Run(server.Address()).body_ == "ok");
+  std::this_thread::sleep_for(core::Milliseconds(50));
+  BOOST_TEST(Run(server.Address()).body_ == "ok");
+  BOOST_TEST(pool_.Counters().opened_ == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(Cancel_WhenTheConnectionServesAnotherCall_LeavesIt) {
+  test::ScriptedServer server(
+      Sends("HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nok"));
+  Outcome first;
+  CallHandle handle = pool_.Send(MakeCall(server.Address(), first));
+  RunUntil([&first] { return first.end_.has_value(); });
+  Outcome second;
+  pool_.Send(MakeCall(server.Address(), second));
+  handle.Cancel();
+  RunUntil([&second] { return second.end_.has_value(); });
+  BOOST_TEST(second.body_ == "ok");
+}
+
+BOOST_AUTO_TEST_CASE(Send_WhenTheAnswerComesBeforeTheBodyWasRead_ClosesAfter) {
+  test::ScriptedServer server([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send("HTTP/1.1 429 Too Many\r\nId: 7\r\nContent-Length: 0\r\n\r\n");
+    std::this_thread::sleep_for(core::Milliseconds(200));
+  });
+  Outcome outcome;
+  BackendCall call = MakeCall(server.Address(), outcome);
+  constexpr std::size_t kLarge = 16 * 1024 * 1024;
+  call.bytes_ = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                std::to_string(kLarge) + "\r\n\r\n" + std::string(kLarge, 'x');
+  pool_.Send(std::move(call));
+  RunUntil([&outcome] { return outcome.end_.has_value(); });
+  BOOST_TEST(outcome.status_ == 429);
+  Outcome next;
+  pool_.Send(MakeCall(server.Address(), next));
+  RunUntil([&next] { return next.end_.has_value(); });
+  BOOST_TEST(pool_.Counters().opened_ == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace siskindrum::http
--- /dev/null
+++ b/packages/http/test/caller_connection_test.cc
@@ -0,0 +1,183 @@
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <set>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "loopback.h"
+#include "siskindrum/http/caller_connection.h"
+#include "siskindrum/http/clock.h"
+
+namespace siskindrum::http {
+namespace {
+
+using boost::asio::ip::tcp;
+
+// Accepts callers on a network thread of its own; each request is answered
+// with its body, unless its path is /wait or /stream.
+struct CallerFixture {
+  CallerFixture() : acceptor_(context_, tcp::endpoint(tcp::v4(), 0)),
+                    timer_(context_) {
+    limits_.parser_ = {1024, 64};
+    limits_.head_time_ = core::Milliseconds(200);
+    limits_.idle_time_ = core::Milliseconds(400);
+    handlers_.on_request_ =
+        [this](const std::shared_ptr<CallerConnection>& caller,
+               CallerRequest request) { OnRequest(caller, request); };
+    handlers_.on_gone_ = [this](CallerConnection&) { ++gone_; };
+    handlers_.on_writable_ = [](CallerConnection&) {};
+    handlers_.on_closed_ = [this](CallerConnection& one) {
+      std::erase_if(open_, [&one](const auto& held) {
+        return held.get() == &one;
+      });
+    };
+    Accept();
+    Tick();
+    thread_ = std::thread([this] { context_.run(); });
+  }
+  ~CallerFixture() {
+    context_.stop();
+    thread_.join();
+  }
+
+  void OnRequest(const std::shared_ptr<CallerConnection>& caller,
+                 const CallerRequest& request) {
+    ++requests_;
+    if (request.head_.target_ == "/wait") {
+      return;
+    }
+    Head head;
+    head.status_ = 200;
+    if (request.head_.target_ == "/stream") {
+      caller->RespondHead(head);
+      caller->RespondPiece("one");
+      caller->Abort();
+      return;
+    }
+    caller->Respond(head, request.body_);
+  }
+  void Accept() {
+    acceptor_.async_accept([this](const auto& error, tcp::socket socket) {
+      if (!error) {
+        auto connection = std::make_shared<CallerConnection>(
+            std::move(socket), limits_, handlers_);
+        open_.insert(connection);
+        connection->Start();
+        Accept();
+      }
+    });
+  }
+  void Tick() {
+    timer_.expires_after(core::Milliseconds(20));
+    timer_.async_wait([this](const auto& error) {
+      if (!error) {
+        const auto open = open_;
+        for (const auto& connection : open) {
+          connection->Sweep(MonotonicNow());
+        }
+        Tick();
+      }
+    });
+  }
+  test::Peer Connect() {
+    return test::Peer::Connect(acceptor_.local_endpoint().port());
+  }
+  std::string Ask(const std::string& bytes) {
+    test::Peer peer = Connect();
+    peer.Send(bytes);
+    return peer.ReadAll();
+  }
+  void AwaitGone() const {
+    for (int i = 0; i < test::kWaitMs && gone_ == 0; ++i) {
+      std::this_thread::sleep_for(core::Milliseconds(1));
+    }
+  }
+
+  boost::asio::io_context context_{1};
+  tcp::acceptor acceptor_;
+  boost::asio::steady_timer timer_;
+  CallerLimits limits_;
+  CallerHandlers handlers_;
+  std::set<std::shared_ptr<CallerConnection>> open_;
+  std::atomic<int> requests_{0};
+  std::atomic<int> gone_{0};
+  std::thread thread_;
+};
+
+BOOST_FIXTURE_TEST_SUITE(Callers, CallerFixture)
+
+BOOST_AUTO_TEST_CASE(Request_WhenFramedInTwoWays_IsRefusedAndNothingGoesOn) {
+  const std::string answer =
+      Ask("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n"
+          "Host: h\r\n\r\n");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 400 "));
+  BOOST_TEST(requests_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(Request_WhenTooLargeOrTooSlow_GetsItsOwnStatus) {
+  BOOST_TEST(Ask("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(2000, 'x') +
+                 "\r\n\r\n")
+                 .starts_with("HTTP/1.1 431 "));
+  BOOST_TEST(Ask("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n")
+                 .starts_with("HTTP/1.1 413 "));
+  BOOST_TEST(Ask("GET / HTTP/1.1\r\nHo").starts_with("HTTP/1.1 408 "));
+  BOOST_TEST(Ask("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab")
+                 .starts_with("HTTP/1.1 408 "));
+  BOOST_TEST(requests_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(Connection_WhenIdleForTooLong_EndsWithoutAnAnswer) {
+  test::Peer peer = Connect();
+  BOOST_TEST(peer.ReadAll().empty());
+  BOOST_TEST(!peer.TimedOut());
+  BOOST_TEST(!peer.WasReset());
+}
+
+BOOST_AUTO_TEST_CASE(Requests_WhenPipelined_AreAnsweredInOrder) {
+  const std::string answers =
+      Ask("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\none"
+          "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "3\r\ntwo\r\n0\r\n\r\n"
+          "GET /3 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  const std::size_t one = answers.find("one");
+  const std::size_t two = answers.find("two");
+  BOOST_TEST(one != std::string::npos);
+  BOOST_TEST(two != std::string::npos);
+  BOOST_TEST(one < two);
+  BOOST_TEST(requests_ == 3);
+}
+
+BOOST_AUTO_TEST_CASE(Caller_WhenItLeavesWhileNothingIsWritten_IsNoticed) {
+  {
+    test::Peer peer = Connect();
+    peer.Send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+    for (int i = 0; i < test::kWaitMs && requests_ == 0; ++i) {
+      std::this_thread::sleep_for(core::Milliseconds(1));
+    }
+  }
+  AwaitGone();
+  BOOST_TEST(gone_ == 1);
+}
+
+BOOST_AUTO_TEST_CASE(Answer_WhenAborted_IsNotSeenAsWhole) {
+  const std::string answer =
+      Ask("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_TEST(answer.find("0\r\n\r\n") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(Answer_WhenTheRequestAskedForHead_HasNoBody) {
+  const std::string answer = Ask(
+      "HEAD / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+      "Connection: close\r\n\r\nab");
+  BOOST_TEST(answer.ends_with("\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace siskindrum::http
--- /dev/null
+++ b/packages/http/test/parser_test.cc
@@ -0,0 +1,135 @@
+#define BOOST_TEST_MODULE http
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+#include "siskindrum/http/message.h"
+#include "siskindrum/http/parser.h"
+
+namespace siskindrum::http {
+namespace {
+
+struct ParserFixture {
+  std::string body_;
+  ParserLimits limits_{256, 32};
+
+  std::unique_ptr<MessageParser> Make(MessageParser::Kind kind) {
+    ParserSink sink;
+    sink.on_body_ = [this](std::string_view data) { body_.append(data); };
+    return std::make_unique<MessageParser>(kind, limits_, std::move(sink));
+  }
+  std::unique_ptr<MessageParser> Request(const std::string& text) {
+    auto parser = Make(MessageParser::Kind::kRequest);
+    parser->Feed(text);
+    return parser;
+  }
+  std::unique_ptr<MessageParser> Response(const std::string& text) {
+    auto parser = Make(MessageParser::Kind::kResponse);
+    parser->Feed(text);
+    return parser;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(Parser, ParserFixture)
+
+BOOST_AUTO_TEST_CASE(Feed_WhenGivenByteByByte_ReadsTheWholeRequest) {
+  const std::string text =
+      "POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+  auto parser = Make(MessageParser::Kind::kRequest);
+  std::string pending;
+  for (const char c : text) {
+    pending += c;
+    pending.erase(0, parser->Feed(pending));
+  }
+  BOOST_TEST(parser->IsDone());
+  BOOST_TEST(parser->GetHead().target_ == "/a/b?c=1");
+  BOOST_TEST(body_ == "body");
+}
+
+BOOST_AUTO_TEST_CASE(Feed_WhenASecondRequestFollows_LeavesItsBytes) {
+  const std::string first = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+  auto parser = Make(MessageParser::Kind::kRequest);
+  BOOST_TEST(parser->Feed(first + "GET /2 HTTP/1.1\r\n") == first.size());
+  BOOST_TEST(parser->IsDone());
+}
+
+BOOST_AUTO_TEST_CASE(Feed_WhenTheBodyIsFramedInTwoWays_Fails) {
+  const char* heads[] = {
+      "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+      "Content-Length: 3\r\nContent-Length: 4\r\n",
+      "Content-Length: 3\r\nContent-Length: 3\r\n",
+      "Content-Length: 3, 4\r\n",
+      "Content-Length: +3\r\n",
+      "Content-Length: 0x3\r\n",
+      "Transfer-Encoding: chunked, identity\r\n",
+      "Transfer-Encoding: xchunked\r\n",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+  };
+  for (const char* head : heads) {
+    const auto parser = Request(std::string("POST / HTTP/1.1\r\nHost: h\r\n") +
+                                head + "\r\n3\r\nabc\r\n0\r\n\r\n");
+    BOOST_TEST_INFO(head);
+    BOOST_TEST((parser->Error() == ParseError::kMalformed));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Feed_WhenTheHeadIsTooLong_SaysSo) {
+  const auto parser = Request("GET / HTTP/1.1\r\nHost: h\r\nX: " +
+                              std::string(300, 'x') + "\r\n\r\n");
+  BOOST_TEST((parser->Error() == ParseError::kHeadTooLarge));
+}
+
+BOOST_AUTO_TEST_CASE(Feed_WhenTheBodyIsTooLong_SaysSoWhateverItsFraming) {
+  const auto sized = Request(
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 33\r\n\r\n");
+  BOOST_TEST((sized->Error() == ParseError::kBodyTooLarge));
+  const auto chunked = Request(
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n21\r\n" +
+      std::string(33, 'x') + "\r\n0\r\n\r\n");
+  BOOST_TEST((chunked->Error() == ParseError::kBodyTooLarge));
+}
+
+BOOST_AUTO_TEST_CASE(FeedEnd_WhenABodyHasNoLength_CompletesIt) {
+  const auto parser = Response("HTTP/1.1 200 OK\r\n\r\nsome");
+  BOOST_TEST(!parser->IsDone());
+  BOOST_TEST(parser->EndsWithConnection());
+  parser->FeedEnd();
+  BOOST_TEST(parser->IsDone());
+  BOOST_TEST(body_ == "some");
+}
+
+BOOST_AUTO_TEST_CASE(FeedEnd_WhenABodyIsCutShort_Fails) {
+  const char* answers[] = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsome",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nsome\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Le",
+  };
+  for (const char* answer : answers) {
+    const auto parser = Response(answer);
+    parser->FeedEnd();
+    BOOST_TEST((parser->Error() == ParseError::kIncomplete));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Feed_WhenAnAnswerIsVeryLong_HasNoLimitUnlessOneIsSet) {
+  limits_.body_bytes_ = 0;
+  const auto parser = Response("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n" +
+                               std::string(90, 'x'));
+  BOOST_TEST(parser->IsDone());
+}
+
+BOOST_AUTO_TEST_CASE(RemoveConnectionFields_WhenConnectionNamesOne_RemovesIt) {
+  Head head;
+  head.fields_ = {{"Connection", "close, X-Hop"}, {"x-hop", "1"},
+                  {"Keep-Alive", "timeout=5"},    {"Transfer-Encoding", "c"},
+                  {"Content-Length", "3"},        {"X-End", "2"}};
+  RemoveConnectionFields(head);
+  BOOST_TEST(head.fields_.size() == 1U);
+  BOOST_TEST(head.fields_[0].name_ == "X-End");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace siskindrum::http
