Refuse a body framed in two ways at the product's own interface

Cause: both framings were answered with 200; whoever reads the connection next might see another end of the body. Change: such a request gets 400 and its connection ends. Measured: entry_test Body_WhenFramedInTwoWays_IsRefusedAndNothingGoesOn: red before, green after.

--- a/packages/entry/src/caller_server.cc
+++ b/packages/entry/src/caller_server.cc
@@ -29,9 +29,19 @@
 }
 
 thread_local int current_socket = -1;
+// Set when the request of this thread frames its body in two ways, so that
+// whoever reads it next might see another end of it.
+thread_local bool framed_twice = false;
 // Set while a connection beyond the pool's bounds is handled.
 thread_local bool overflowing = false;
 
+bool IsFramedTwice(const httplib::Request& request) {
+  const std::size_t lengths = request.get_header_value_count("Content-Length");
+  const std::size_t encodings =
+      request.get_header_value_count("Transfer-Encoding");
+  return lengths + encodings > 1;
+}
+
 bool PollFor(int socket, short events, core::Milliseconds limit) {
   pollfd row{socket, events, 0};
   return poll(&row, 1, static_cast<int>(limit.count())) > 0;
@@ -168,6 +178,17 @@
   set_payload_max_length(settings_.max_body_bytes_);
   set_read_timeout(settings_.read_timeout_);
   set_write_timeout(settings_.write_timeout_);
+  set_pre_routing_handler(
+      [](const httplib::Request& request, httplib::Response& response) {
+        framed_twice = IsFramedTwice(request);
+        if (!framed_twice) {
+          return HandlerResponse::Unhandled;
+        }
+        constexpr int kBadRequest = 400;
+        response.status = kBadRequest;
+        response.set_header("Connection", "close");
+        return HandlerResponse::Handled;
+      });
 }
 
 int CallerServer::CurrentSocket() {
@@ -208,7 +229,8 @@
     const bool last = closing_ || served + 1 == kRequestsPerConnection;
     bool closed = false;
     good = process_request(stream, last, closed, nullptr);
-    good = good && !closed;
+    good = good && !closed && !framed_twice;
+    framed_twice = false;
   }
   current_socket = -1;
   ::shutdown(socket, SHUT_RDWR);
--- a/packages/entry/test/process_test.cc
+++ b/packages/entry/test/process_test.cc
@@ -12,6 +12,7 @@
 #include <httplib.h>
 
 #include "siskindrum/core/hash.h"
+#include "loopback.h"
 #include "site.h"
 
 namespace siskindrum::entry {
@@ -102,6 +103,21 @@
   BOOST_TEST(Get(CallerPort(0), "/desk/status").status_ == 200);
 }
 
+BOOST_AUTO_TEST_CASE(Body_WhenFramedInTwoWays_IsRefusedAndNothingGoesOn) {
+  const char* framings[] = {
+      "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+      "Content-Length: 3\r\nContent-Length: 4\r\n"};
+  for (const char* framing : framings) {
+    test::Peer caller =
+        test::Peer::Connect(static_cast<std::uint16_t>(CallerPort(0)));
+    caller.Send(std::string("POST /desk/orders HTTP/1.1\r\nHost: h\r\n") +
+                framing + "\r\n0\r\n\r\nGET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::string answers = caller.ReadAll();
+    BOOST_TEST(answers.starts_with("HTTP/1.1 400 "));
+    BOOST_TEST(answers.find("HTTP/1.1 ", 1) == std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OperatorPaths_WhenAskedByCallers_AreNotServed) {
   for (const char* path : {"/dump", "/metrics", "/explain"}) {
     BOOST_TEST(Get(CallerPort(0), path).status_ == 403);
