--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Fuzzes rules, settings, peer frames and backend answers from the kept corpus.
+# Fuzzes rules, settings, peer frames, backend answers, connections and what the
+# platform's store holds, from the kept corpus.
 # Usage: tools/fuzz.sh [SECONDS_EACH]   (--keep as the second word adds what was
 # found to the corpus)
 set -euo pipefail
@@ -7,13 +8,13 @@
 seconds=${1:-15}
 build="$root/build-fuzz"
 work=$(mktemp -d)
+targets=(rules settings peer backend http platform)
 trap 'rm -rf "$work"' EXIT
 cmake -S "$root" -B "$build" -G Ninja -DSISKINDRUM_FUZZ=ON \
   -DCMAKE_CXX_COMPILER=clang++ >/dev/null
-cmake --build "$build" --target fuzz_rules fuzz_settings fuzz_peer \
-  fuzz_backend >"$work/build.log" || { cat "$work/build.log"; exit 1; }
+cmake --build "$build" --target "${targets[@]/#/fuzz_}" >"$work/build.log" || { cat "$work/build.log"; exit 1; }
 pids=()
-for target in rules settings peer backend; do
+for target in "${targets[@]}"; do
   mkdir -p "$work/$target"
   (cd "$work" && "$build/fuzz_$target" -max_total_time="$seconds" -seed=1 \
     -max_len=65536 -rss_limit_mb=2048 -timeout=10 "$work/$target" \
@@ -22,7 +23,7 @@
 done
 status=0
 for pid in "${pids[@]}"; do wait "$pid" || status=1; done
-for target in rules settings peer backend; do
+for target in "${targets[@]}"; do
   grep -E '^(Done|SUMMARY|==)' "$work/$target.log" | sed "s/^/$target: /" || true
   if [ "${2:-}" = --keep ]; then
     "$build/fuzz_$target" -merge=1 "$root/fuzz/corpus/$target" \
--- a/tools/model_check.sh
+++ b/tools/model_check.sh
@@ -40,5 +40,9 @@
 for guard in SENDS OPEN_LISTED_UNUSED; do check closing bad "$guard"; done
 check configuration good
 for guard in NO_COMPARE NO_PEERS; do check configuration bad "$guard"; done
+check stream good
+for guard in NO_PROOF RESUME_ALWAYS NO_ATTEMPT NO_PLACE HANDLE_AGAIN NO_AGE; do
+  check stream bad "$guard"
+done
 echo "model checks: $passed passed, $failed failed"
 [ "$failed" = 0 ]
