--- a/packages/entry/src/main.cc
+++ b/packages/entry/src/main.cc
@@ -2,6 +2,7 @@
 // siskindrum --on-platform [--settings FILE].
 
 #include <csignal>
+#include <cstdint>
 #include <iostream>
 #include <string>
 
@@ -74,12 +75,15 @@
 
 int main(int argc, char** argv) {
   std::string file;
+  std::uint16_t operators_port = 0;
   po::options_description description("Entry instance of siskindrum");
   description.add_options()("help", "show this text")(
       "version", "show the version")("settings", po::value(&file),
                                      "settings file in JSON")(
       "check", "check the settings file and exit")(
-      "on-platform", "serve on the platform that wrote the settings file");
+      "on-platform", "serve on the platform that wrote the settings file")(
+      "operators-port", po::value(&operators_port),
+      "with --on-platform: port of metrics, dump and explanations");
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, description), values);
@@ -97,7 +101,7 @@
     return 0;
   }
   if (values.contains("on-platform")) {
-    return siskindrum::adapter::RunOnPlatform(file);
+    return siskindrum::adapter::RunOnPlatform({file, operators_port});
   }
   if (file.empty()) {
     std::cerr << "--settings FILE is needed\n" << description;
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -98,7 +98,8 @@
     events_.last_event_ = start.resume_after_;
   }
   paused_ = false;
-  quiet_since_ = http::MonotonicNow();
+  started_at_ = http::MonotonicNow();
+  quiet_since_ = started_at_;
   http::BackendCall call;
   call.address_ = start.address_;
   call.bytes_ = RequestBytes(start);
@@ -175,8 +176,14 @@
   }
 }
 
+void Exchange::Observe(telemetry::Timing timing) const {
+  context_.metrics_.Observe(timing,
+                            http::MonotonicNow() - request_.arrived_at_);
+}
+
 void Exchange::BeginAnswer() {
   answer_begun_ = true;
+  Observe(telemetry::Timing::kFirstToken);
   caller_->RespondHead(*answer_);
   context_.post_(dispatch::AnswerBegan{id_, start_.attempt_});
 }
@@ -248,6 +255,8 @@
                   absl::StrCat("status ", answer_->status_));
     return;
   }
+  context_.metrics_.Observe(telemetry::Timing::kPrefill,
+                            http::MonotonicNow() - started_at_);
   const auto result = context_.dialect_.read_prefill_(body_);
   if (result.has_value()) {
     ReportPrefill(true, false, true, result->handle_, "");
@@ -279,6 +288,7 @@
       BeginAnswer();
     }
     done_ = true;
+    Observe(telemetry::Timing::kRequest);
     caller_->RespondPiece(body_);
     caller_->RespondEnd();
     Report(AttemptOutcome::kDelivered, RunState::kRan, Reason::kNone, "");
@@ -297,6 +307,8 @@
     return;
   }
   done_ = true;
+  Observe(start_.stage_ == Stage::kPlain ? telemetry::Timing::kPlainCall
+                                         : telemetry::Timing::kRequest);
   caller_->Respond(*answer_, body_);
   Report(AttemptOutcome::kDelivered, RunState::kRan, Reason::kNone, "");
 }
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -11,6 +11,7 @@
 #include "siskindrum/gateway/event_splitter.h"
 #include "siskindrum/http/backend_pool.h"
 #include "siskindrum/http/caller_connection.h"
+#include "siskindrum/telemetry/metrics.h"
 
 namespace siskindrum::gateway {
 
@@ -27,6 +28,7 @@
 struct ExchangeContext {
   const Dialect& dialect_;
   http::BackendPool& pool_;
+  telemetry::Metrics& metrics_;
   std::function<void(dispatch::Event)> post_;
 };
 
@@ -79,6 +81,8 @@
                      bool sent,
                      const std::string& handle,
                      const std::string& detail);
+  // Counts how long the request took until now.
+  void Observe(telemetry::Timing timing) const;
   std::string RequestBytes(const dispatch::StartAttempt& start) const;
   bool IsStreaming() const;
 
@@ -99,7 +103,8 @@
   bool is_event_stream_ = false;
   bool paused_ = false;
   bool done_ = false;
-  core::TimePoint quiet_since_{};
+  core::TimePoint started_at_{};   // Of the attempt.
+  core::TimePoint quiet_since_{};  // Nothing came since then.
 };
 
 }  // namespace siskindrum::gateway
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -58,7 +58,7 @@
         pool_(context_),
         decisions_(decision_options_),
         logs_(metrics_),
-        exchange_context_{options_.dialect_, pool_,
+        exchange_context_{options_.dialect_, pool_, metrics_,
                           [this](dispatch::Event event) {
                             Post(std::move(event));
                           }},
