Prefer the own failure domain's decode engines until they are full

Cause: streams that cross failure domains are lost when one is cut off, and their bytes are dear; a reservation says when the near engines are full.

--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -34,7 +34,8 @@
 
 // What a server in another failure domain must be better by.
 inline constexpr double kFarPlainMs = 15.0;
-inline constexpr double kFarEngineMs = 25.0;
+inline constexpr double kFarPrefillMs = 25.0;
+inline constexpr double kFarDecodeMs = 70.0;
 
 // A decision older than this is not sent.
 inline constexpr Milliseconds kDecisionAge{400};
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -77,7 +77,7 @@
                   TimePoint now) {
   const std::uint32_t slots =
       server.info_.slots_ > 0 ? server.info_.slots_ : kDefaultEngineSlots;
-  double cost = CommonCost(server, need, kFarEngineMs, now);
+  double cost = CommonCost(server, need, kFarDecodeMs, now);
   cost += kSlotMs * server.calls_;
   if (server.calls_ > kFullShare * slots || server.full_until_ > now) {
     cost += kFullCost;
@@ -172,7 +172,7 @@
   const Choice prefill = Cheapest(
       pool, need, core::ServerRole::kPrefill, now,
       [&](const KnownServer& server) {
-        return CommonCost(server, need, kFarEngineMs, now) +
+        return CommonCost(server, need, kFarPrefillMs, now) +
                PrefillMs(server, need.prompt_tokens_);
       });
   if (prefill.server_ == nullptr) {
