Turn prefill engines to decode once, at the first start, by one holder

Change: the process that the settings of all name first, and only at the first start of all, turns prefill engines beyond a quarter of a pool; no other process ever gives an order, so holders never take turns.

--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -74,6 +74,7 @@
   std::uint64_t reserves_ = 0;
   std::uint64_t reserves_refused_ = 0;
   std::uint64_t waits_ = 0;
+  std::uint64_t orders_ = 0;
 };
 
 struct DispatcherOptions {
@@ -81,6 +82,9 @@
   std::string domain_;
   core::Incarnation incarnation_ = 0;
   std::uint64_t seed_ = 0;
+  // This process alone, of all that ever run in the deployment, may give orders
+  // to engines.
+  bool gives_orders_ = false;
 };
 
 // The decisions of an entry that counts alone, without a home for its servers:
@@ -97,6 +101,9 @@
   std::unordered_map<std::string, core::DecisionRecord> decisions_;  // By label.
   std::deque<std::string> decision_order_;
   TimePoint last_tick_{};
+  TimePoint started_at_{};       // First event.
+  TimePoint list_changed_at_{};  // Roles or members of it.
+  bool orders_given_ = false;
   bool list_read_ = false;
   bool ready_ = false;
   bool draining_ = false;
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -166,6 +166,12 @@
   std::string hold_;
 };
 
+// Orders a prefill engine to become a decode engine.
+struct TurnToDecode {
+  std::string server_;
+  std::string address_;
+};
+
 // The bounds of callers have changed.
 struct BoundCallers {
   core::CallerBounds bounds_;
@@ -186,6 +192,7 @@
                             DeliverKept,
                             FreeHandle,
                             DropHold,
+                            TurnToDecode,
                             BoundCallers,
                             ReadyChanged,
                             ServerGone,
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -87,6 +87,15 @@
 // About as long as a burst's answers take to end.
 inline constexpr Milliseconds kRetryOverloaded{8000};
 
+// Share of a pool's engines that should prefill; a smaller pool keeps what it
+// has.
+inline constexpr double kPrefillShare = 0.25;
+inline constexpr std::size_t kOrderLeastEngines = 6;
+// The list must not have changed for this long before engines are turned.
+inline constexpr Milliseconds kOrderSettle{1500};
+// Orders are given this soon after the start or not at all.
+inline constexpr Milliseconds kOrderWindow{8000};
+
 inline constexpr Milliseconds kTickInterval{20};
 inline constexpr std::size_t kExplainRecords = 2000;
 
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "dispatcher_p.h"
+#include "siskindrum/dispatch/stage_plan.h"
 
 namespace siskindrum::dispatch {
 
@@ -181,6 +182,7 @@
   Dispatcher& dispatcher = step.dispatcher_;
   TakeChanges(dispatcher.pool_, event.changes_, step.now_);
   dispatcher.list_read_ = true;
+  dispatcher.list_changed_at_ = step.now_;
   for (const core::ServerInfo& info : event.changes_.seen_) {
     step.actions_.emplace_back(core::LogEvent{
         "server_listed",
@@ -214,8 +216,35 @@
   UpdateReady(step);
 }
 
+// Turns prefill engines to decode once, soon after the start of a process that
+// may give orders.
+void GiveOrders(Step& step) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  if (!dispatcher.options_.gives_orders_ || dispatcher.orders_given_ ||
+      !dispatcher.list_read_ ||
+      step.now_ - dispatcher.list_changed_at_ < kOrderSettle) {
+    return;
+  }
+  dispatcher.orders_given_ = true;
+  if (step.now_ - dispatcher.started_at_ > kOrderWindow) {
+    return;
+  }
+  for (const std::string& name : EnginesToTurn(dispatcher.pool_)) {
+    ++dispatcher.counters_.orders_;
+    const KnownServer* server = FindServer(dispatcher.pool_, name);
+    step.actions_.emplace_back(TurnToDecode{name, server->info_.address_});
+    step.actions_.emplace_back(core::LogEvent{
+        "engine_turned",
+        {{"server", name},
+         {"pool", server->info_.service_},
+         {"domain", server->info_.domain_},
+         {"list_age_ms", FormatMs(step.now_ - dispatcher.list_changed_at_)}}});
+  }
+}
+
 void OnTick(Step& step) {
   Dispatcher& dispatcher = step.dispatcher_;
+  GiveOrders(step);
   std::vector<RequestId> late;
   for (const auto& [id, call] : dispatcher.calls_) {
     if (step.now_ >= call.deadline_) {
@@ -266,6 +295,9 @@
                  const Event& event,
                  TimePoint now,
                  std::vector<Action>& actions) {
+  if (dispatcher.started_at_ == TimePoint{}) {
+    dispatcher.started_at_ = now;
+  }
   Step step{dispatcher, now, actions};
   std::visit(
       Overloaded{
--- /dev/null
+++ b/packages/dispatch/src/stage_plan.cc
@@ -0,0 +1,65 @@
+#include "siskindrum/dispatch/stage_plan.h"
+
+#include <algorithm>
+#include <map>
+
+#include "siskindrum/dispatch/limits.h"
+
+namespace siskindrum::dispatch {
+
+namespace {
+
+// Engines of one pool, its prefill engines by failure domain.
+struct PoolEngines {
+  std::size_t engines_ = 0;
+  std::size_t prefill_ = 0;
+  std::map<std::string, std::vector<std::string>> prefill_by_domain_;
+};
+
+// Takes one prefill engine from the domain that has most of them, the last by
+// name among equals.
+std::string TakeOne(PoolEngines& engines) {
+  auto most = engines.prefill_by_domain_.begin();
+  for (auto it = most; it != engines.prefill_by_domain_.end(); ++it) {
+    if (it->second.size() >= most->second.size()) {
+      most = it;
+    }
+  }
+  std::string name = most->second.back();
+  most->second.pop_back();
+  --engines.prefill_;
+  return name;
+}
+
+}  // namespace
+
+std::vector<std::string> EnginesToTurn(const ServerPool& pool) {
+  std::map<std::string, PoolEngines> pools;
+  for (const auto& [name, server] : pool.servers_) {
+    const core::ServerInfo& info = server.info_;
+    if (server.listing_ != Listing::kListed ||
+        (info.role_ != core::ServerRole::kPrefill &&
+         info.role_ != core::ServerRole::kDecode)) {
+      continue;
+    }
+    PoolEngines& engines = pools[info.service_];
+    ++engines.engines_;
+    if (info.role_ == core::ServerRole::kPrefill) {
+      ++engines.prefill_;
+      engines.prefill_by_domain_[info.domain_].push_back(name);
+    }
+  }
+  std::vector<std::string> turn;
+  for (auto& [service, engines] : pools) {
+    const auto wanted = std::max<std::size_t>(
+        1, static_cast<std::size_t>(kPrefillShare *
+                                    static_cast<double>(engines.engines_)));
+    while (engines.engines_ >= kOrderLeastEngines &&
+           engines.prefill_ > wanted) {
+      turn.push_back(TakeOne(engines));
+    }
+  }
+  return turn;
+}
+
+}  // namespace siskindrum::dispatch
--- a/packages/gateway/include/siskindrum/gateway/dialect.h
+++ b/packages/gateway/include/siskindrum/gateway/dialect.h
@@ -77,6 +77,11 @@
   tl::expected<std::string, std::string> (*read_hold_)(std::string_view body) =
       nullptr;
   OwnRequest (*drop_hold_)(const std::string& hold) = nullptr;
+  // Makes the order that turns a prefill engine to decode. `holder` names who
+  // gives it, `fence` its fencing number.
+  OwnRequest (*turn_to_decode_)(const std::string& server,
+                                const std::string& holder,
+                                std::uint64_t fence) = nullptr;
 };
 
 }  // namespace siskindrum::gateway
--- a/packages/gateway/include/siskindrum/gateway/gateway.h
+++ b/packages/gateway/include/siskindrum/gateway/gateway.h
@@ -21,6 +21,7 @@
   std::string ready_address_;    // Empty: none of its own.
   std::string operators_address_;  // Metrics, dump, explain; empty: none.
   core::Milliseconds drain_limit_{7000};
+  bool gives_orders_ = false;  // As in dispatch::DispatcherOptions.
   Dialect dialect_;
 };
 
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -39,6 +39,7 @@
   made.domain_ = options.domain_;
   made.incarnation_ = MakeIncarnation();
   made.seed_ = made.incarnation_;
+  made.gives_orders_ = options.gives_orders_;
   return made;
 }
 
@@ -86,6 +87,7 @@
                      core::RequestIdHash>
       by_id_;
   std::uint64_t next_sequence_ = 0;
+  std::uint64_t last_fence_ = 0;
   int sweeps_ = 0;
   bool ready_ = false;
   bool draining_ = false;
@@ -226,6 +228,15 @@
             "hold_not_dropped");
   }
 
+  void Do(const dispatch::TurnToDecode& turn) {
+    // One process gives orders, and each one but once, so that any number that
+    // rises in it will do.
+    SendOwn(turn.address_,
+            options_.dialect_.turn_to_decode_(turn.server_, options_.name_,
+                                              ++last_fence_),
+            "order_not_given");
+  }
+
   // Sends a request of this system's own whose answer changes nothing.
   void SendOwn(const std::string& address,
                OwnRequest request,
