--- /dev/null
+++ b/packages/dispatch/test/stage_plan_test.cc
@@ -0,0 +1,126 @@
+#include <boost/test/unit_test.hpp>
+
+#include "site.h"
+#include "siskindrum/dispatch/limits.h"
+#include "siskindrum/dispatch/stage_plan.h"
+
+namespace siskindrum::dispatch {
+namespace {
+
+struct StagePlanFixture {
+  // Adds engines of one role to a failure domain.
+  void Add(const std::string& domain, core::ServerRole role, int count) {
+    for (int i = 0; i < count; ++i) {
+      KnownServer server;
+      server.info_ = Site::Engine(
+          domain + "-" + core::ToString(role) + std::to_string(i), role);
+      server.info_.domain_ = domain;
+      pool_.servers_[server.info_.name_] = server;
+    }
+  }
+
+  ServerPool pool_;
+};
+
+BOOST_FIXTURE_TEST_SUITE(StagePlan, StagePlanFixture)
+
+BOOST_AUTO_TEST_CASE(EnginesToTurn_WhenAThirdPrefills_TurnsDownToAQuarter) {
+  for (const char* domain : {"a", "b", "c"}) {
+    Add(domain, core::ServerRole::kPrefill, 1);
+    Add(domain, core::ServerRole::kDecode, 2);
+  }
+  BOOST_TEST(EnginesToTurn(pool_).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(EnginesToTurn_WhenDomainsDiffer_TakesFromTheFullestFirst) {
+  Add("a", core::ServerRole::kPrefill, 3);
+  Add("b", core::ServerRole::kPrefill, 1);
+  Add("b", core::ServerRole::kDecode, 5);
+  const std::vector<std::string> turn = EnginesToTurn(pool_);
+  BOOST_REQUIRE(turn.size() == 2U);
+  BOOST_TEST(turn[0].starts_with("a-"));
+  BOOST_TEST(turn[1].starts_with("a-"));
+}
+
+BOOST_AUTO_TEST_CASE(EnginesToTurn_WhenThePoolIsSmall_TurnsNone) {
+  Add("a", core::ServerRole::kPrefill, 3);
+  Add("a", core::ServerRole::kDecode, 2);
+  BOOST_TEST(EnginesToTurn(pool_).empty());
+}
+
+BOOST_AUTO_TEST_CASE(EnginesToTurn_WhenOnlyOnePrefills_KeepsIt) {
+  Add("a", core::ServerRole::kPrefill, 1);
+  Add("a", core::ServerRole::kDecode, 6);
+  BOOST_TEST(EnginesToTurn(pool_).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+struct OrderFixture {
+  // A dispatcher with a pool of which two engines should be turned.
+  void Start(bool gives_orders) {
+    DispatcherOptions options;
+    options.gives_orders_ = gives_orders;
+    dispatcher_ = MakeDispatcher(options);
+    List({"p1", "p2", "p3", "p4"}, core::ServerRole::kPrefill);
+    List({"d1", "d2", "d3", "d4", "d5"}, core::ServerRole::kDecode);
+  }
+  void List(const std::vector<std::string>& names, core::ServerRole role) {
+    ListChanges changes;
+    for (const std::string& name : names) {
+      changes.seen_.push_back(Site::Engine(name, role));
+    }
+    Handle(ListSeen{changes});
+  }
+  void Handle(const Event& event) {
+    std::vector<Action> actions;
+    HandleEvent(dispatcher_, event, now_, actions);
+    for (const Action& action : actions) {
+      orders_ += std::holds_alternative<TurnToDecode>(action) ? 1 : 0;
+    }
+  }
+  void Pass(Milliseconds time) {
+    for (const TimePoint until = now_ + time; now_ < until;) {
+      now_ += Milliseconds(20);
+      Handle(Ticked{});
+    }
+  }
+
+  Dispatcher dispatcher_;
+  TimePoint now_{std::chrono::hours(1)};
+  int orders_ = 0;
+};
+
+BOOST_FIXTURE_TEST_SUITE(Orders, OrderFixture)
+
+BOOST_AUTO_TEST_CASE(Holder_WhenTheListIsSettled_OrdersOnceAndNeverAgain) {
+  Start(true);
+  Pass(Milliseconds(1000));
+  BOOST_TEST(orders_ == 0);
+  Pass(Milliseconds(1000));
+  BOOST_TEST(orders_ == 2);
+  List({"p5", "p6"}, core::ServerRole::kPrefill);
+  Pass(Milliseconds(20000));
+  BOOST_TEST(orders_ == 2);
+}
+
+BOOST_AUTO_TEST_CASE(Holder_WhenTheListSettlesTooLate_OrdersNothing) {
+  Start(true);
+  for (int i = 0; i < 9; ++i) {
+    Pass(Milliseconds(1000));
+    List({"d1"}, core::ServerRole::kDecode);
+  }
+  Pass(Milliseconds(5000));
+  BOOST_TEST(orders_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(Others_WhateverTheListSays_OrderNothing) {
+  Start(false);
+  Pass(Milliseconds(20000));
+  BOOST_TEST(orders_ == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace siskindrum::dispatch
--- a/tools/model_check.sh
+++ b/tools/model_check.sh
@@ -44,5 +44,7 @@
 for guard in NO_PROOF RESUME_ALWAYS NO_ATTEMPT NO_PLACE HANDLE_AGAIN NO_AGE; do
   check stream bad "$guard"
 done
+check orders good
+for guard in ANY_START ANY_SEED; do check orders bad "$guard"; done
 echo "model checks: $passed passed, $failed failed"
 [ "$failed" = 0 ]
