--- a/packages/core/include/siskindrum/core/rule.h
+++ b/packages/core/include/siskindrum/core/rule.h
@@ -42,7 +42,7 @@
 // What follows when a rule matches.
 struct RuleOutcome {
   Action action_ = Action::kRoute;
-  std::string pool_;  // Service name of the backend servers.
+  std::string pool_;              // Service name of the backend servers.
   std::vector<PoolShare> split_;  // Empty unless several pools share.
   BackendKind kind_ = BackendKind::kEngine;
   Milliseconds first_token_{0};     // Target; zero: none.
--- a/packages/core/src/plain.cc
+++ b/packages/core/src/plain.cc
@@ -55,9 +55,8 @@
   Router& router = step.router_;
   const std::string name = PickPlainServer(step, request);
   if (name.empty()) {
-    Verdict verdict = Refused(
-        Reason::kNoServer,
-        "no server of " + request.pool_ + " can be used");
+    Verdict verdict = Refused(Reason::kNoServer,
+                              "no server of " + request.pool_ + " can be used");
     verdict.run_state_ = request.run_state_;
     if (request.once_) {
       FinishCall(router.calls_, request.shape_.idempotency_key_, request.id_,
--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -32,7 +32,7 @@
   std::string server_;
   TimePoint sent_at_{};
   std::uint32_t counted_prefill_ = 0;  // Tokens counted at `server_`.
-  bool prefill_was_alone_ = false;  // Nothing waited there before it.
+  bool prefill_was_alone_ = false;     // Nothing waited there before it.
   // Of the whole request.
   std::uint32_t sends_ = 0;  // That count as attempts of the rule.
   int connect_failures_ = 0;
@@ -51,7 +51,7 @@
   std::size_t reserves_ = 0;  // In a row.
   bool direct_ = false;       // The decode engine is to prefill.
   bool waiting_ = false;      // For room at a decode engine.
-  std::string handle_;  // Not yet taken.
+  std::string handle_;        // Not yet taken.
   std::string handle_address_;
   std::optional<std::uint64_t> last_event_;  // That the caller has.
 };
@@ -96,9 +96,10 @@
   ServerPool pool_;
   RepeatBudget budget_;
   std::vector<RequestId> waiting_;  // For room, as they came.
-  TimePoint tight_until_{};  // Room goes to requests in time only.
+  TimePoint tight_until_{};         // Room goes to requests in time only.
   std::unordered_map<RequestId, ActiveCall, core::RequestIdHash> calls_;
-  std::unordered_map<std::string, core::DecisionRecord> decisions_;  // By label.
+  std::unordered_map<std::string, core::DecisionRecord>
+      decisions_;  // By label.
   std::deque<std::string> decision_order_;
   TimePoint last_tick_{};
   TimePoint started_at_{};       // First event.
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -33,8 +33,8 @@
 // A caller's request, as far as decisions need it.
 struct CallerCall {
   core::RequestShape shape_;
-  std::string label_;             // The caller's own id, for logs.
-  Milliseconds time_left_{0};     // The caller's deadline; zero: none.
+  std::string label_;                // The caller's own id, for logs.
+  Milliseconds time_left_{0};        // The caller's deadline; zero: none.
   std::uint32_t answer_tokens_ = 0;  // Expected; zero: unknown.
   std::optional<std::uint64_t> last_event_;  // The caller resumes behind it.
 };
@@ -131,7 +131,7 @@
   std::string server_;
   std::string address_;
   TimePoint decided_at_{};
-  TimePoint deadline_{};  // Handed on to the server as what is left.
+  TimePoint deadline_{};            // Handed on to the server as what is left.
   Milliseconds patience_{0};        // Until the first byte that counts.
   Milliseconds event_patience_{0};  // Between events; zero: no limit.
   std::string source_address_;      // Of the prefill result; empty: none.
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -21,7 +21,8 @@
 
 inline constexpr Milliseconds kSuspendFirst{250};  // Doubles with each failure.
 inline constexpr Milliseconds kSuspendMost{4000};
-inline constexpr Milliseconds kRefusalPause{100};  // After "not run" of a server.
+inline constexpr Milliseconds kRefusalPause{
+    100};                                    // After "not run" of a server.
 inline constexpr double kErrorMemory = 0.9;  // Weight of the past errors.
 
 // Expectations before anything was measured.
--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -25,16 +25,16 @@
 struct KnownServer {
   core::ServerInfo info_;
   Listing listing_ = Listing::kListed;
-  TimePoint changed_at_{};  // Of the listing.
+  TimePoint changed_at_{};            // Of the listing.
   std::uint32_t calls_ = 0;           // Of this entry, in progress.
   std::uint32_t prefill_tokens_ = 0;  // Of this entry, not yet read.
   std::uint32_t held_tokens_ = 0;     // Of this entry's answers in progress.
   std::uint32_t failures_ = 0;        // In a row.
   TimePoint suspended_until_{};
-  TimePoint full_until_{};  // It had no room for a reservation.
-  TimePoint silent_since_{};  // Sent to since then without any answer.
-  double error_share_ = 0;    // Of its answers, lately.
-  double mean_ms_ = 0;        // Of its plain answers; zero: unknown.
+  TimePoint full_until_{};            // It had no room for a reservation.
+  TimePoint silent_since_{};          // Sent to since then without any answer.
+  double error_share_ = 0;            // Of its answers, lately.
+  double mean_ms_ = 0;                // Of its plain answers; zero: unknown.
   double prefill_tokens_per_ms_ = 0;  // Zero: unknown.
 };
 
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -20,7 +20,9 @@
                                                : kRetryBusy;
 }
 
-void LogEnd(Step& step, const ActiveCall& call, const std::string& outcome,
+void LogEnd(Step& step,
+            const ActiveCall& call,
+            const std::string& outcome,
             const std::string& detail) {
   core::LogEvent log{
       "request_done",
@@ -37,7 +39,8 @@
        {"ms", FormatMs(step.now_ - call.arrived_at_)},
        {"left_ms", std::to_string(call.call_.time_left_.count())}}};
   if (call.room_at_ != TimePoint{}) {
-    log.fields_.push_back({"room_ms", FormatMs(call.room_at_ - call.arrived_at_)});
+    log.fields_.push_back(
+        {"room_ms", FormatMs(call.room_at_ - call.arrived_at_)});
   }
   if (call.answer_begun_) {
     log.fields_.push_back(
@@ -56,8 +59,8 @@
   }
   found->second.outcome_ = outcome;
   found->second.attempts_ = call.attempt_;
-  found->second.total_ = std::chrono::duration_cast<Milliseconds>(
-      step.now_ - call.arrived_at_);
+  found->second.total_ =
+      std::chrono::duration_cast<Milliseconds>(step.now_ - call.arrived_at_);
 }
 
 }  // namespace
@@ -156,9 +159,9 @@
     }
     step.actions_.emplace_back(std::move(refuse));
   }
-  LogEnd(step, call, outcome,
-         absl::StrCat(core::ToString(reason), detail.empty() ? "" : ": ",
-                      detail));
+  LogEnd(
+      step, call, outcome,
+      absl::StrCat(core::ToString(reason), detail.empty() ? "" : ": ", detail));
   RecordEnd(step, call, outcome);
   ReleaseAttempt(step, call);
   ReleaseDecode(step, call);
@@ -209,8 +212,7 @@
                 const ActiveCall& call,
                 const StartAttempt& start,
                 double expected_ms) {
-  const KnownServer* server =
-      FindServer(step.dispatcher_.pool_, start.server_);
+  const KnownServer* server = FindServer(step.dispatcher_.pool_, start.server_);
   step.actions_.emplace_back(core::LogEvent{
       "attempt_started",
       {{"request", call.call_.label_},
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -64,8 +64,7 @@
     FailCall(step, call, core::Reason::kNotReady, "no configuration yet");
     return;
   }
-  call.rule_ =
-      core::MatchRule(call.configuration_->rules_, call.call_.shape_);
+  call.rule_ = core::MatchRule(call.configuration_->rules_, call.call_.shape_);
   if (call.rule_ == nullptr) {
     FailCall(step, call, core::Reason::kNoRule, "");
     return;
@@ -94,22 +93,26 @@
   }
 }
 
-ActiveCall* FindAttempt(Step& step, const RequestId& id, std::uint32_t attempt) {
+ActiveCall* FindAttempt(Step& step,
+                        const RequestId& id,
+                        std::uint32_t attempt) {
   ActiveCall* call = FindCall(step.dispatcher_, id);
   return call != nullptr && call->attempt_ == attempt ? call : nullptr;
 }
 
-void LogAttemptDone(Step& step, const ActiveCall& call,
-                    const std::string& outcome, const std::string& detail) {
-  step.actions_.emplace_back(core::LogEvent{
-      "attempt_failed",
-      {{"request", call.call_.label_},
-       {"attempt", std::to_string(call.attempt_)},
-       {"stage", ToString(call.stage_)},
-       {"server", call.server_},
-       {"outcome", outcome},
-       {"ms", FormatMs(step.now_ - call.sent_at_)},
-       {"detail", detail}}});
+void LogAttemptDone(Step& step,
+                    const ActiveCall& call,
+                    const std::string& outcome,
+                    const std::string& detail) {
+  step.actions_.emplace_back(
+      core::LogEvent{"attempt_failed",
+                     {{"request", call.call_.label_},
+                      {"attempt", std::to_string(call.attempt_)},
+                      {"stage", ToString(call.stage_)},
+                      {"server", call.server_},
+                      {"outcome", outcome},
+                      {"ms", FormatMs(step.now_ - call.sent_at_)},
+                      {"detail", detail}}});
 }
 
 void OnPrefill(Step& step, const PrefillDone& event) {
@@ -184,14 +187,14 @@
   dispatcher.list_read_ = true;
   dispatcher.list_changed_at_ = step.now_;
   for (const core::ServerInfo& info : event.changes_.seen_) {
-    step.actions_.emplace_back(core::LogEvent{
-        "server_listed",
-        {{"server", info.name_},
-         {"address", info.address_},
-         {"pool", info.service_},
-         {"role", core::ToString(info.role_)},
-         {"domain", info.domain_},
-         {"leaving", info.leaving_ ? "yes" : "no"}}});
+    step.actions_.emplace_back(
+        core::LogEvent{"server_listed",
+                       {{"server", info.name_},
+                        {"address", info.address_},
+                        {"pool", info.service_},
+                        {"role", core::ToString(info.role_)},
+                        {"domain", info.domain_},
+                        {"leaving", info.leaving_ ? "yes" : "no"}}});
   }
   for (const std::string& name : event.changes_.removed_) {
     step.actions_.emplace_back(
@@ -299,28 +302,27 @@
     dispatcher.started_at_ = now;
   }
   Step step{dispatcher, now, actions};
-  std::visit(
-      Overloaded{
-          [&](const CallArrived& e) { OnArrived(step, e); },
-          [&](const CallerLeft& e) { OnCallerLeft(step, e); },
-          [&](const PrefillDone& e) { OnPrefill(step, e); },
-          [&](const ReserveDone& e) { OnReserve(step, e); },
-          [&](const AnswerBegan& e) {
-            ActiveCall* call = FindAttempt(step, e.request_, e.attempt_);
-            if (call != nullptr) {
-              OnAnswerBegan(step, *call);
-            }
-          },
-          [&](const AttemptDone& e) { OnAttemptDone(step, e); },
-          [&](const ListSeen& e) { OnList(step, e); },
-          [&](const ConfigurationRead& e) { OnConfiguration(step, e); },
-          [&](const DrainBegan&) {
-            dispatcher.draining_ = true;
-            UpdateReady(step);
-          },
-          [&](const Ticked&) { OnTick(step); },
-      },
-      event);
+  std::visit(Overloaded{
+                 [&](const CallArrived& e) { OnArrived(step, e); },
+                 [&](const CallerLeft& e) { OnCallerLeft(step, e); },
+                 [&](const PrefillDone& e) { OnPrefill(step, e); },
+                 [&](const ReserveDone& e) { OnReserve(step, e); },
+                 [&](const AnswerBegan& e) {
+                   ActiveCall* call = FindAttempt(step, e.request_, e.attempt_);
+                   if (call != nullptr) {
+                     OnAnswerBegan(step, *call);
+                   }
+                 },
+                 [&](const AttemptDone& e) { OnAttemptDone(step, e); },
+                 [&](const ListSeen& e) { OnList(step, e); },
+                 [&](const ConfigurationRead& e) { OnConfiguration(step, e); },
+                 [&](const DrainBegan&) {
+                   dispatcher.draining_ = true;
+                   UpdateReady(step);
+                 },
+                 [&](const Ticked&) { OnTick(step); },
+             },
+             event);
 }
 
 const core::DecisionRecord* FindDecision(const Dispatcher& dispatcher,
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -67,8 +67,8 @@
   if (step.now_ + kHoldMargin < call.hold_until_) {
     start.hold_ = call.hold_;
   }
-  const bool may_go_on = IsRepeatable(call) &&
-                         call.sends_ < call.rule_->outcome_.retries_;
+  const bool may_go_on =
+      IsRepeatable(call) && call.sends_ < call.rule_->outcome_.retries_;
   if (may_go_on) {
     start.patience_ = kFirstEventPatience + ToMs(2 * expected);
     start.event_patience_ = kEventPatience;
@@ -142,8 +142,7 @@
     return;
   }
   call.decode_server_ = server->info_.name_;
-  call.counted_held_ =
-      need.prompt_tokens_ + need.answer_tokens_;
+  call.counted_held_ = need.prompt_tokens_ + need.answer_tokens_;
   server->held_tokens_ += call.counted_held_;
   const bool can_reserve =
       need.facts_ != nullptr && need.facts_->hold_.count() > 0;
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -136,11 +136,9 @@
 std::string PlacePlain(const ServerPool& pool,
                        const PlacementNeed& need,
                        TimePoint now) {
-  const Choice best =
-      Cheapest(pool, need, core::ServerRole::kPlain, now,
-               [&](const KnownServer& server) {
-                 return PlainCost(server, need, now);
-               });
+  const Choice best = Cheapest(
+      pool, need, core::ServerRole::kPlain, now,
+      [&](const KnownServer& server) { return PlainCost(server, need, now); });
   return best.server_ == nullptr ? "" : best.server_->info_.name_;
 }
 
@@ -148,12 +146,12 @@
                        const PlacementNeed& need,
                        bool direct,
                        TimePoint now) {
-  const Choice best = Cheapest(
-      pool, need, core::ServerRole::kDecode, now,
-      [&](const KnownServer& server) {
-        return DecodeCost(server, need, now) +
-               (direct ? DirectMs(server, need.prompt_tokens_) : 0);
-      });
+  const Choice best =
+      Cheapest(pool, need, core::ServerRole::kDecode, now,
+               [&](const KnownServer& server) {
+                 return DecodeCost(server, need, now) +
+                        (direct ? DirectMs(server, need.prompt_tokens_) : 0);
+               });
   if (best.server_ == nullptr) {
     return {};
   }
@@ -169,12 +167,12 @@
   if (decode.decode_.empty()) {
     return {};
   }
-  const Choice prefill = Cheapest(
-      pool, need, core::ServerRole::kPrefill, now,
-      [&](const KnownServer& server) {
-        return CommonCost(server, need, kFarPrefillMs, now) +
-               PrefillMs(server, need.prompt_tokens_);
-      });
+  const Choice prefill =
+      Cheapest(pool, need, core::ServerRole::kPrefill, now,
+               [&](const KnownServer& server) {
+                 return CommonCost(server, need, kFarPrefillMs, now) +
+                        PrefillMs(server, need.prompt_tokens_);
+               });
   if (prefill.server_ == nullptr) {
     return direct;
   }
@@ -182,8 +180,7 @@
   if (direct.expected_ms_ < split_ms) {
     return direct;
   }
-  return {prefill.server_->info_.name_, decode.decode_, split_ms,
-          decode.full_};
+  return {prefill.server_->info_.name_, decode.decode_, split_ms, decode.full_};
 }
 
 }  // namespace siskindrum::dispatch
--- a/packages/dispatch/src/plain_call.cc
+++ b/packages/dispatch/src/plain_call.cc
@@ -18,8 +18,8 @@
     return;
   }
   StartAttempt start = BeginAttempt(step, call, Stage::kPlain, *server);
-  const bool may_go_on = IsRepeatable(call) &&
-                         call.sends_ < call.rule_->outcome_.retries_;
+  const bool may_go_on =
+      IsRepeatable(call) && call.sends_ < call.rule_->outcome_.retries_;
   start.patience_ = may_go_on ? kPlainPatience : Milliseconds(0);
   LogAttempt(step, call, start, server->mean_ms_);
   step.actions_.emplace_back(std::move(start));
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -54,9 +54,8 @@
   if (in_time) {
     step.dispatcher_.tight_until_ = step.now_ + kTightTime;
   }
-  const bool hopeless =
-      step.now_ >= WaitLimit(call) ||
-      (!in_time && step.now_ < step.dispatcher_.tight_until_);
+  const bool hopeless = step.now_ >= WaitLimit(call) ||
+                        (!in_time && step.now_ < step.dispatcher_.tight_until_);
   if (hopeless && !call.answer_begun_) {
     FailCall(step, call, core::Reason::kOverloaded,
              absl::StrCat("no decode engine of ", call.pool_, " has room"));
--- a/packages/dispatch/test/call_test.cc
+++ b/packages/dispatch/test/call_test.cc
@@ -1,8 +1,8 @@
 #define BOOST_TEST_MODULE dispatch
 #include <boost/test/unit_test.hpp>
 
-#include "site.h"
 #include "siskindrum/dispatch/limits.h"
+#include "site.h"
 
 namespace siskindrum::dispatch {
 namespace {
@@ -164,8 +164,8 @@
 BOOST_AUTO_TEST_CASE(Configuration_WhenOlder_ChangesNothing) {
   Configure(5, "default then refuse # asked by Ann\n");
   Configure(4, kRules);
-  BOOST_TEST((Verdict(Arrive("/book/1")).reason_ ==
-              core::Reason::kRefusedByRule));
+  BOOST_TEST(
+      (Verdict(Arrive("/book/1")).reason_ == core::Reason::kRefusedByRule));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/dispatch/test/engine_call_test.cc
+++ b/packages/dispatch/test/engine_call_test.cc
@@ -1,7 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
-#include "site.h"
 #include "siskindrum/dispatch/limits.h"
+#include "site.h"
 
 namespace siskindrum::dispatch {
 namespace {
--- a/packages/dispatch/test/overload_test.cc
+++ b/packages/dispatch/test/overload_test.cc
@@ -2,8 +2,8 @@
 
 #include <deque>
 
-#include "site.h"
 #include "siskindrum/dispatch/limits.h"
+#include "site.h"
 
 namespace siskindrum::dispatch {
 namespace {
--- a/packages/dispatch/test/site.h
+++ b/packages/dispatch/test/site.h
@@ -60,8 +60,8 @@
   }
 
   void Configure(std::uint64_t revision, const std::string& rules) {
-    Handle(ConfigurationRead{*rules::MakeConfiguration(revision, rules),
-                             "test"});
+    Handle(
+        ConfigurationRead{*rules::MakeConfiguration(revision, rules), "test"});
   }
   void List(const std::vector<core::ServerInfo>& seen, bool whole) {
     Handle(ListSeen{{seen, {}, whole}});
@@ -113,11 +113,11 @@
     const auto found = starts_.find(id);
     return found == starts_.end()
                ? 0
-               : static_cast<std::size_t>(std::count_if(
-                     found->second.begin(), found->second.end(),
-                     [stage](const StartAttempt& one) {
-                       return one.stage_ == stage;
-                     }));
+               : static_cast<std::size_t>(
+                     std::count_if(found->second.begin(), found->second.end(),
+                                   [stage](const StartAttempt& one) {
+                                     return one.stage_ == stage;
+                                   }));
   }
   bool IsRefused(const RequestId& id) const { return refused_.contains(id); }
   const core::Verdict& Verdict(const RequestId& id) const {
@@ -128,8 +128,8 @@
     Handle(ReserveDone{id, Last(id).attempt_, ok, !ok, ok ? "hold" : "", ""});
   }
   void Prefill(const RequestId& id, bool ok, bool refused = false) {
-    Handle(PrefillDone{id, Last(id).attempt_, ok, refused, true,
-                       ok ? "kv" : "", ""});
+    Handle(PrefillDone{id, Last(id).attempt_, ok, refused, true, ok ? "kv" : "",
+                       ""});
   }
   void Begin(const RequestId& id) {
     Handle(AnswerBegan{id, Last(id).attempt_});
--- a/packages/dispatch/test/stage_plan_test.cc
+++ b/packages/dispatch/test/stage_plan_test.cc
@@ -1,8 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
-#include "site.h"
 #include "siskindrum/dispatch/limits.h"
 #include "siskindrum/dispatch/stage_plan.h"
+#include "site.h"
 
 namespace siskindrum::dispatch {
 namespace {
--- a/packages/entry/src/core_thread_p.h
+++ b/packages/entry/src/core_thread_p.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "siskindrum/core/router.h"
-#include "siskindrum/telemetry/ring.h"
 #include "siskindrum/telemetry/metrics.h"
+#include "siskindrum/telemetry/ring.h"
 
 namespace siskindrum::entry {
 
--- a/packages/entry/test/process_test.cc
+++ b/packages/entry/test/process_test.cc
@@ -11,8 +11,8 @@
 
 #include <httplib.h>
 
-#include "siskindrum/core/hash.h"
 #include "loopback.h"
+#include "siskindrum/core/hash.h"
 #include "site.h"
 
 namespace siskindrum::entry {
--- a/packages/gateway/include/siskindrum/gateway/dialect.h
+++ b/packages/gateway/include/siskindrum/gateway/dialect.h
@@ -42,7 +42,7 @@
 // What an answer's head says.
 struct AnswerFacts {
   AnswerOwner owner_ = AnswerOwner::kUnnamed;
-  bool not_run_ = false;  // The server says that it did not run the request.
+  bool not_run_ = false;    // The server says that it did not run the request.
   bool authentic_ = false;  // It bears the server's own mark.
 };
 
--- a/packages/gateway/include/siskindrum/gateway/gateway.h
+++ b/packages/gateway/include/siskindrum/gateway/gateway.h
@@ -17,8 +17,8 @@
 struct GatewayOptions {
   std::string name_;
   std::string domain_;
-  std::string callers_address_;  // "ip:port" of the callers' listener.
-  std::string ready_address_;    // Empty: none of its own.
+  std::string callers_address_;    // "ip:port" of the callers' listener.
+  std::string ready_address_;      // Empty: none of its own.
   std::string operators_address_;  // Metrics, dump, explain; empty: none.
   core::Milliseconds drain_limit_{7000};
   bool gives_orders_ = false;  // As in dispatch::DispatcherOptions.
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -33,8 +33,8 @@
 
 bool IsEventStream(const http::Head& head) {
   const std::string* type = http::FindField(head, "Content-Type");
-  return type != nullptr && absl::StartsWithIgnoreCase(*type,
-                                                       "text/event-stream");
+  return type != nullptr &&
+         absl::StartsWithIgnoreCase(*type, "text/event-stream");
 }
 
 }  // namespace
@@ -103,11 +103,11 @@
   http::BackendCall call;
   call.address_ = start.address_;
   call.bytes_ = RequestBytes(start);
-  call.head_only_ = start.stage_ != Stage::kReserve &&
-                    request_.head_.method_ == "HEAD";
-  call.write_before_ = std::min(start.decided_at_ + dispatch::kDecisionAge +
-                                    dispatch::kConnectTime,
-                                start.deadline_);
+  call.head_only_ =
+      start.stage_ != Stage::kReserve && request_.head_.method_ == "HEAD";
+  call.write_before_ = std::min(
+      start.decided_at_ + dispatch::kDecisionAge + dispatch::kConnectTime,
+      start.deadline_);
   call.connect_time_ = dispatch::kConnectTime;
   const auto self = shared_from_this();
   const std::uint32_t attempt = start.attempt_;
@@ -142,10 +142,10 @@
     return http::AnswerUse::kSkip;
   }
   const bool encoded = http::FindField(head, "Content-Encoding") != nullptr;
-  const bool trusted = start_.stage_ == Stage::kPrefill
-                           ? true
-                           : facts.owner_ == AnswerOwner::kOurs &&
-                                 facts.authentic_ && !encoded;
+  const bool trusted =
+      start_.stage_ == Stage::kPrefill
+          ? true
+          : facts.owner_ == AnswerOwner::kOurs && facts.authentic_ && !encoded;
   if (IsSuccess(head) && !trusted) {
     return http::AnswerUse::kFail;
   }
@@ -280,8 +280,8 @@
   }
   if (IsStreaming() || answer_begun_) {
     if (!events_.partial_.empty()) {
-      Report(AttemptOutcome::kFailed, RunState::kMayHaveRun,
-             Reason::kBadAnswer, "the stream ended within an event");
+      Report(AttemptOutcome::kFailed, RunState::kMayHaveRun, Reason::kBadAnswer,
+             "the stream ended within an event");
       return;
     }
     if (!answer_begun_) {
@@ -342,8 +342,8 @@
                              bool refused,
                              const std::string& hold,
                              const std::string& detail) {
-  context_.post_(dispatch::ReserveDone{id_, start_.attempt_, ok, refused, hold,
-                                       detail});
+  context_.post_(
+      dispatch::ReserveDone{id_, start_.attempt_, ok, refused, hold, detail});
 }
 
 void Exchange::Refuse(const core::Verdict& verdict) {
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -59,10 +59,9 @@
         pool_(context_),
         decisions_(decision_options_),
         logs_(metrics_),
-        exchange_context_{options_.dialect_, pool_, metrics_,
-                          [this](dispatch::Event event) {
-                            Post(std::move(event));
-                          }},
+        exchange_context_{
+            options_.dialect_, pool_, metrics_,
+            [this](dispatch::Event event) { Post(std::move(event)); }},
         callers_(context_, CallerHandlers()),
         probes_(context_, ProbeHandlers()),
         operators_(context_, OperatorHandlers()),
@@ -364,12 +363,12 @@
     return opened;
   }
   state.logs_.Start();
-  state.logs_.Add({"entry_started",
-                   {{"name", options.name_},
-                    {"domain", options.domain_},
-                    {"incarnation", std::to_string(
-                                        state.decision_options_.incarnation_)},
-                    {"callers", options.callers_address_}}});
+  state.logs_.Add(
+      {"entry_started",
+       {{"name", options.name_},
+        {"domain", options.domain_},
+        {"incarnation", std::to_string(state.decision_options_.incarnation_)},
+        {"callers", options.callers_address_}}});
   state.decisions_.Start([&state](std::vector<dispatch::Action> actions) {
     state.Dispatch(std::move(actions));
   });
@@ -391,8 +390,8 @@
   }
   state.draining_ = true;
   state.drain_began_ = http::MonotonicNow();
-  state.logs_.Add({"drain_began",
-                   {{"requests", std::to_string(state.by_caller_.size())}}});
+  state.logs_.Add(
+      {"drain_began", {{"requests", std::to_string(state.by_caller_.size())}}});
   state.Post(dispatch::DrainBegan{});
   state.callers_.Drain(false);
 }
--- a/packages/gateway/src/operators.cc
+++ b/packages/gateway/src/operators.cc
@@ -38,14 +38,13 @@
           {"prefill_tokens", server.prefill_tokens_},
           {"held_tokens", server.held_tokens_},
           {"failures", server.failures_},
-          {"suspended_ms", std::max<std::int64_t>(
-                               0, AgeMs(server.suspended_until_, now))},
+          {"suspended_ms",
+           std::max<std::int64_t>(0, AgeMs(server.suspended_until_, now))},
           {"error_share", server.error_share_},
           {"mean_ms", server.mean_ms_}};
 }
 
-nlohmann::json DumpCall(const dispatch::ActiveCall& call,
-                        core::TimePoint now) {
+nlohmann::json DumpCall(const dispatch::ActiveCall& call, core::TimePoint now) {
   return {{"request", call.call_.label_},
           {"pool", call.pool_},
           {"rule_line", call.rule_ == nullptr ? 0 : call.rule_->line_},
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -90,8 +90,7 @@
     GatewayOptions options;
     options.name_ = "entry";
     options.domain_ = "east";
-    options.callers_address_ =
-        absl::StrCat("127.0.0.1:", port_ = FreePort());
+    options.callers_address_ = absl::StrCat("127.0.0.1:", port_ = FreePort());
     options.drain_limit_ = core::Milliseconds(4000);
     options.dialect_ = TestDialect();
     gateway_ = std::make_unique<Gateway>(options);
@@ -270,8 +269,9 @@
   List("s", "plain", core::ServerRole::kPlain, server.Address());
   {
     test::Peer peer = test::Peer::Connect(port_);
-    peer.Send("POST /once HTTP/1.1\r\nHost: h\r\nId: 7\r\n"
-              "Content-Length: 0\r\n\r\n");
+    peer.Send(
+        "POST /once HTTP/1.1\r\nHost: h\r\nId: 7\r\n"
+        "Content-Length: 0\r\n\r\n");
     std::this_thread::sleep_for(core::Milliseconds(100));
   }
   BOOST_TEST(ended.get_future().get());
--- a/packages/http/include/siskindrum/http/backend_pool.h
+++ b/packages/http/include/siskindrum/http/backend_pool.h
@@ -46,8 +46,8 @@
 // One request to a server. Callbacks come on the network thread, and none
 // after on_end_ or a cancel.
 struct BackendCall {
-  std::string address_;  // "ip:port".
-  std::string bytes_;    // The whole request as sent.
+  std::string address_;     // "ip:port".
+  std::string bytes_;       // The whole request as sent.
   bool head_only_ = false;  // Its answer has no body.
   // Nothing is written later than this.
   core::TimePoint write_before_ = core::TimePoint::max();
--- a/packages/http/include/siskindrum/http/caller_connection.h
+++ b/packages/http/include/siskindrum/http/caller_connection.h
@@ -51,8 +51,7 @@
 // One connection of a caller: it reads one request at a time, watches for the
 // caller's leaving at every moment, and writes answers. Owned by the network
 // thread; no method is thread-safe.
-class CallerConnection
-    : public std::enable_shared_from_this<CallerConnection> {
+class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
  public:
   // Requires: `limits` and `handlers` outlive the connection.
   CallerConnection(boost::asio::ip::tcp::socket socket,
--- a/packages/http/src/backend_connection.cc
+++ b/packages/http/src/backend_connection.cc
@@ -32,7 +32,8 @@
     return false;
   }
   error_code error;
-  const auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
+  const auto ip =
+      boost::asio::ip::make_address(address.substr(0, colon), error);
   *endpoint = tcp::endpoint(ip, static_cast<std::uint16_t>(port));
   return !error;
 }
@@ -128,16 +129,16 @@
 
 void BackendConnection::Write() {
   sent_ = true;
-  boost::asio::async_write(
-      socket_, boost::asio::buffer(call_.bytes_),
-      [self = shared_from_this()](const error_code& error,
-                                  std::size_t /*count*/) {
-        // A failed write is left to the reading side: the server may have
-        // answered before it stopped reading.
-        if (!error) {
-          self->written_ = true;
-        }
-      });
+  boost::asio::async_write(socket_, boost::asio::buffer(call_.bytes_),
+                           [self = shared_from_this()](const error_code& error,
+                                                       std::size_t /*count*/) {
+                             // A failed write is left to the reading side: the
+                             // server may have answered before it stopped
+                             // reading.
+                             if (!error) {
+                               self->written_ = true;
+                             }
+                           });
 }
 
 void BackendConnection::Read() {
@@ -194,8 +195,8 @@
     }
     pending_.append(bytes, used);
     if (failing_ || parser_->Error() != ParseError::kNone) {
-      End(CallFailure::kMalformed, failing_ ? "an answer that is not ours"
-                                            : ToString(parser_->Error()));
+      End(CallFailure::kMalformed,
+          failing_ ? "an answer that is not ours" : ToString(parser_->Error()));
       return;
     }
     if (!parser_->IsDone()) {
@@ -218,9 +219,9 @@
       call_.on_body_(data);
     }
   };
-  parser_ = std::make_unique<MessageParser>(
-      MessageParser::Kind::kResponse, ParserLimits{kAnswerHeadBytes, 0},
-      std::move(sink));
+  parser_ = std::make_unique<MessageParser>(MessageParser::Kind::kResponse,
+                                            ParserLimits{kAnswerHeadBytes, 0},
+                                            std::move(sink));
   if (call_.head_only_) {
     parser_->ExpectNoBody();
   }
--- a/packages/http/src/caller_connection.cc
+++ b/packages/http/src/caller_connection.cc
@@ -102,8 +102,7 @@
     state_ = State::kInRequest;
     answer_begun_ = false;
     chunked_ = false;
-    close_after_answer_ =
-        draining_ || !KeepsConnection(request_.head_);
+    close_after_answer_ = draining_ || !KeepsConnection(request_.head_);
     CallerRequest request = std::move(request_);
     request_ = CallerRequest();
     request_.head_.version_ = request.head_.version_;
@@ -264,22 +263,21 @@
     return;
   }
   writing_ = true;
-  boost::asio::async_write(
-      socket_, boost::asio::buffer(writes_.front()),
-      [self = shared_from_this()](const error_code& error,
-                                  std::size_t /*count*/) {
-        self->writing_ = false;
-        if (self->state_ == State::kClosed) {
-          return;
-        }
-        if (error) {
-          self->OnReadEnd();
-          return;
-        }
-        self->backlog_ -= self->writes_.front().size();
-        self->writes_.pop_front();
-        self->WriteNext();
-      });
+  boost::asio::async_write(socket_, boost::asio::buffer(writes_.front()),
+                           [self = shared_from_this()](const error_code& error,
+                                                       std::size_t /*count*/) {
+                             self->writing_ = false;
+                             if (self->state_ == State::kClosed) {
+                               return;
+                             }
+                             if (error) {
+                               self->OnReadEnd();
+                               return;
+                             }
+                             self->backlog_ -= self->writes_.front().size();
+                             self->writes_.pop_front();
+                             self->WriteNext();
+                           });
 }
 
 // Closes the sending half and waits for the caller to close the other, so that
--- a/packages/http/src/message.cc
+++ b/packages/http/src/message.cc
@@ -11,10 +11,17 @@
 
 namespace {
 
-constexpr std::string_view kConnectionFields[] = {
-    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-    "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
-    "Content-Length", "Expect"};
+constexpr std::string_view kConnectionFields[] = {"Connection",
+                                                  "Keep-Alive",
+                                                  "Proxy-Connection",
+                                                  "Proxy-Authenticate",
+                                                  "Proxy-Authorization",
+                                                  "TE",
+                                                  "Trailer",
+                                                  "Transfer-Encoding",
+                                                  "Upgrade",
+                                                  "Content-Length",
+                                                  "Expect"};
 
 std::string FormatFields(const Head& head) {
   std::string text;
@@ -130,11 +137,11 @@
 
 std::string FormatResponseHead(const Head& head) {
   const std::string_view reason = ReasonPhrase(head.status_);
-  return absl::StrCat(
-      "HTTP/1.1 ", head.status_, " ",
-      head.reason_.empty() ? absl::string_view(reason.data(), reason.size())
-                           : absl::string_view(head.reason_),
-      "\r\n", FormatFields(head));
+  return absl::StrCat("HTTP/1.1 ", head.status_, " ",
+                      head.reason_.empty()
+                          ? absl::string_view(reason.data(), reason.size())
+                          : absl::string_view(head.reason_),
+                      "\r\n", FormatFields(head));
 }
 
 std::string FormatChunk(std::string_view data) {
--- a/packages/http/test/backend_pool_test.cc
+++ b/packages/http/test/backend_pool_test.cc
@@ -21,7 +21,8 @@
 
 // Runs calls on the thread of the test against a scripted server.
 struct PoolFixture {
-  static constexpr char kRequest[] = "GET / HTTP/1.1\r\nHost: h\r\nId: 7\r\n\r\n";
+  static constexpr char kRequest[] =
+      "GET / HTTP/1.1\r\nHost: h\r\nId: 7\r\n\r\n";
 
   BackendCall MakeCall(const std::string& address, Outcome& outcome) {
     BackendCall call;
@@ -106,7 +107,8 @@
   const char* answers[] = {
       "", "HTTP/1.1 200 O",
       "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 9\r\n\r\nok",
-      "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"};
+      "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n2\r\nok\r\n"};
   for (const char* answer : answers) {
     test::ScriptedServer server([answer](test::Peer& peer, int) {
       peer.ReadUntil("\r\n\r\n");
@@ -151,9 +153,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(Send_WhenTheDecisionIsTooOld_SendsNothing) {
-  test::ScriptedServer server([](test::Peer& peer, int) {
-    BOOST_TEST(peer.ReadAll().empty());
-  });
+  test::ScriptedServer server(
+      [](test::Peer& peer, int) { BOOST_TEST(peer.ReadAll().empty()); });
   Outcome outcome;
   BackendCall call = MakeCall(server.Address(), outcome);
   call.write_before_ = MonotonicNow() - core::Milliseconds(1);
--- a/packages/http/test/caller_connection_test.cc
+++ b/packages/http/test/caller_connection_test.cc
@@ -20,8 +20,8 @@
 // Accepts callers on a network thread of its own; each request is answered
 // with its body, unless its path is /wait or /stream.
 struct CallerFixture {
-  CallerFixture() : acceptor_(context_, tcp::endpoint(tcp::v4(), 0)),
-                    timer_(context_) {
+  CallerFixture()
+      : acceptor_(context_, tcp::endpoint(tcp::v4(), 0)), timer_(context_) {
     limits_.parser_ = {1024, 64};
     limits_.head_time_ = core::Milliseconds(200);
     limits_.idle_time_ = core::Milliseconds(400);
@@ -31,9 +31,8 @@
     handlers_.on_gone_ = [this](CallerConnection&) { ++gone_; };
     handlers_.on_writable_ = [](CallerConnection&) {};
     handlers_.on_closed_ = [this](CallerConnection& one) {
-      std::erase_if(open_, [&one](const auto& held) {
-        return held.get() == &one;
-      });
+      std::erase_if(open_,
+                    [&one](const auto& held) { return held.get() == &one; });
     };
     Accept();
     Tick();
@@ -165,15 +164,14 @@
 }
 
 BOOST_AUTO_TEST_CASE(Answer_WhenAborted_IsNotSeenAsWhole) {
-  const std::string answer =
-      Ask("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+  const std::string answer = Ask("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
   BOOST_TEST(answer.find("0\r\n\r\n") == std::string::npos);
 }
 
 BOOST_AUTO_TEST_CASE(Answer_WhenTheRequestAskedForHead_HasNoBody) {
-  const std::string answer = Ask(
-      "HEAD / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
-      "Connection: close\r\n\r\nab");
+  const std::string answer =
+      Ask("HEAD / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+          "Connection: close\r\n\r\nab");
   BOOST_TEST(answer.ends_with("\r\n\r\n"));
 }
 
--- a/packages/http/test/loopback.h
+++ b/packages/http/test/loopback.h
@@ -43,8 +43,8 @@
   void Send(const std::string& text) const {
     std::size_t sent = 0;
     while (sent < text.size()) {
-      const ssize_t count = send(fd_, text.data() + sent, text.size() - sent,
-                                 MSG_NOSIGNAL);
+      const ssize_t count =
+          send(fd_, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
       if (count <= 0) {
         return;
       }
@@ -134,9 +134,7 @@
   ScriptedServer& operator=(const ScriptedServer&) = delete;
 
   std::uint16_t Port() const { return port_; }
-  std::string Address() const {
-    return "127.0.0.1:" + std::to_string(port_);
-  }
+  std::string Address() const { return "127.0.0.1:" + std::to_string(port_); }
 
  private:
   void Run() {
--- a/packages/http/test/parser_test.cc
+++ b/packages/http/test/parser_test.cc
@@ -75,14 +75,14 @@
 }
 
 BOOST_AUTO_TEST_CASE(Feed_WhenTheHeadIsTooLong_SaysSo) {
-  const auto parser = Request("GET / HTTP/1.1\r\nHost: h\r\nX: " +
-                              std::string(300, 'x') + "\r\n\r\n");
+  const auto parser = Request(
+      "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(300, 'x') + "\r\n\r\n");
   BOOST_TEST((parser->Error() == ParseError::kHeadTooLarge));
 }
 
 BOOST_AUTO_TEST_CASE(Feed_WhenTheBodyIsTooLong_SaysSoWhateverItsFraming) {
-  const auto sized = Request(
-      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 33\r\n\r\n");
+  const auto sized =
+      Request("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 33\r\n\r\n");
   BOOST_TEST((sized->Error() == ParseError::kBodyTooLarge));
   const auto chunked = Request(
       "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n21\r\n" +
--- a/packages/rules/src/rules.cc
+++ b/packages/rules/src/rules.cc
@@ -118,9 +118,10 @@
   }
   std::string* field = PatternField(match, word.key_);
   if (field == nullptr || word.comparison_ != "=") {
-    return absl::StrCat("unknown condition '", word.text_,
-                        "'; expected host=, service=, organisation=, model=, path=, "
-                        "method=, domain=, prompt>=, prompt< or priority=");
+    return absl::StrCat(
+        "unknown condition '", word.text_,
+        "'; expected host=, service=, organisation=, model=, path=, "
+        "method=, domain=, prompt>=, prompt< or priority=");
   }
   if (!field->empty()) {
     return absl::StrCat("condition '", word.key_, "' stands twice");
@@ -375,8 +376,9 @@
                                                          : nullptr;
     if (field == nullptr || word->comparison_ != "=" ||
         !ParseCount(word->value_, kMaxTokens, field)) {
-      AddError(parser, line, word->column_,
-               "expected slots=N, memory=TOKENS, connections=N or hold=DURATION");
+      AddError(
+          parser, line, word->column_,
+          "expected slots=N, memory=TOKENS, connections=N or hold=DURATION");
     }
   }
   parser.parsed_.rules_.pools_.push_back(std::move(facts));
@@ -385,12 +387,10 @@
 // Reads: callers head=BYTES body=BYTES head_time=DURATION idle=DURATION
 void ParseCallersLine(Parser& parser, const Line& line) {
   core::CallerBounds& bounds = parser.parsed_.rules_.callers_;
-  for (auto word = line.words_.begin() + 1; word != line.words_.end();
-       ++word) {
+  for (auto word = line.words_.begin() + 1; word != line.words_.end(); ++word) {
     const std::string& value = word->value_;
     const bool good =
-        word->key_ == "head"
-            ? ParseCount(value, kMaxBytes, &bounds.head_bytes_)
+        word->key_ == "head" ? ParseCount(value, kMaxBytes, &bounds.head_bytes_)
         : word->key_ == "body"
             ? ParseCount(value, kMaxBytes, &bounds.body_bytes_)
         : word->key_ == "head_time" ? ParseDuration(value, &bounds.head_time_)
@@ -422,11 +422,10 @@
   } else if (verb == "callers") {
     ParseCallersLine(parser, line);
   } else {
-    AddError(
-        parser, line, line.words_.front().column_,
-        absl::StrCat("expected 'when', 'default', 'seat', 'pool' or "
-                     "'callers', not '",
-                     verb, "'"));
+    AddError(parser, line, line.words_.front().column_,
+             absl::StrCat("expected 'when', 'default', 'seat', 'pool' or "
+                          "'callers', not '",
+                          verb, "'"));
   }
 }
 
--- a/packages/telemetry/include/siskindrum/telemetry/metrics.h
+++ b/packages/telemetry/include/siskindrum/telemetry/metrics.h
@@ -16,8 +16,8 @@
   kBetweenTokens,  // Between two tokens of one answer.
   kRequest,        // Arrival to end.
   kPrefill,
-  kDecision,  // One event handled by the core.
-  kPlainCall,     // Arrival to end of a plain call.
+  kDecision,   // One event handled by the core.
+  kPlainCall,  // Arrival to end of a plain call.
   kCount
 };
 
--- a/packages/telemetry/src/log_writer.cc
+++ b/packages/telemetry/src/log_writer.cc
@@ -55,8 +55,8 @@
 void LogWriter::ReportDropped() {
   const std::uint64_t dropped = dropped_;
   if (dropped != reported_) {
-    WriteEvent(
-        {"log_lines_dropped", {{"lines", std::to_string(dropped - reported_)}}});
+    WriteEvent({"log_lines_dropped",
+                {{"lines", std::to_string(dropped - reported_)}}});
     reported_ = dropped;
   }
 }
--- a/packages/telemetry/src/metrics.cc
+++ b/packages/telemetry/src/metrics.cc
@@ -23,7 +23,7 @@
 const char* NameOf(std::size_t timing) {
   static constexpr const char* kNames[kTimings] = {
       "first_token_seconds", "between_tokens_seconds", "request_seconds",
-      "prefill_seconds", "decision_seconds", "plain_call_seconds"};
+      "prefill_seconds",     "decision_seconds",       "plain_call_seconds"};
   return kNames[timing];
 }
 
