Take no further request once idle callers were let go

Ruled out: the limit of the drain (the request came after it should have been let go), load (one entry, 7 requests). Change: after idle callers were let go, a connection ends with its answer in progress whatever that answer's head said. One address parser, one variant visitor in place of two each; what nothing used is removed.

--- /dev/null
+++ b/packages/core/include/siskindrum/core/overloaded.h
@@ -0,0 +1,16 @@
+#ifndef SISKINDRUM_CORE_OVERLOADED_H_
+#define SISKINDRUM_CORE_OVERLOADED_H_
+
+namespace siskindrum::core {
+
+// Joins lambdas into one visitor of a variant. Thread-safe: as its lambdas.
+template <class... Handlers>
+struct Overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <class... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+}  // namespace siskindrum::core
+
+#endif  // SISKINDRUM_CORE_OVERLOADED_H_
--- a/packages/core/src/router.cc
+++ b/packages/core/src/router.cc
@@ -5,18 +5,12 @@
 #include "router_p.h"
 #include "siskindrum/core/hash.h"
 #include "siskindrum/core/limits.h"
+#include "siskindrum/core/overloaded.h"
 
 namespace siskindrum::core {
 
 namespace {
 
-template <class... Handlers>
-struct Overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-template <class... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 void OnPeerSeen(Step& step, const PeerMessage& message) {
   ++step.router_.counters_.peer_messages_;
   const std::string& from = message.from_;
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -182,11 +182,6 @@
   bool ready_ = false;
 };
 
-// The server at this address is gone.
-struct ServerGone {
-  std::string address_;
-};
-
 using Action = std::variant<StartAttempt,
                             Refuse,
                             DeliverKept,
@@ -195,7 +190,6 @@
                             TurnToDecode,
                             BoundCallers,
                             ReadyChanged,
-                            ServerGone,
                             core::LogEvent>;
 
 }  // namespace siskindrum::dispatch
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -2,19 +2,13 @@
 
 #include "absl/strings/str_cat.h"
 #include "dispatcher_p.h"
+#include "siskindrum/core/overloaded.h"
 #include "siskindrum/dispatch/stage_plan.h"
 
 namespace siskindrum::dispatch {
 
 namespace {
 
-template <class... Handlers>
-struct Overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-template <class... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 ActiveCall* FindCall(Dispatcher& dispatcher, const RequestId& id) {
   const auto found = dispatcher.calls_.find(id);
   return found == dispatcher.calls_.end() ? nullptr : &found->second;
@@ -302,7 +296,7 @@
     dispatcher.started_at_ = now;
   }
   Step step{dispatcher, now, actions};
-  std::visit(Overloaded{
+  std::visit(core::Overloaded{
                  [&](const CallArrived& e) { OnArrived(step, e); },
                  [&](const CallerLeft& e) { OnCallerLeft(step, e); },
                  [&](const PrefillDone& e) { OnPrefill(step, e); },
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -162,7 +162,7 @@
 EnginePlan PlaceEngines(const ServerPool& pool,
                         const PlacementNeed& need,
                         TimePoint now) {
-  const EnginePlan direct = PlaceDecode(pool, need, true, now);
+  EnginePlan direct = PlaceDecode(pool, need, true, now);
   const EnginePlan decode = PlaceDecode(pool, need, false, now);
   if (decode.decode_.empty()) {
     return {};
--- a/packages/gateway/include/siskindrum/gateway/event_splitter.h
+++ b/packages/gateway/include/siskindrum/gateway/event_splitter.h
@@ -13,7 +13,6 @@
 struct EventSplitter {
   std::string partial_;  // Of an event that is not whole yet.
   std::optional<std::uint64_t> last_event_;  // Passed on.
-  bool out_of_order_ = false;  // Events were skipped by the server.
 };
 
 // Takes bytes of the stream and returns the whole events among them that the
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -25,7 +25,7 @@
 constexpr int kCallerSweeps = 5;  // Of the above between two of callers.
 // After a drain began: until balancers have surely seen that this entry is not
 // ready, and idle callers are let go.
-constexpr core::Milliseconds kDrainIdle{3000};
+constexpr core::Milliseconds kDrainIdle{2800};
 constexpr core::Milliseconds kOwnRequestTime{2000};
 
 core::Incarnation MakeIncarnation() {
@@ -267,7 +267,6 @@
     callers_.SetLimits(limits);
   }
   void Do(const dispatch::ReadyChanged& changed) { ready_ = changed.ready_; }
-  void Do(const dispatch::ServerGone& gone) { pool_.Forget(gone.address_); }
   void Do(const core::LogEvent& event) { logs_.Add(event); }
 
   void Dispatch(std::vector<dispatch::Action> actions) {
--- a/packages/gateway/src/listener.cc
+++ b/packages/gateway/src/listener.cc
@@ -2,8 +2,8 @@
 
 #include <vector>
 
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "siskindrum/http/endpoint.h"
 
 namespace siskindrum::gateway {
 
@@ -25,22 +25,15 @@
 }
 
 tl::expected<void, std::string> Listener::Open(const std::string& address) {
-  const std::size_t colon = address.rfind(':');
-  std::uint32_t port = 0;
-  error_code error;
-  if (colon == std::string::npos ||
-      !absl::SimpleAtoi(address.substr(colon + 1), &port) || port > 65535) {
-    return tl::unexpected(absl::StrCat(address, ": expected ip:port"));
-  }
-  const auto ip =
-      boost::asio::ip::make_address(address.substr(0, colon), error);
-  const tcp::endpoint endpoint(ip, static_cast<std::uint16_t>(port));
-  if (!error) {
-    acceptor_.open(endpoint.protocol(), error);
+  const auto endpoint = http::ParseEndpoint(address);
+  if (!endpoint.has_value()) {
+    return tl::unexpected(endpoint.error());
   }
+  error_code error;
+  acceptor_.open(endpoint->protocol(), error);
   if (!error) {
     acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-    acceptor_.bind(endpoint, error);
+    acceptor_.bind(*endpoint, error);
   }
   if (!error) {
     acceptor_.listen(kBacklog, error);
--- a/packages/http/include/siskindrum/http/backend_pool.h
+++ b/packages/http/include/siskindrum/http/backend_pool.h
@@ -100,9 +100,6 @@
   // too long. Call it every 20 ms or so.
   void Sweep(core::TimePoint now);
 
-  // Closes the idle connections to a server that is gone.
-  void Forget(const std::string& address);
-
   const PoolCounters& Counters() const;
 
  private:
--- a/packages/http/include/siskindrum/http/caller_connection.h
+++ b/packages/http/include/siskindrum/http/caller_connection.h
@@ -75,8 +75,9 @@
   // Ends the connection so that an answer in progress is seen to be cut.
   void Abort();
 
-  // Lets the request in progress end, tells the caller that the connection
-  // closes after it, and closes at once when idle and `close_idle`.
+  // Lets the request in progress end and tells the caller that the connection
+  // closes after it. With `close_idle` it closes at once when idle, and after
+  // the request in progress whatever its answer said.
   void Drain(bool close_idle);
 
   // Enforces the time limits. Call it every 100 ms or so.
@@ -119,6 +120,7 @@
   bool chunked_ = false;
   bool close_after_answer_ = false;
   bool draining_ = false;
+  bool takes_no_more_ = false;  // Requests; idle connections were let go.
   std::deque<std::string> writes_;
   bool writing_ = false;
   std::size_t backlog_ = 0;
--- a/packages/http/src/backend_connection.cc
+++ b/packages/http/src/backend_connection.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/strip.h"
 #include "siskindrum/http/clock.h"
+#include "siskindrum/http/endpoint.h"
 #include "socket_p.h"
 
 namespace siskindrum::http {
@@ -23,21 +24,6 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-bool ParseEndpoint(const std::string& address, tcp::endpoint* endpoint) {
-  const std::size_t colon = address.rfind(':');
-  std::uint32_t port = 0;
-  if (colon == std::string::npos ||
-      !absl::SimpleAtoi(address.substr(colon + 1), &port) || port == 0 ||
-      port > 65535) {
-    return false;
-  }
-  error_code error;
-  const auto ip =
-      boost::asio::ip::make_address(address.substr(0, colon), error);
-  *endpoint = tcp::endpoint(ip, static_cast<std::uint16_t>(port));
-  return !error;
-}
-
 }  // namespace
 
 BackendConnection::BackendConnection(boost::asio::io_context& context,
@@ -51,15 +37,16 @@
 void BackendConnection::Connect(BackendCall call) {
   call_ = std::move(call);
   connect_until_ = MonotonicNow() + call_.connect_time_;
-  tcp::endpoint endpoint;
-  error_code error;
-  if (!ParseEndpoint(address_, &endpoint)) {
-    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
-      self->End(CallFailure::kConnectFailed, "the address is not ip:port");
-    });
+  const auto endpoint = ParseEndpoint(address_);
+  if (!endpoint.has_value()) {
+    boost::asio::post(socket_.get_executor(),
+                      [self = shared_from_this(), why = endpoint.error()] {
+                        self->End(CallFailure::kConnectFailed, why);
+                      });
     return;
   }
-  socket_.open(endpoint.protocol(), error);
+  error_code error;
+  socket_.open(endpoint->protocol(), error);
   if (error) {
     boost::asio::post(socket_.get_executor(),
                       [self = shared_from_this(), error] {
@@ -68,7 +55,7 @@
     return;
   }
   PrepareSocket(socket_);
-  socket_.async_connect(endpoint,
+  socket_.async_connect(*endpoint,
                         [self = shared_from_this()](const error_code& result) {
                           self->OnConnected(result);
                         });
--- a/packages/http/src/backend_pool.cc
+++ b/packages/http/src/backend_pool.cc
@@ -155,17 +155,6 @@
   }
 }
 
-void BackendPool::Forget(const std::string& address) {
-  const auto found = state_->idle_.find(address);
-  if (found == state_->idle_.end()) {
-    return;
-  }
-  const std::vector<ConnectionPtr> connections = found->second;
-  for (const ConnectionPtr& connection : connections) {
-    connection->CloseIdle();
-  }
-}
-
 const PoolCounters& BackendPool::Counters() const {
   return state_->counters_;
 }
--- a/packages/http/src/caller_connection.cc
+++ b/packages/http/src/caller_connection.cc
@@ -228,7 +228,7 @@
 
 void CallerConnection::FinishAnswer() {
   last_activity_ = MonotonicNow();
-  if (close_after_answer_) {
+  if (close_after_answer_ || takes_no_more_) {
     state_ = State::kLingering;
     pending_.clear();
     if (!writing_) {
@@ -305,6 +305,7 @@
 
 void CallerConnection::Drain(bool close_idle) {
   draining_ = true;
+  takes_no_more_ = takes_no_more_ || close_idle;
   const bool idle = state_ == State::kReading && parser_ == nullptr;
   if (idle && close_idle) {
     state_ = State::kLingering;
--- a/packages/http/test/caller_connection_test.cc
+++ b/packages/http/test/caller_connection_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "loopback.h"
@@ -51,6 +52,11 @@
     }
     Head head;
     head.status_ = 200;
+    if (request.head_.target_ == "/slow") {
+      caller->RespondHead(head);
+      caller->RespondPiece("one");
+      return;
+    }
     if (request.head_.target_ == "/stream") {
       caller->RespondHead(head);
       caller->RespondPiece("one");
@@ -168,6 +174,24 @@
   BOOST_TEST(answer.find("0\r\n\r\n") == std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(Drain_WhenAnOldAnswerEnds_TakesNoFurtherRequest) {
+  test::Peer peer = Connect();
+  peer.Send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_TEST(!peer.ReadUntil("one").empty());
+  // The head of this answer did not say that the connection closes after it.
+  peer.Send("GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::this_thread::sleep_for(core::Milliseconds(50));
+  boost::asio::post(context_, [this] {
+    const auto open = open_;
+    for (const auto& connection : open) {
+      connection->Drain(true);
+      connection->RespondEnd();
+    }
+  });
+  BOOST_TEST(peer.ReadAll().ends_with("0\r\n\r\n"));
+  BOOST_TEST(requests_ == 1);
+}
+
 BOOST_AUTO_TEST_CASE(Answer_WhenTheRequestAskedForHead_HasNoBody) {
   const std::string answer =
       Ask("HEAD / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -7,6 +7,6 @@
 cd "$root"
 git ls-files -z -- '*.cc' '*.h' | xargs -0 clang-format --dry-run --Werror
 echo "format: clean"
-git ls-files -z -- 'packages/*/src/*.cc' |
+git ls-files -z -- 'packages/*/src/*.cc' 'platform/src/*.cc' |
   xargs -0 -P "$(nproc)" -n 1 clang-tidy --quiet -p "$build" 2>/dev/null
 echo "clang-tidy: clean"
