--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -99,6 +99,8 @@
 
 inline constexpr Milliseconds kTickInterval{20};
 inline constexpr std::size_t kExplainRecords = 2000;
+// Servers that an explanation lists beside the chosen one.
+inline constexpr std::size_t kExplainCandidates = 16;
 
 }  // namespace siskindrum::dispatch
 
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -186,6 +186,40 @@
   return true;
 }
 
+// Keeps for explanations which server was chosen and what stood beside it.
+void RecordChoice(Step& step, const ActiveCall& call) {
+  const auto found = step.dispatcher_.decisions_.find(call.call_.label_);
+  if (found == step.dispatcher_.decisions_.end() ||
+      call.stage_ == Stage::kReserve) {
+    return;
+  }
+  core::DecisionRecord& record = found->second;
+  if (call.stage_ == Stage::kPrefill) {
+    record.prefill_ = call.server_;
+  } else {
+    record.decode_ = call.server_;
+  }
+  const KnownServer* chosen = FindServer(step.dispatcher_.pool_, call.server_);
+  record.weighed_.clear();
+  for (const auto& [name, server] : step.dispatcher_.pool_.servers_) {
+    if (record.weighed_.size() == kExplainCandidates) {
+      break;
+    }
+    if (server.info_.service_ != call.pool_ ||
+        server.info_.role_ != chosen->info_.role_) {
+      continue;
+    }
+    record.weighed_.push_back(
+        {name, ToString(call.stage_),
+         absl::StrCat(server.calls_, " calls, ", server.held_tokens_,
+                      " tokens held, ", server.prefill_tokens_,
+                      " to prefill, in ", server.info_.domain_,
+                      MayServe(server, step.now_) ? "" : ", leaving",
+                      server.suspended_until_ > step.now_ ? ", failing" : "",
+                      server.full_until_ > step.now_ ? ", full" : "")});
+  }
+}
+
 StartAttempt BeginAttempt(Step& step,
                           ActiveCall& call,
                           Stage stage,
@@ -195,6 +229,7 @@
   call.stage_ = stage;
   call.server_ = server.info_.name_;
   call.sent_at_ = step.now_;
+  RecordChoice(step, call);
   NoteSent(server, step.now_);
   StartAttempt start;
   start.request_ = call.id_;
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -11,17 +11,6 @@
   return Milliseconds(static_cast<std::int64_t>(ms));
 }
 
-void RecordServers(Step& step,
-                   const ActiveCall& call,
-                   const std::string& prefill,
-                   const std::string& decode) {
-  const auto found = step.dispatcher_.decisions_.find(call.call_.label_);
-  if (found != step.dispatcher_.decisions_.end()) {
-    found->second.prefill_ = prefill;
-    found->second.decode_ = decode;
-  }
-}
-
 void SendPrefill(Step& step, ActiveCall& call, KnownServer& server) {
   ++step.dispatcher_.counters_.prefills_elsewhere_;
   call.prefill_was_alone_ = server.prefill_tokens_ == 0;
@@ -32,7 +21,6 @@
   StartAttempt start = BeginAttempt(step, call, Stage::kPrefill, server);
   start.patience_ =
       std::max(kPrefillPatience, ToMs(kPrefillPatienceFactor * expected));
-  RecordServers(step, call, server.info_.name_, call.decode_server_);
   LogAttempt(step, call, start, expected);
   step.actions_.emplace_back(std::move(start));
 }
@@ -76,8 +64,6 @@
   call.hold_.clear();
   call.handle_.clear();
   call.handle_address_.clear();
-  RecordServers(step, call, direct ? server->info_.name_ : "",
-                server->info_.name_);
   LogAttempt(step, call, start, expected);
   step.actions_.emplace_back(std::move(start));
 }
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -91,6 +91,8 @@
     options.name_ = "entry";
     options.domain_ = "east";
     options.callers_address_ = absl::StrCat("127.0.0.1:", port_ = FreePort());
+    options.operators_address_ =
+        absl::StrCat("127.0.0.1:", operators_port_ = FreePort());
     options.drain_limit_ = core::Milliseconds(4000);
     options.dialect_ = TestDialect();
     gateway_ = std::make_unique<Gateway>(options);
@@ -129,6 +131,7 @@
   }
 
   std::uint16_t port_ = 0;
+  std::uint16_t operators_port_ = 0;
   std::unique_ptr<Gateway> gateway_;
   std::thread thread_;
 };
@@ -165,6 +168,25 @@
   BOOST_TEST(absl::StrContains(request, "POST /once HTTP/1.1"));
 }
 
+BOOST_AUTO_TEST_CASE(Explanation_WhenAsked_NamesLineVersionAndServer) {
+  test::ScriptedServer server([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send(Answer("", "done"));
+  });
+  List("desk-3", "plain", core::ServerRole::kPlain, server.Address());
+  Ask("/once");
+  test::Peer peer = test::Peer::Connect(operators_port_);
+  peer.Send(
+      "GET /explain?request=7 HTTP/1.1\r\nHost: h\r\nConnection: "
+      "close\r\n\r\n");
+  const std::string text = peer.ReadAll();
+  BOOST_TEST(absl::StrContains(text, "rules revision 1"));
+  BOOST_TEST(absl::StrContains(text, "Line 1 decides (\"asked by Ann\")"));
+  BOOST_TEST(absl::StrContains(text, "Server desk-3 received it"));
+  BOOST_TEST(absl::StrContains(text, "weighed plain desk-3: 0 calls"));
+  BOOST_TEST(absl::StrContains(text, "Outcome: delivered after 1 attempt"));
+}
+
 BOOST_AUTO_TEST_CASE(Booking_WhenTheConnectionIsLost_IsNotSentAgain) {
   std::atomic<int> requests{0};
   test::ScriptedServer server([&requests](test::Peer& peer, int) {
--- a/packages/rules/src/explain.cc
+++ b/packages/rules/src/explain.cc
@@ -53,9 +53,13 @@
     text = absl::StrCat("Server ", record.decode_,
                         " received it: it had the fewest calls in progress");
   } else {
-    text = absl::StrCat("Prefill ran on ", record.prefill_,
-                        ", which would be ready first; the answer came from ",
-                        record.decode_, ", which had the most free places");
+    text = record.prefill_.empty()
+               ? absl::StrCat("Prefill and answer ran on ", record.decode_,
+                              ", which had the most free places")
+               : absl::StrCat(
+                     "Prefill ran on ", record.prefill_,
+                     ", which would be ready first; the answer came from ",
+                     record.decode_, ", which had the most free places");
   }
   absl::StrAppend(&text, "; counted by entry ", record.home_,
                   record.cell_.empty() ? "" : " for cell ", record.cell_,
