--- a/packages/dispatch/test/call_test.cc
+++ b/packages/dispatch/test/call_test.cc
@@ -31,6 +31,22 @@
   BOOST_TEST(Verdict(id).retry_after_.count() > 0);
 }
 
+BOOST_AUTO_TEST_CASE(Booking_WhenTheRuleLeavesAnAttempt_UsesItOnlyIfNotRun) {
+  const RequestId lost = Arrive("/book2/1");
+  Done(lost, AttemptOutcome::kFailed, RunState::kMayHaveRun);
+  BOOST_TEST(Starts(lost, Stage::kPlain) == 1U);
+  BOOST_TEST((Verdict(lost).run_state_ == RunState::kMayHaveRun));
+  const RequestId refused = Arrive("/book2/1");
+  const std::string first = Last(refused).server_;
+  Done(refused, AttemptOutcome::kRefused, RunState::kNotRun);
+  BOOST_TEST(Starts(refused, Stage::kPlain) == 2U);
+  BOOST_TEST(Last(refused).server_ != first);
+  const RequestId error = Arrive("/book2/1");
+  Done(error, AttemptOutcome::kServerError, RunState::kRan);
+  BOOST_TEST(Starts(error, Stage::kPlain) == 1U);
+  BOOST_TEST(kept_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(Booking_WhenItsTimeIsOver_IsNotCalledNotRun) {
   const RequestId id = Arrive("/book/1");
   Pass(Milliseconds(900));
--- a/packages/dispatch/test/engine_call_test.cc
+++ b/packages/dispatch/test/engine_call_test.cc
@@ -94,6 +94,21 @@
   BOOST_TEST((Verdict(id).run_state_ == RunState::kRan));
 }
 
+BOOST_AUTO_TEST_CASE(Stream_WhenTheRuleLeavesAnAttempt_UsesItOnlyIfNotRun) {
+  const RequestId lost = Arrive("/stream2/1");
+  Reserve(lost, true);
+  Prefill(lost, true);
+  Done(lost, AttemptOutcome::kFailed, RunState::kMayHaveRun);
+  BOOST_TEST(Starts(lost, Stage::kDecode) == 1U);
+  BOOST_TEST((Verdict(lost).run_state_ == RunState::kMayHaveRun));
+  const RequestId refused = Arrive("/stream2/1");
+  Reserve(refused, true);
+  Prefill(refused, true);
+  Done(refused, AttemptOutcome::kRefused, RunState::kNotRun);
+  Reserve(refused, true);
+  BOOST_TEST(Starts(refused, Stage::kDecode) == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(Stream_WhenItMayResume_GoesOnBehindTheLastEvent) {
   const RequestId id = Answering("/resume/1");
   const std::string first = Last(id).server_;
--- a/packages/dispatch/test/site.h
+++ b/packages/dispatch/test/site.h
@@ -24,6 +24,10 @@
       "timeout=800ms # asked by Di\n"
       "when path=/read/* then pool=desk plain repeat=allowed retries=1 "
       "timeout=800ms # asked by Ed\n"
+      "when path=/book2/* then pool=desk plain repeat=never retries=1 "
+      "timeout=800ms # asked by Gus\n"
+      "when path=/stream2/* then pool=engines resume=never retries=1 "
+      "first_token=900ms timeout=14s # asked by Ida\n"
       "default then refuse # asked by Flo\n";
 
   Site() : dispatcher_(MakeDispatcher({"entry-1", "east", 1, 1})) {
--- a/packages/http/src/backend_connection.cc
+++ b/packages/http/src/backend_connection.cc
@@ -21,7 +21,6 @@
 constexpr core::Milliseconds kKeepMargin{700};
 constexpr std::uint32_t kAnswerHeadBytes = 64 * 1024;
 
-using boost::asio::ip::tcp;
 using boost::system::error_code;
 
 }  // namespace
