Remove state that nothing reads; end every request in one place; correct the advice's figure

StartAttempt's may_resume_, PrefillDone's sent_, the dispatcher's last_tick_ and the prefill's token count were set and never read; the end of a request stood twice; RecordChoice was not file-local.

--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -101,7 +101,6 @@
   std::unordered_map<std::string, core::DecisionRecord>
       decisions_;  // By label.
   std::deque<std::string> decision_order_;
-  TimePoint last_tick_{};
   TimePoint started_at_{};       // First event.
   TimePoint list_changed_at_{};  // Roles or members of it.
   bool orders_given_ = false;
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -57,7 +57,6 @@
   std::uint32_t attempt_ = 0;
   bool ok_ = false;
   bool refused_ = false;  // The server says that it did nothing.
-  bool sent_ = false;     // A byte may have reached the server.
   std::string handle_;
   std::string detail_;
 };
@@ -140,7 +139,6 @@
   std::uint32_t hold_tokens_ = 0;  // To reserve.
   Milliseconds hold_time_{0};
   std::optional<std::uint64_t> resume_after_;
-  bool may_resume_ = false;  // The answer may go on at another server.
 };
 
 // Ends the request with a refusal or a failure; what was begun is cut.
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -85,7 +85,7 @@
 // Advice to callers that are refused.
 inline constexpr Milliseconds kRetryNoServer{600};
 inline constexpr Milliseconds kRetryBusy{150};
-// About as long as a burst's answers take to end.
+// Longer than a burst; callers that have less time left come back sooner.
 inline constexpr Milliseconds kRetryOverloaded{8000};
 
 // Share of a pool's engines that should prefill; a smaller pool keeps what it
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -63,6 +63,53 @@
       std::chrono::duration_cast<Milliseconds>(step.now_ - call.arrived_at_);
 }
 
+// What every end of a request has in common; `call` is gone afterwards.
+void CloseCall(Step& step,
+               ActiveCall& call,
+               const std::string& outcome,
+               const std::string& detail) {
+  LogEnd(step, call, outcome, detail);
+  RecordEnd(step, call, outcome);
+  ReleaseAttempt(step, call);
+  ReleaseDecode(step, call);
+  DropHandle(step, call);
+  step.dispatcher_.calls_.erase(call.id_);
+}
+
+// Keeps for explanations which server was chosen and what stood beside it.
+void RecordChoice(Step& step, const ActiveCall& call) {
+  const auto found = step.dispatcher_.decisions_.find(call.call_.label_);
+  if (found == step.dispatcher_.decisions_.end() ||
+      call.stage_ == Stage::kReserve) {
+    return;
+  }
+  core::DecisionRecord& record = found->second;
+  if (call.stage_ == Stage::kPrefill) {
+    record.prefill_ = call.server_;
+  } else {
+    record.decode_ = call.server_;
+  }
+  const KnownServer* chosen = FindServer(step.dispatcher_.pool_, call.server_);
+  record.weighed_.clear();
+  for (const auto& [name, server] : step.dispatcher_.pool_.servers_) {
+    if (record.weighed_.size() == kExplainCandidates) {
+      break;
+    }
+    if (server.info_.service_ != call.pool_ ||
+        server.info_.role_ != chosen->info_.role_) {
+      continue;
+    }
+    record.weighed_.push_back(
+        {name, ToString(call.stage_),
+         absl::StrCat(server.calls_, " calls, ", server.held_tokens_,
+                      " tokens held, ", server.prefill_tokens_,
+                      " to prefill, in ", server.info_.domain_,
+                      MayServe(server, step.now_) ? "" : ", leaving",
+                      server.suspended_until_ > step.now_ ? ", failing" : "",
+                      server.full_until_ > step.now_ ? ", full" : "")});
+  }
+}
+
 }  // namespace
 
 std::string FormatMs(core::Nanoseconds duration) {
@@ -123,12 +170,7 @@
 }
 
 void EndCall(Step& step, ActiveCall& call, const std::string& outcome) {
-  LogEnd(step, call, outcome, "");
-  RecordEnd(step, call, outcome);
-  ReleaseAttempt(step, call);
-  ReleaseDecode(step, call);
-  DropHandle(step, call);
-  step.dispatcher_.calls_.erase(call.id_);
+  CloseCall(step, call, outcome, "");
 }
 
 void FailCall(Step& step,
@@ -159,14 +201,9 @@
     }
     step.actions_.emplace_back(std::move(refuse));
   }
-  LogEnd(
+  CloseCall(
       step, call, outcome,
       absl::StrCat(core::ToString(reason), detail.empty() ? "" : ": ", detail));
-  RecordEnd(step, call, outcome);
-  ReleaseAttempt(step, call);
-  ReleaseDecode(step, call);
-  DropHandle(step, call);
-  dispatcher.calls_.erase(call.id_);
 }
 
 bool TakeAttempt(Step& step, ActiveCall& call, std::string* denied) {
@@ -186,40 +223,6 @@
   return true;
 }
 
-// Keeps for explanations which server was chosen and what stood beside it.
-void RecordChoice(Step& step, const ActiveCall& call) {
-  const auto found = step.dispatcher_.decisions_.find(call.call_.label_);
-  if (found == step.dispatcher_.decisions_.end() ||
-      call.stage_ == Stage::kReserve) {
-    return;
-  }
-  core::DecisionRecord& record = found->second;
-  if (call.stage_ == Stage::kPrefill) {
-    record.prefill_ = call.server_;
-  } else {
-    record.decode_ = call.server_;
-  }
-  const KnownServer* chosen = FindServer(step.dispatcher_.pool_, call.server_);
-  record.weighed_.clear();
-  for (const auto& [name, server] : step.dispatcher_.pool_.servers_) {
-    if (record.weighed_.size() == kExplainCandidates) {
-      break;
-    }
-    if (server.info_.service_ != call.pool_ ||
-        server.info_.role_ != chosen->info_.role_) {
-      continue;
-    }
-    record.weighed_.push_back(
-        {name, ToString(call.stage_),
-         absl::StrCat(server.calls_, " calls, ", server.held_tokens_,
-                      " tokens held, ", server.prefill_tokens_,
-                      " to prefill, in ", server.info_.domain_,
-                      MayServe(server, step.now_) ? "" : ", leaving",
-                      server.suspended_until_ > step.now_ ? ", failing" : "",
-                      server.full_until_ > step.now_ ? ", full" : "")});
-  }
-}
-
 StartAttempt BeginAttempt(Step& step,
                           ActiveCall& call,
                           Stage stage,
@@ -239,7 +242,6 @@
   start.address_ = server.info_.address_;
   start.decided_at_ = step.now_;
   start.deadline_ = call.deadline_;
-  start.may_resume_ = IsRepeatable(call);
   return start;
 }
 
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -260,7 +260,6 @@
   }
   PumpWaiting(step);
   ForgetVanished(dispatcher.pool_, step.now_);
-  dispatcher.last_tick_ = step.now_;
 }
 
 }  // namespace
--- a/packages/dispatch/test/site.h
+++ b/packages/dispatch/test/site.h
@@ -132,8 +132,7 @@
     Handle(ReserveDone{id, Last(id).attempt_, ok, !ok, ok ? "hold" : "", ""});
   }
   void Prefill(const RequestId& id, bool ok, bool refused = false) {
-    Handle(PrefillDone{id, Last(id).attempt_, ok, refused, true, ok ? "kv" : "",
-                       ""});
+    Handle(PrefillDone{id, Last(id).attempt_, ok, refused, ok ? "kv" : "", ""});
   }
   void Begin(const RequestId& id) {
     Handle(AnswerBegan{id, Last(id).attempt_});
--- a/packages/gateway/include/siskindrum/gateway/dialect.h
+++ b/packages/gateway/include/siskindrum/gateway/dialect.h
@@ -46,11 +46,6 @@
   bool authentic_ = false;  // It bears the server's own mark.
 };
 
-struct PrefillResult {
-  std::string handle_;
-  std::uint32_t tokens_ = 0;
-};
-
 // Names of one platform on the wire: plain functions, so that nothing outside
 // the adapter knows them. All are thread-safe.
 struct Dialect {
@@ -62,7 +57,8 @@
                              const SendFacts& facts) = nullptr;
   AnswerFacts (*read_answer_)(const http::Head& head,
                               const std::string& label) = nullptr;
-  tl::expected<PrefillResult, std::string> (*read_prefill_)(
+  // Reads the handle of a prefill's result.
+  tl::expected<std::string, std::string> (*read_prefill_)(
       std::string_view body) = nullptr;
   // Makes the answer for a request that has none from a server.
   http::Head (*refusal_)(const core::Verdict& verdict,
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -246,12 +246,12 @@
 
 void Exchange::EndPrefill(const http::CallEnd& end) {
   if (end.failure_ != http::CallFailure::kNone) {
-    ReportPrefill(false, false, end.sent_, "",
+    ReportPrefill(false, false, "",
                   absl::StrCat(http::ToString(end.failure_), " ", end.detail_));
     return;
   }
   if (!IsSuccess(*answer_)) {
-    ReportPrefill(false, facts_.not_run_, true, "",
+    ReportPrefill(false, facts_.not_run_, "",
                   absl::StrCat("status ", answer_->status_));
     return;
   }
@@ -259,9 +259,9 @@
                             http::MonotonicNow() - started_at_);
   const auto result = context_.dialect_.read_prefill_(body_);
   if (result.has_value()) {
-    ReportPrefill(true, false, true, result->handle_, "");
+    ReportPrefill(true, false, *result, "");
   } else {
-    ReportPrefill(false, false, true, "", result.error());
+    ReportPrefill(false, false, "", result.error());
   }
 }
 
@@ -331,11 +331,10 @@
 
 void Exchange::ReportPrefill(bool ok,
                              bool refused,
-                             bool sent,
                              const std::string& handle,
                              const std::string& detail) {
-  context_.post_(dispatch::PrefillDone{id_, start_.attempt_, ok, refused, sent,
-                                       handle, detail});
+  context_.post_(
+      dispatch::PrefillDone{id_, start_.attempt_, ok, refused, handle, detail});
 }
 
 void Exchange::ReportReserve(bool ok,
@@ -390,7 +389,7 @@
   if (start_.stage_ == Stage::kReserve) {
     ReportReserve(false, false, "", "no answer in time");
   } else if (start_.stage_ == Stage::kPrefill) {
-    ReportPrefill(false, false, true, "", "no result in time");
+    ReportPrefill(false, false, "", "no result in time");
   } else {
     Report(AttemptOutcome::kFailed, RunState::kMayHaveRun, Reason::kDeadline,
            "no answer in time");
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -78,7 +78,6 @@
                      const std::string& detail);
   void ReportPrefill(bool ok,
                      bool refused,
-                     bool sent,
                      const std::string& handle,
                      const std::string& detail);
   // Counts how long the request took until now.
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -8,7 +8,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
 #include "exchange_p.h"
 #include "listener_p.h"
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -55,8 +55,8 @@
     return facts;
   };
   dialect.read_prefill_ =
-      [](std::string_view body) -> tl::expected<PrefillResult, std::string> {
-    return PrefillResult{std::string(body), 0};
+      [](std::string_view body) -> tl::expected<std::string, std::string> {
+    return std::string(body);
   };
   dialect.refusal_ = [](const core::Verdict& verdict, const std::string&) {
     http::Head head;
