Take a prefill engine that refuses as misdirected for one that decodes now

Ruled out: asking such an engine for its report first (a call more, priced, and the refusal says the same); counting the refused prefill as no attempt (the platform counts it). Change: a 421 changes what this entry believes of the server until the list names it anew: a prefill engine decodes, any other is gone.

--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -59,6 +59,7 @@
   bool refused_ = false;  // The server says that it did nothing.
   std::string handle_;
   std::string detail_;
+  bool misdirected_ = false;  // Refused as not meant for this server.
 };
 
 // A reservation was made, or was not.
@@ -69,6 +70,7 @@
   bool refused_ = false;  // The engine has no room.
   std::string hold_;
   std::string detail_;
+  bool misdirected_ = false;  // As in PrefillDone.
 };
 
 // The first part of the answer was passed on to the caller.
@@ -94,6 +96,7 @@
   int status_ = 0;
   std::string detail_;
   std::optional<std::uint64_t> last_event_;  // That the caller has.
+  bool misdirected_ = false;                 // As in PrefillDone.
 };
 
 struct ListSeen {
--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -26,6 +26,7 @@
   core::ServerInfo info_;
   Listing listing_ = Listing::kListed;
   TimePoint changed_at_{};            // Of the listing.
+  bool misdirected_ = false;          // Another server answers at its address.
   std::uint32_t calls_ = 0;           // Of this entry, in progress.
   std::uint32_t prefill_tokens_ = 0;  // Of this entry, not yet read.
   std::uint32_t held_tokens_ = 0;     // Of this entry's answers in progress.
@@ -78,6 +79,13 @@
 // It refused without running the call. Thread-safe: no.
 void NoteRefusal(KnownServer& server, TimePoint now);
 
+// It refused as not meant for it what was asked of a server in its role. A
+// prefill engine is taken for one that decodes now, any other server for one
+// whose address another has, until the list names it anew. The load it answers:
+// engines that are turned, or addresses used again, while the list is out of
+// reach. Thread-safe: no.
+void NoteMisdirected(KnownServer& server);
+
 // It could not be reached, fell silent or broke off. Suspends it for a time
 // that doubles with each failure in a row. Thread-safe: no.
 void NoteFailure(KnownServer& server, TimePoint now);
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -223,6 +223,27 @@
   return true;
 }
 
+void NoteRefusedAttempt(Step& step,
+                        const ActiveCall& call,
+                        KnownServer& server,
+                        bool misdirected) {
+  if (!misdirected) {
+    NoteRefusal(server, step.now_);
+    return;
+  }
+  const char* believed = core::ToString(server.info_.role_);
+  NoteMisdirected(server);
+  step.actions_.emplace_back(core::LogEvent{
+      "server_misdirected",
+      {{"request", call.call_.label_},
+       {"server", server.info_.name_},
+       {"stage", ToString(call.stage_)},
+       {"believed", believed},
+       {"taken_for",
+        server.misdirected_ ? "gone" : core::ToString(server.info_.role_)},
+       {"listed_ms", FormatMs(step.now_ - server.changed_at_)}}});
+}
+
 StartAttempt BeginAttempt(Step& step,
                           ActiveCall& call,
                           Stage stage,
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -45,6 +45,13 @@
                 const StartAttempt& start,
                 double expected_ms);
 
+// Notes a refusal at its server: a full one gets nothing for a moment, one that
+// was not meant nothing of the kind until the list names it anew.
+void NoteRefusedAttempt(Step& step,
+                        const ActiveCall& call,
+                        KnownServer& server,
+                        bool misdirected);
+
 // plain_call.cc
 void SendPlain(Step& step, ActiveCall& call);
 void OnPlainDone(Step& step, ActiveCall& call, const AttemptDone& event);
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -161,7 +161,9 @@
     return;
   }
   ReleaseDecode(step, call);
-  if (server != nullptr && event.refused_) {
+  if (server != nullptr && event.misdirected_) {
+    NoteRefusedAttempt(step, call, *server, true);
+  } else if (server != nullptr && event.refused_) {
     ++step.dispatcher_.counters_.reserves_refused_;
     server->full_until_ = step.now_ + kFullPause;
   } else if (server != nullptr) {
@@ -201,7 +203,7 @@
     ++call.sends_;
     call.sent_before_ = true;
     if (server != nullptr) {
-      NoteRefusal(*server, step.now_);
+      NoteRefusedAttempt(step, call, *server, event.misdirected_);
     }
   } else if (server != nullptr) {
     NoteFailure(*server, step.now_);
@@ -248,7 +250,7 @@
   call.avoid_.push_back(name);
   if (event.outcome_ == AttemptOutcome::kRefused) {
     if (server != nullptr) {
-      NoteRefusal(*server, step.now_);
+      NoteRefusedAttempt(step, call, *server, event.misdirected_);
     }
     ++call.sends_;
     call.sent_before_ = true;
--- a/packages/dispatch/src/plain_call.cc
+++ b/packages/dispatch/src/plain_call.cc
@@ -62,7 +62,7 @@
   }
   if (event.outcome_ == AttemptOutcome::kRefused) {
     if (server != nullptr) {
-      NoteRefusal(*server, step.now_);
+      NoteRefusedAttempt(step, call, *server, event.misdirected_);
     }
     call.sent_before_ = true;
     ++call.sends_;
--- a/packages/dispatch/src/server_pool.cc
+++ b/packages/dispatch/src/server_pool.cc
@@ -24,6 +24,7 @@
     server.suspended_until_ = {};
   }
   server.info_ = info;
+  server.misdirected_ = false;
   if (is_new) {
     server.changed_at_ = now;
   }
@@ -73,6 +74,9 @@
 }
 
 bool MayServe(const KnownServer& server, TimePoint now) {
+  if (server.misdirected_) {
+    return false;
+  }
   switch (server.listing_) {
     case Listing::kListed:
       return true;
@@ -113,6 +117,14 @@
       std::max(server.suspended_until_, now + kRefusalPause);
 }
 
+void NoteMisdirected(KnownServer& server) {
+  if (server.info_.role_ == core::ServerRole::kPrefill) {
+    server.info_.role_ = core::ServerRole::kDecode;
+  } else {
+    server.misdirected_ = true;
+  }
+}
+
 void NoteFailure(KnownServer& server, TimePoint now) {
   Milliseconds pause = kSuspendFirst;
   for (std::uint32_t i = 0; i < server.failures_ && pause < kSuspendMost; ++i) {
--- a/packages/dispatch/test/engine_call_test.cc
+++ b/packages/dispatch/test/engine_call_test.cc
@@ -172,6 +172,37 @@
   BOOST_TEST((Last(id).stage_ == Stage::kDecode));
 }
 
+BOOST_AUTO_TEST_CASE(Prefill_WhenItsEngineDecodesNow_IsNotSentThereAgain) {
+  const RequestId first = Arrive("/resume/1");
+  Reserve(first, true);
+  const std::string turned = Last(first).server_;
+  Handle(PrefillDone{first, Last(first).attempt_, false, true, "", "", true});
+  BOOST_TEST((Last(first).stage_ == Stage::kDecode));
+  for (int i = 0; i < 6; ++i) {
+    const RequestId id = Arrive("/stream/1");
+    Reserve(id, true);
+    BOOST_TEST(!(Last(id).stage_ == Stage::kPrefill &&
+                 Last(id).server_ == turned));
+  }
+  // The list knows better.
+  List({Engine(turned, core::ServerRole::kPrefill)}, false);
+  BOOST_TEST((FindServer(dispatcher_.pool_, turned)->info_.role_ ==
+              core::ServerRole::kPrefill));
+}
+
+BOOST_AUTO_TEST_CASE(Reservation_WhenAnotherServerAnswers_PassesItOver) {
+  const RequestId id = Arrive("/stream/1");
+  const std::string gone = Last(id).server_;
+  Handle(ReserveDone{id, Last(id).attempt_, false, false, "", "", true});
+  BOOST_TEST(Last(id).server_ != gone);
+  Pass(Milliseconds(10000));
+  for (int i = 0; i < 4; ++i) {
+    BOOST_TEST(Last(Arrive("/stream/1")).server_ != gone);
+  }
+  List({Engine(gone, core::ServerRole::kDecode)}, false);
+  BOOST_TEST(MayServe(*FindServer(dispatcher_.pool_, gone), now_));
+}
+
 BOOST_AUTO_TEST_CASE(Late_WhenAnAttemptIsAnsweredTwice_TheSecondIsIgnored) {
   const RequestId id = Answering("/resume/1");
   const std::uint32_t old_attempt = Last(id).attempt_;
--- a/packages/gateway/include/siskindrum/gateway/dialect.h
+++ b/packages/gateway/include/siskindrum/gateway/dialect.h
@@ -44,6 +44,7 @@
   AnswerOwner owner_ = AnswerOwner::kUnnamed;
   bool not_run_ = false;    // The server says that it did not run the request.
   bool authentic_ = false;  // It bears the server's own mark.
+  bool misdirected_ = false;  // The request was not meant for the server.
 };
 
 // Names of one platform on the wire: plain functions, so that nothing outside
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -92,6 +92,7 @@
   start_ = start;
   attempt_open_ = true;
   answer_.reset();
+  facts_ = {};
   body_.clear();
   DropPartial(events_);
   if (start.resume_after_.has_value() && !events_.last_event_.has_value()) {
@@ -133,11 +134,12 @@
   if (attempt != start_.attempt_ || done_) {
     return http::AnswerUse::kFail;
   }
+  const AnswerFacts facts = context_.dialect_.read_answer_(head, label_);
   if (start_.stage_ == Stage::kReserve) {
     answer_ = head;
+    facts_ = facts;
     return http::AnswerUse::kTake;
   }
-  const AnswerFacts facts = context_.dialect_.read_answer_(head, label_);
   if (facts.owner_ == AnswerOwner::kOther) {
     return http::AnswerUse::kSkip;
   }
@@ -326,6 +328,7 @@
   done.status_ = answer_.has_value() ? answer_->status_ : 0;
   done.detail_ = detail;
   done.last_event_ = events_.last_event_;
+  done.misdirected_ = facts_.misdirected_;
   context_.post_(std::move(done));
 }
 
@@ -334,7 +337,8 @@
                              const std::string& handle,
                              const std::string& detail) {
   context_.post_(
-      dispatch::PrefillDone{id_, start_.attempt_, ok, refused, handle, detail});
+      dispatch::PrefillDone{id_, start_.attempt_, ok, refused, handle, detail,
+                            facts_.misdirected_});
 }
 
 void Exchange::ReportReserve(bool ok,
@@ -342,7 +346,8 @@
                              const std::string& hold,
                              const std::string& detail) {
   context_.post_(
-      dispatch::ReserveDone{id_, start_.attempt_, ok, refused, hold, detail});
+      dispatch::ReserveDone{id_, start_.attempt_, ok, refused, hold, detail,
+                            facts_.misdirected_});
 }
 
 void Exchange::Refuse(const core::Verdict& verdict) {
