Prefer prefill engines over a decode engine's own prefill; streams in progress first

Such a prefill runs at half speed between the steps of all answers there, which then hold their memory longer: overload fed itself. Streams that were broken stood in the queue for room behind new short ones. Callers that came back late got room for answers that could not end in time. Each pass over the queue logged each request that waited, anew. Change: the split path is taken until it is 300 ms slower; a stream in progress gets room first and fetches its prompt from the engine that read it; while room is scarce, an answer that cannot end in its caller's time is refused at once; advice to come back 3.5 s instead of 8 s; request_waits once a request.

--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -51,8 +51,10 @@
   std::size_t reserves_ = 0;  // In a row.
   bool direct_ = false;       // The decode engine is to prefill.
   bool waiting_ = false;      // For room at a decode engine.
+  bool wait_noted_ = false;   // Counted and logged once.
   std::string handle_;        // Not yet taken.
   std::string handle_address_;
+  std::string read_address_;  // Of the engine that read the prompt first.
   std::optional<std::uint64_t> last_event_;  // That the caller has.
 };
 
@@ -97,6 +99,9 @@
   RepeatBudget budget_;
   std::vector<RequestId> waiting_;  // For room, as they came.
   TimePoint tight_until_{};         // Room goes to requests in time only.
+  // Mean time of an answer for each token expected of it, in milliseconds, by
+  // pool.
+  std::unordered_map<std::string, double> token_ms_;
   std::unordered_map<RequestId, ActiveCall, core::RequestIdHash> calls_;
   std::unordered_map<std::string, core::DecisionRecord>
       decisions_;  // By label.
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -138,6 +138,7 @@
   Milliseconds event_patience_{0};  // Between events; zero: no limit.
   std::string source_address_;      // Of the prefill result; empty: none.
   std::string handle_;
+  std::string fetch_address_;      // May still keep the prompt; empty: none.
   std::string hold_;               // Of the reservation; empty: none.
   std::uint32_t hold_tokens_ = 0;  // To reserve.
   Milliseconds hold_time_{0};
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -32,6 +32,9 @@
 inline constexpr double kTransferMs = 12.0;
 // A decode engine that prefills itself does so at about half the speed.
 inline constexpr double kDirectPrefillFactor = 2.0;
+// Its own prefill also holds up every answer in progress there, so that waiting
+// this much longer behind a prefill engine is preferred.
+inline constexpr double kDirectBurdenMs = 300.0;
 
 // What a server in another failure domain must be better by.
 inline constexpr double kFarPlainMs = 15.0;
@@ -73,6 +76,11 @@
 // afterwards.
 inline constexpr Milliseconds kMostWait{2500};
 inline constexpr std::size_t kMostReserves = 8;  // In a row for one request.
+// While room is scarce, an answer that is expected to take more than this part
+// of its caller's time is denied room; expected lengths err on both sides.
+inline constexpr double kAnswerTimeSlack = 1.1;
+// Weight of one answer in the mean time of a token.
+inline constexpr double kTokenTimeWeight = 0.05;
 // Share of an answer's expected tokens that are reserved besides the prompt. A
 // reservation stays with its answer, so that more than it needs is lost to
 // others until its end.
@@ -85,8 +93,8 @@
 // Advice to callers that are refused.
 inline constexpr Milliseconds kRetryNoServer{600};
 inline constexpr Milliseconds kRetryBusy{150};
-// Longer than a burst; callers that have less time left come back sooner.
-inline constexpr Milliseconds kRetryOverloaded{8000};
+// About as long as an answer holds its room.
+inline constexpr Milliseconds kRetryOverloaded{3500};
 
 // Share of a pool's engines that should prefill; a smaller pool keeps what it
 // has.
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -68,6 +68,12 @@
 
 // True when a request that gets room now would still meet its target.
 bool IsInTime(const Step& step, const ActiveCall& call);
+// False when the answer is expected to last longer than its caller waits: room
+// given to it would be lost to others. The load it answers: callers that come
+// back late in a burst with long answers.
+bool CanFinish(const Step& step, const ActiveCall& call);
+// Takes the time of a whole answer into the mean of its pool.
+void NoteAnswerTime(Step& step, const ActiveCall& call);
 // Lets the request wait, or refuses it when its turn would come too late.
 void Wait(Step& step, ActiveCall& call);
 // Looks again for room for those that wait, those first that can still be
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -42,15 +42,18 @@
   const bool direct = call.handle_.empty();
   const std::uint32_t prompt = call.call_.shape_.prompt_tokens_;
   double expected = kTransferMs + kPrefillOverheadMs;
+  std::string fetch_address;
   if (direct) {
     ++step.dispatcher_.counters_.prefills_direct_;
     expected = kDirectPrefillFactor * PrefillMs(*server, prompt);
+    fetch_address = call.read_address_;
     call.counted_prefill_ = prompt;
     server->prefill_tokens_ += prompt;
   }
   StartAttempt start = BeginAttempt(step, call, Stage::kDecode, *server);
   start.source_address_ = call.handle_address_;
   start.handle_ = call.handle_;
+  start.fetch_address_ = fetch_address;
   start.resume_after_ = call.last_event_;
   if (step.now_ + kHoldMargin < call.hold_until_) {
     start.hold_ = call.hold_;
@@ -128,7 +131,9 @@
              absl::StrCat("no decode engine of ", call.pool_, " can be used"));
     return;
   }
-  if (plan.full_ || call.reserves_ >= kMostReserves) {
+  const bool denied =
+      step.now_ < step.dispatcher_.tight_until_ && !CanFinish(step, call);
+  if (plan.full_ || denied || call.reserves_ >= kMostReserves) {
     Wait(step, call);
     return;
   }
@@ -191,6 +196,7 @@
                    tokens / (took - kPrefillOverheadMs / 2), kWeight);
       }
       call.handle_address_ = server->info_.address_;
+      call.read_address_ = server->info_.address_;
     }
     call.handle_ = event.handle_;
     SendDecode(step, call);
@@ -241,6 +247,7 @@
   }
   if (event.outcome_ == AttemptOutcome::kDelivered) {
     call.run_state_ = RunState::kRan;
+    NoteAnswerTime(step, call);
     ++dispatcher.counters_.delivered_;
     EndCall(step, call, "delivered");
     return;
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -177,7 +177,7 @@
     return direct;
   }
   const double split_ms = prefill.cost_ + decode.expected_ms_ + kTransferMs;
-  if (direct.expected_ms_ < split_ms) {
+  if (direct.expected_ms_ + kDirectBurdenMs < split_ms) {
     return direct;
   }
   return {prefill.server_->info_.name_, decode.decode_, split_ms, decode.full_};
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -13,6 +13,15 @@
   return (call.call_.shape_.prompt_tokens_ + answer / 2) * answer;
 }
 
+// Order among requests that can still be in time: a caller that has part of its
+// answer before all others, then the shortest use of room.
+bool GoesFirst(const ActiveCall& a, const ActiveCall& b) {
+  if (a.answer_begun_ != b.answer_begun_) {
+    return a.answer_begun_;
+  }
+  return RoomTime(a) < RoomTime(b);
+}
+
 // Latest time at which room is still of use to the caller.
 TimePoint WaitLimit(const ActiveCall& call) {
   return std::min(call.arrived_at_ + kMostWait, call.deadline_);
@@ -39,11 +48,37 @@
   return step.now_ + needed < call.arrived_at_ + target;
 }
 
+bool CanFinish(const Step& step, const ActiveCall& call) {
+  const auto mean = step.dispatcher_.token_ms_.find(call.pool_);
+  if (call.answer_begun_ || mean == step.dispatcher_.token_ms_.end()) {
+    return true;
+  }
+  const double left_ms =
+      std::chrono::duration<double, std::milli>(call.deadline_ - step.now_)
+          .count();
+  return mean->second * call.call_.answer_tokens_ <= kAnswerTimeSlack * left_ms;
+}
+
+void NoteAnswerTime(Step& step, const ActiveCall& call) {
+  if (call.call_.answer_tokens_ == 0 || call.sends_ > 0) {
+    return;
+  }
+  const double ms =
+      std::chrono::duration<double, std::milli>(step.now_ - call.begun_at_)
+          .count() /
+      call.call_.answer_tokens_;
+  double& mean = step.dispatcher_.token_ms_[call.pool_];
+  mean = Smooth(mean, ms, kTokenTimeWeight);
+}
+
 void Wait(Step& step, ActiveCall& call) {
   if (!call.waiting_) {
-    ++step.dispatcher_.counters_.waits_;
     call.waiting_ = true;
     step.dispatcher_.waiting_.push_back(call.id_);
+  }
+  if (!call.wait_noted_) {
+    call.wait_noted_ = true;
+    ++step.dispatcher_.counters_.waits_;
     step.actions_.emplace_back(core::LogEvent{
         "request_waits",
         {{"request", call.call_.label_},
@@ -55,6 +90,7 @@
     step.dispatcher_.tight_until_ = step.now_ + kTightTime;
   }
   const bool hopeless = step.now_ >= WaitLimit(call) ||
+                        !CanFinish(step, call) ||
                         (!in_time && step.now_ < step.dispatcher_.tight_until_);
   if (hopeless && !call.answer_begun_) {
     FailCall(step, call, core::Reason::kOverloaded,
@@ -77,11 +113,10 @@
       order.begin(), order.end(), [&](const RequestId& id) {
         return IsInTime(step, dispatcher.calls_.at(id));
       });
-  std::stable_sort(order.begin(), late,
-                   [&](const RequestId& a, const RequestId& b) {
-                     return RoomTime(dispatcher.calls_.at(a)) <
-                            RoomTime(dispatcher.calls_.at(b));
-                   });
+  std::stable_sort(
+      order.begin(), late, [&](const RequestId& a, const RequestId& b) {
+        return GoesFirst(dispatcher.calls_.at(a), dispatcher.calls_.at(b));
+      });
   for (const RequestId& id : order) {
     ActiveCall& call = dispatcher.calls_.at(id);
     call.waiting_ = false;
--- a/packages/dispatch/test/site.h
+++ b/packages/dispatch/test/site.h
@@ -159,12 +159,15 @@
   std::vector<RequestId> kept_;
   std::vector<std::string> freed_;    // Prefill results.
   std::vector<std::string> dropped_;  // Reservations.
+  std::vector<RequestId> order_;      // Of all attempts.
+  std::vector<core::LogEvent> logs_;
   bool ready_ = false;
 
  private:
   void Take(const Action& action) {
     if (const auto* start = std::get_if<StartAttempt>(&action)) {
       starts_[start->request_].push_back(*start);
+      order_.push_back(start->request_);
     } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
       refused_[refuse->request_] = refuse->verdict_;
     } else if (const auto* kept = std::get_if<DeliverKept>(&action)) {
@@ -175,6 +178,8 @@
       dropped_.push_back(drop->hold_);
     } else if (const auto* ready = std::get_if<ReadyChanged>(&action)) {
       ready_ = ready->ready_;
+    } else if (const auto* log = std::get_if<core::LogEvent>(&action)) {
+      logs_.push_back(*log);
     }
   }
 };
--- /dev/null
+++ b/packages/dispatch/test/waiting_test.cc
@@ -0,0 +1,118 @@
+#include <boost/test/unit_test.hpp>
+
+#include "siskindrum/dispatch/limits.h"
+#include "site.h"
+
+namespace siskindrum::dispatch {
+namespace {
+
+struct WaitingFixture : Site {
+  // Refuses reservations until the request waits.
+  void FillAll(const RequestId& id) {
+    while (!dispatcher_.calls_.at(id).waiting_) {
+      Reserve(id, false);
+    }
+  }
+  RequestId Answering(const std::string& path) {
+    const RequestId id = Arrive(path);
+    Reserve(id, true);
+    Prefill(id, true);
+    Begin(id);
+    return id;
+  }
+  std::size_t Logged(const std::string& event) const {
+    return static_cast<std::size_t>(std::count_if(
+        logs_.begin(), logs_.end(),
+        [&event](const core::LogEvent& one) { return one.event_ == event; }));
+  }
+  // Serves answers of 700 tokens that take seven seconds each.
+  void LearnSlowAnswers() {
+    for (int i = 0; i < 3; ++i) {
+      const RequestId id = Answering("/stream/1");
+      Pass(Milliseconds(7000));
+      Done(id, AttemptOutcome::kDelivered, RunState::kRan);
+    }
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(Waiting, WaitingFixture)
+
+BOOST_AUTO_TEST_CASE(Room_WhenAStreamInProgressWaits_GoesToItFirst) {
+  const RequestId broken = Answering("/resume/1");
+  const RequestId shorter = Arrive("/stream/1", 1000, 50);
+  FillAll(shorter);
+  Done(broken, AttemptOutcome::kFailed, RunState::kMayHaveRun, 17);
+  FillAll(broken);
+  const std::size_t before = Starts(broken, Stage::kReserve);
+  const std::size_t before_shorter = Starts(shorter, Stage::kReserve);
+  // One place is free; whoever asks first gets it.
+  order_.clear();
+  Pass(kFullPause + kTickInterval);
+  BOOST_TEST(Starts(broken, Stage::kReserve) > before);
+  BOOST_TEST(Starts(shorter, Stage::kReserve) > before_shorter);
+  BOOST_TEST((order_.front() == broken));
+}
+
+BOOST_AUTO_TEST_CASE(Request_WhenItWaitsLong_IsLoggedOnce) {
+  const RequestId id = Arrive("/stream/1");
+  for (int i = 0; i < 5; ++i) {
+    FillAll(id);
+    Pass(kFullPause);
+  }
+  BOOST_TEST(Logged("request_waits") == 1U);
+  BOOST_TEST(dispatcher_.counters_.waits_ == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Answer_WhenItCannotEndInTime_IsDeniedScarceRoom) {
+  LearnSlowAnswers();
+  FillAll(Arrive("/stream/1", 1000, 50));
+  const RequestId hopeless = Arrive("/stream/1", 5000, 2000);
+  BOOST_TEST(IsRefused(hopeless));
+  BOOST_TEST((Verdict(hopeless).run_state_ == RunState::kNotRun));
+  BOOST_TEST(Starts(hopeless, Stage::kReserve) == 0U);
+  BOOST_TEST(!IsRefused(Arrive("/stream/1", 5000, 700)));
+}
+
+BOOST_AUTO_TEST_CASE(Answer_WhenThereIsRoomForAll_IsTriedHoweverLong) {
+  LearnSlowAnswers();
+  const RequestId id = Arrive("/stream/1", 5000, 2000);
+  BOOST_TEST((Last(id).stage_ == Stage::kReserve));
+}
+
+// A burst: each prefill engine has a prompt waiting already, and the decode
+// engines answer others. Their own prefill would hold those up.
+BOOST_AUTO_TEST_CASE(Prompts_WhenPrefillEnginesHaveAShortQueue_GoThere) {
+  for (int i = 0; i < 6; ++i) {
+    const RequestId id = Arrive("/stream/1");
+    Reserve(id, true);
+    BOOST_TEST((Last(id).stage_ == Stage::kPrefill));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Prompts_WhenTheQueueEndangersTheTarget_AreReadByDecode) {
+  std::size_t direct = 0;
+  for (int i = 0; i < 20; ++i) {
+    const RequestId id = Arrive("/stream/1");
+    Reserve(id, true);
+    direct += Last(id).stage_ == Stage::kDecode ? 1 : 0;
+  }
+  BOOST_TEST(direct > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Stream_WhenItGoesOnElsewhere_FetchesItsPrompt) {
+  const RequestId id = Arrive("/resume/1");
+  Reserve(id, true);
+  const std::string prefill = Last(id).address_;
+  Prefill(id, true);
+  BOOST_TEST(Last(id).fetch_address_.empty());
+  Begin(id);
+  Done(id, AttemptOutcome::kFailed, RunState::kMayHaveRun, 17);
+  Reserve(id, true);
+  BOOST_TEST((Last(id).stage_ == Stage::kDecode));
+  BOOST_TEST(Last(id).fetch_address_ == prefill);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace siskindrum::dispatch
--- a/packages/gateway/include/siskindrum/gateway/dialect.h
+++ b/packages/gateway/include/siskindrum/gateway/dialect.h
@@ -21,7 +21,8 @@
   core::Milliseconds time_left_{0};  // Until the deadline.
   std::string source_address_;       // Of a prefill result; empty: none.
   std::string handle_;
-  std::string hold_;  // Of a reservation; empty: none.
+  std::string fetch_address_;  // Of a server that may keep the prompt.
+  std::string hold_;           // Of a reservation; empty: none.
   std::optional<std::uint64_t> resume_after_;
 };
 
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -72,6 +72,7 @@
       std::chrono::duration_cast<core::Milliseconds>(start.deadline_ - now));
   facts.source_address_ = start.source_address_;
   facts.handle_ = start.handle_;
+  facts.fetch_address_ = start.fetch_address_;
   facts.hold_ = start.hold_;
   facts.resume_after_ = start.resume_after_;
   http::Head head = context_.dialect_.server_head_(request_.head_, facts);
@@ -336,18 +337,16 @@
                              bool refused,
                              const std::string& handle,
                              const std::string& detail) {
-  context_.post_(
-      dispatch::PrefillDone{id_, start_.attempt_, ok, refused, handle, detail,
-                            facts_.misdirected_});
+  context_.post_(dispatch::PrefillDone{id_, start_.attempt_, ok, refused,
+                                       handle, detail, facts_.misdirected_});
 }
 
 void Exchange::ReportReserve(bool ok,
                              bool refused,
                              const std::string& hold,
                              const std::string& detail) {
-  context_.post_(
-      dispatch::ReserveDone{id_, start_.attempt_, ok, refused, hold, detail,
-                            facts_.misdirected_});
+  context_.post_(dispatch::ReserveDone{id_, start_.attempt_, ok, refused, hold,
+                                       detail, facts_.misdirected_});
 }
 
 void Exchange::Refuse(const core::Verdict& verdict) {
