--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 
 #include "siskindrum/core/router.h"
 #include "siskindrum/dispatch/event.h"
+#include "siskindrum/dispatch/peers.h"
 #include "siskindrum/dispatch/placement.h"
 #include "siskindrum/dispatch/repeat_budget.h"
 #include "siskindrum/dispatch/server_pool.h"
@@ -87,6 +88,9 @@
   // This process alone, of all that ever run in the deployment, may give orders
   // to engines.
   bool gives_orders_ = false;
+  std::string peers_address_;       // Of this entry; empty: it has no peers.
+  std::vector<std::string> seeds_;  // Addresses of other entries.
+  RepeatBounds repeats_;            // Over all entries.
 };
 
 // The decisions of an entry that counts alone, without a home for its servers:
@@ -97,6 +101,7 @@
   core::ConfigurationState configuration_;
   ServerPool pool_;
   RepeatBudget budget_;
+  Peers peers_;
   std::vector<RequestId> waiting_;  // For room, as they came.
   TimePoint tight_until_{};         // Room goes to requests in time only.
   // Mean time of an answer for each token expected of it, in milliseconds, by
@@ -110,6 +115,7 @@
   TimePoint list_changed_at_{};  // Roles or members of it.
   bool orders_given_ = false;
   bool list_read_ = false;
+  std::uint64_t list_version_ = 0;
   bool ready_ = false;
   bool draining_ = false;
   DispatchCounters counters_;
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -9,6 +9,7 @@
 
 #include "siskindrum/core/configuration.h"
 #include "siskindrum/core/event.h"
+#include "siskindrum/core/peer_message.h"
 #include "siskindrum/core/types.h"
 #include "siskindrum/core/verdict.h"
 #include "siskindrum/dispatch/server_pool.h"
@@ -103,6 +104,11 @@
   ListChanges changes_;
 };
 
+// Another entry sent it; a configuration comes as ConfigurationRead.
+struct PeerMessageReceived {
+  core::PeerMessage message_;
+};
+
 struct ConfigurationRead {
   std::shared_ptr<const core::Configuration> configuration_;
   std::string source_;
@@ -119,6 +125,7 @@
                            AttemptDone,
                            ListSeen,
                            ConfigurationRead,
+                           PeerMessageReceived,
                            DrainBegan,
                            Ticked>;
 
@@ -174,6 +181,12 @@
   std::string address_;
 };
 
+// Sends a message to another entry; it may get lost.
+struct TellPeer {
+  std::string address_;
+  core::PeerMessage message_;
+};
+
 // The bounds of callers have changed.
 struct BoundCallers {
   core::CallerBounds bounds_;
@@ -190,6 +203,7 @@
                             FreeHandle,
                             DropHold,
                             TurnToDecode,
+                            TellPeer,
                             BoundCallers,
                             ReadyChanged,
                             core::LogEvent>;
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -55,11 +55,11 @@
 // Between two events of a stream that may go on elsewhere.
 inline constexpr Milliseconds kEventPatience{900};
 
-// Repeats that an entry may send in a window: a part of the calls it sent in
-// it, and a few besides.
-inline constexpr double kRepeatRatio = 0.15;
-inline constexpr std::size_t kRepeatBurst = 5;
-inline constexpr Milliseconds kRepeatWindow{10000};
+// Part of the bound on repeats that entries use: windows of different entries
+// begin at different moments.
+inline constexpr double kRepeatShare = 0.75;
+// Entries that share the bound, as long as an entry knows no other.
+inline constexpr std::size_t kRepeatEntriesUnknown = 8;
 
 // Reservation of a decode engine's place and memory: longer than a prefill
 // takes, and how long the engine may take to say yes or no.
@@ -105,6 +105,14 @@
 // Orders are given this soon after the start or not at all.
 inline constexpr Milliseconds kOrderWindow{8000};
 
+// Between two rounds of talk with other entries, and how many are told in each.
+inline constexpr Milliseconds kPeerRound{1000};
+inline constexpr std::size_t kPeerFanOut = 2;
+// An entry that learns no newer version by itself for this long asks a peer,
+// and again after the pause.
+inline constexpr Milliseconds kPeerLag{1000};
+inline constexpr Milliseconds kPeerQuestion{500};
+
 inline constexpr Milliseconds kTickInterval{20};
 inline constexpr std::size_t kExplainRecords = 2000;
 // Servers that an explanation lists beside the chosen one.
--- /dev/null
+++ b/packages/dispatch/include/siskindrum/dispatch/peers.h
@@ -0,0 +1,31 @@
+#ifndef SISKINDRUM_DISPATCH_PEERS_H_
+#define SISKINDRUM_DISPATCH_PEERS_H_
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "siskindrum/core/membership.h"
+
+namespace siskindrum::dispatch {
+
+using core::TimePoint;
+
+// What an entry knows of the other entries. It needs none of them to serve:
+// they tell it what the platform's own service cannot tell while that is out of
+// reach.
+struct Peers {
+  core::Membership membership_;
+  std::vector<std::string> seeds_;  // Addresses to begin with; may be dead.
+  TimePoint next_round_{};
+  TimePoint behind_since_{};  // Epoch: no peer knows anything newer.
+  TimePoint next_question_{};
+};
+
+// Entries that are known, this one included, dead ones until they are
+// forgotten. Thread-safe: no.
+std::size_t EntriesKnown(const Peers& peers);
+
+}  // namespace siskindrum::dispatch
+
+#endif  // SISKINDRUM_DISPATCH_PEERS_H_
--- a/packages/dispatch/include/siskindrum/dispatch/repeat_budget.h
+++ b/packages/dispatch/include/siskindrum/dispatch/repeat_budget.h
@@ -9,6 +9,14 @@
 
 namespace siskindrum::dispatch {
 
+// Repeats that all entries together may send to a pool within any window: a
+// part of the calls for it, and some besides.
+struct RepeatBounds {
+  double ratio_ = 0.2;
+  double slack_ = 54;
+  core::Milliseconds window_{10000};
+};
+
 // Calls and repeats of one pool within the last window.
 struct PoolTraffic {
   std::deque<core::TimePoint> calls_;
@@ -16,19 +24,23 @@
 };
 
 // Keeps this entry to its share of the repeats that all entries may send
-// together, without a counter that they share: a part of the calls that this
-// entry itself sees, and a few besides.
+// together, without a counter that they share: the part of the calls that this
+// entry itself sees, and an equal share of the rest.
 struct RepeatBudget {
   std::map<std::string, PoolTraffic> pools_;
 };
 
 // A caller's request for the pool arrived. Thread-safe: no.
 void NoteCall(RepeatBudget& budget,
+              const RepeatBounds& bounds,
               const std::string& pool,
               core::TimePoint now);
 
-// Takes one repeat; false when the budget is spent. Thread-safe: no.
+// Takes one repeat; false when the budget is spent. `entries` are known, this
+// one included. Requires: `entries` is above zero. Thread-safe: no.
 bool TakeRepeat(RepeatBudget& budget,
+                const RepeatBounds& bounds,
+                std::size_t entries,
                 const std::string& pool,
                 core::TimePoint now);
 
--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -49,6 +49,8 @@
   std::vector<core::ServerInfo> seen_;
   std::vector<std::string> removed_;
   bool whole_ = false;  // `seen_` is the whole list.
+  // Of the list after these changes; zero: it has none.
+  std::uint64_t version_ = 0;
 };
 
 // Takes changes of the list. Thread-safe: no.
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -214,7 +214,9 @@
   if (!call.sent_before_) {
     return true;
   }
-  if (!TakeRepeat(step.dispatcher_.budget_, call.pool_, step.now_)) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  if (!TakeRepeat(dispatcher.budget_, dispatcher.options_.repeats_,
+                  EntriesKnown(dispatcher.peers_), call.pool_, step.now_)) {
     ++step.dispatcher_.counters_.repeats_denied_;
     *denied = "the budget of repeats is spent";
     return false;
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -35,7 +35,8 @@
 void RouteCall(Step& step, ActiveCall& call) {
   const core::RuleOutcome& outcome = call.rule_->outcome_;
   call.pool_ = core::PickPool(outcome, step.dispatcher_.random_());
-  NoteCall(step.dispatcher_.budget_, call.pool_, step.now_);
+  NoteCall(step.dispatcher_.budget_, step.dispatcher_.options_.repeats_,
+           call.pool_, step.now_);
   AddDecision(step.dispatcher_, call);
   if (outcome.kind_ == core::BackendKind::kPlain) {
     SendPlain(step, call);
@@ -175,12 +176,11 @@
   }
 }
 
-void OnList(Step& step, const ListSeen& event) {
-  Dispatcher& dispatcher = step.dispatcher_;
-  TakeChanges(dispatcher.pool_, event.changes_, step.now_);
-  dispatcher.list_read_ = true;
-  dispatcher.list_changed_at_ = step.now_;
-  for (const core::ServerInfo& info : event.changes_.seen_) {
+void LogChanges(Step& step,
+                const ListChanges& changes,
+                const std::string& source) {
+  const std::string version = std::to_string(changes.version_);
+  for (const core::ServerInfo& info : changes.seen_) {
     step.actions_.emplace_back(
         core::LogEvent{"server_listed",
                        {{"server", info.name_},
@@ -188,13 +188,15 @@
                         {"pool", info.service_},
                         {"role", core::ToString(info.role_)},
                         {"domain", info.domain_},
-                        {"leaving", info.leaving_ ? "yes" : "no"}}});
+                        {"leaving", info.leaving_ ? "yes" : "no"},
+                        {"version", version},
+                        {"source", source}}});
   }
-  for (const std::string& name : event.changes_.removed_) {
-    step.actions_.emplace_back(
-        core::LogEvent{"server_vanished", {{"server", name}}});
+  for (const std::string& name : changes.removed_) {
+    step.actions_.emplace_back(core::LogEvent{
+        "server_vanished",
+        {{"server", name}, {"version", version}, {"source", source}}});
   }
-  UpdateReady(step);
 }
 
 void OnConfiguration(Step& step, const ConfigurationRead& event) {
@@ -259,11 +261,35 @@
     FailCall(step, call, core::Reason::kDeadline, "");
   }
   PumpWaiting(step);
+  TalkToPeers(step);
   ForgetVanished(dispatcher.pool_, step.now_);
 }
 
 }  // namespace
 
+void TakeList(Step& step,
+              const ListChanges& changes,
+              const std::string& source) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  const bool older =
+      changes.version_ != 0 && changes.version_ < dispatcher.list_version_;
+  if (older) {
+    step.actions_.emplace_back(core::LogEvent{
+        "list_not_taken",
+        {{"version", std::to_string(changes.version_)},
+         {"known", std::to_string(dispatcher.list_version_)},
+         {"source", source}}});
+    return;
+  }
+  dispatcher.list_version_ =
+      std::max(dispatcher.list_version_, changes.version_);
+  TakeChanges(dispatcher.pool_, changes, step.now_);
+  dispatcher.list_read_ = true;
+  dispatcher.list_changed_at_ = step.now_;
+  LogChanges(step, changes, source);
+  UpdateReady(step);
+}
+
 const char* ToString(Stage stage) {
   switch (stage) {
     case Stage::kPlain:
@@ -284,6 +310,12 @@
   Dispatcher dispatcher;
   dispatcher.options_ = options;
   dispatcher.random_.seed(options.seed_);
+  dispatcher.peers_.seeds_ = options.seeds_;
+  core::MemberRow& self = dispatcher.peers_.membership_.self_;
+  self.name_ = options.name_;
+  self.address_ = options.peers_address_;
+  self.domain_ = options.domain_;
+  self.incarnation_ = options.incarnation_;
   return dispatcher;
 }
 
@@ -307,7 +339,10 @@
                    }
                  },
                  [&](const AttemptDone& e) { OnAttemptDone(step, e); },
-                 [&](const ListSeen& e) { OnList(step, e); },
+                 [&](const ListSeen& e) {
+                   TakeList(step, e.changes_, "store");
+                 },
+                 [&](const PeerMessageReceived& e) { OnPeerMessage(step, e); },
                  [&](const ConfigurationRead& e) { OnConfiguration(step, e); },
                  [&](const DrainBegan&) {
                    dispatcher.draining_ = true;
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -80,6 +80,19 @@
 // answered in time, the oldest first.
 void PumpWaiting(Step& step);
 
+// peers.cc: what entries tell each other.
+
+void OnPeerMessage(Step& step, const PeerMessageReceived& event);
+// Tells some peers what this entry knows, once a round, and asks one that knows
+// something newer.
+void TalkToPeers(Step& step);
+
+// dispatcher.cc
+// Takes changes of the list unless what is known is newer.
+void TakeList(Step& step,
+              const ListChanges& changes,
+              const std::string& source);
+
 std::string FormatMs(core::Nanoseconds duration);
 
 }  // namespace siskindrum::dispatch
--- /dev/null
+++ b/packages/dispatch/src/peers.cc
@@ -0,0 +1,250 @@
+#include "siskindrum/dispatch/peers.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "dispatcher_p.h"
+#include "siskindrum/core/overloaded.h"
+
+namespace siskindrum::dispatch {
+
+namespace {
+
+using core::MemberRow;
+
+std::uint64_t OwnRevision(const Dispatcher& dispatcher) {
+  const auto& current = dispatcher.configuration_.current_;
+  return current == nullptr ? 0 : current->revision_;
+}
+
+bool KnowsNothing(const Dispatcher& dispatcher) {
+  return OwnRevision(dispatcher) == 0 || !dispatcher.list_read_;
+}
+
+void Tell(Step& step, const std::string& address, core::PeerBody body) {
+  const MemberRow& self = step.dispatcher_.peers_.membership_.self_;
+  step.actions_.emplace_back(TellPeer{
+      address,
+      core::PeerMessage{self.name_, self.incarnation_, std::move(body)}});
+}
+
+void FillOwnRow(Dispatcher& dispatcher) {
+  MemberRow& self = dispatcher.peers_.membership_.self_;
+  ++self.counter_;
+  self.revision_ = OwnRevision(dispatcher);
+  self.list_version_ = dispatcher.list_version_;
+  self.leaving_ = dispatcher.draining_;
+}
+
+// Seeds that no known entry answers to.
+std::vector<std::string> UnknownSeeds(const Peers& peers) {
+  std::vector<std::string> unknown;
+  for (const std::string& seed : peers.seeds_) {
+    const bool known =
+        std::any_of(peers.membership_.members_.begin(),
+                    peers.membership_.members_.end(), [&](const auto& entry) {
+                      return entry.second.row_.address_ == seed;
+                    });
+    if (!known && seed != peers.membership_.self_.address_) {
+      unknown.push_back(seed);
+    }
+  }
+  return unknown;
+}
+
+void TellRows(Step& step, const std::string& name, const std::string& address) {
+  Tell(step, address,
+       core::Gossip{core::GossipRows(step.dispatcher_.peers_.membership_, name,
+                                     step.now_)});
+}
+
+void TellRound(Step& step) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  Peers& peers = dispatcher.peers_;
+  FillOwnRow(dispatcher);
+  std::vector<std::string> targets = core::GossipTargets(
+      peers.membership_, step.now_, dispatcher.random_);
+  targets.resize(std::min(targets.size(), kPeerFanOut));
+  for (const std::string& name : targets) {
+    TellRows(step, name, peers.membership_.members_.at(name).row_.address_);
+  }
+  // An entry that knows nothing tells all its seeds, others try one a round.
+  const std::vector<std::string> seeds = UnknownSeeds(peers);
+  if (KnowsNothing(dispatcher)) {
+    for (const std::string& seed : seeds) {
+      TellRows(step, "", seed);
+    }
+  } else if (!seeds.empty()) {
+    TellRows(step, "", seeds[dispatcher.random_() % seeds.size()]);
+  }
+}
+
+// Asks a peer that knows something newer, unless the platform's service will
+// have told it by then.
+void AskIfBehind(Step& step) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  Peers& peers = dispatcher.peers_;
+  const std::uint64_t own = OwnRevision(dispatcher);
+  const core::Member* newer_rules = nullptr;
+  const core::Member* newer_list = nullptr;
+  for (const auto& [name, member] : peers.membership_.members_) {
+    if (!core::IsHeard(peers.membership_, member, step.now_)) {
+      continue;
+    }
+    if (member.row_.revision_ >
+        (newer_rules == nullptr ? own : newer_rules->row_.revision_)) {
+      newer_rules = &member;
+    }
+    if (member.row_.list_version_ >
+        (newer_list == nullptr ? dispatcher.list_version_
+                               : newer_list->row_.list_version_)) {
+      newer_list = &member;
+    }
+  }
+  if (newer_rules == nullptr && newer_list == nullptr) {
+    peers.behind_since_ = {};
+    return;
+  }
+  if (peers.behind_since_ == TimePoint{}) {
+    peers.behind_since_ = step.now_;
+  }
+  const bool urgent = KnowsNothing(dispatcher);
+  if (step.now_ < peers.next_question_ ||
+      (!urgent && step.now_ - peers.behind_since_ < kPeerLag)) {
+    return;
+  }
+  peers.next_question_ = step.now_ + kPeerQuestion;
+  if (newer_rules != nullptr) {
+    Tell(step, newer_rules->row_.address_, core::ConfigurationRequest{own});
+  }
+  if (newer_list != nullptr) {
+    Tell(step, newer_list->row_.address_,
+         core::ListRequest{dispatcher.list_version_});
+  }
+  step.actions_.emplace_back(core::LogEvent{
+      "peer_asked",
+      {{"rules_of", newer_rules == nullptr ? "" : newer_rules->row_.name_},
+       {"list_of", newer_list == nullptr ? "" : newer_list->row_.name_},
+       {"revision", std::to_string(own)},
+       {"list_version", std::to_string(dispatcher.list_version_)},
+       {"behind_ms", FormatMs(step.now_ - peers.behind_since_)}}});
+}
+
+// Forgets an earlier process of the sender whose incarnation was higher, once
+// that one has fallen silent: the time of day may have been set back.
+void ForgetEarlierProcess(Step& step, const std::string& from,
+                          const MemberRow& row) {
+  core::Membership& membership = step.dispatcher_.peers_.membership_;
+  const auto known = membership.members_.find(from);
+  if (known != membership.members_.end() &&
+      known->second.row_.incarnation_ > row.incarnation_ &&
+      !core::IsHeard(membership, known->second, step.now_)) {
+    membership.members_.erase(known);
+  }
+}
+
+void OnGossip(Step& step, const std::string& from, const core::Gossip& gossip) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  core::Membership& membership = dispatcher.peers_.membership_;
+  if (gossip.rows_.empty() || gossip.rows_.front().name_ != from) {
+    return;
+  }
+  const MemberRow& sender = gossip.rows_.front();
+  ForgetEarlierProcess(step, from, sender);
+  if (core::MergeRows(membership, gossip.rows_, step.now_)) {
+    step.actions_.emplace_back(core::LogEvent{
+        "membership_changed",
+        {{"heard_from", from},
+         {"entries",
+          std::to_string(core::LiveEntries(membership, step.now_).size())}}});
+  }
+  if (sender.revision_ == 0 && OwnRevision(dispatcher) != 0) {
+    FillOwnRow(dispatcher);
+    TellRows(step, from, sender.address_);
+  }
+  AskIfBehind(step);
+}
+
+// Address of a peer by its name; empty: not known.
+std::string AddressOf(const Dispatcher& dispatcher, const std::string& name) {
+  const auto& members = dispatcher.peers_.membership_.members_;
+  const auto found = members.find(name);
+  return found == members.end() ? "" : found->second.row_.address_;
+}
+
+void OnConfigurationRequest(Step& step,
+                            const std::string& from,
+                            const core::ConfigurationRequest& request) {
+  const auto& current = step.dispatcher_.configuration_.current_;
+  const std::string address = AddressOf(step.dispatcher_, from);
+  if (!address.empty() && current != nullptr &&
+      current->revision_ > request.have_revision_) {
+    Tell(step, address,
+         core::ConfigurationBody{current->revision_, current->rules_.text_});
+  }
+}
+
+void OnListRequest(Step& step,
+                   const std::string& from,
+                   const core::ListRequest& request) {
+  const Dispatcher& dispatcher = step.dispatcher_;
+  const std::string address = AddressOf(dispatcher, from);
+  if (address.empty() || dispatcher.list_version_ <= request.have_version_) {
+    return;
+  }
+  core::ListBody body;
+  body.version_ = dispatcher.list_version_;
+  for (const auto& [name, server] : dispatcher.pool_.servers_) {
+    if (server.listing_ != Listing::kLapsed) {
+      body.servers_.push_back(server.info_);
+      body.servers_.back().leaving_ = server.listing_ == Listing::kDraining;
+    }
+  }
+  Tell(step, address, std::move(body));
+}
+
+}  // namespace
+
+std::size_t EntriesKnown(const Peers& peers) {
+  return peers.membership_.members_.size() + 1;
+}
+
+void OnPeerMessage(Step& step, const PeerMessageReceived& event) {
+  const core::PeerMessage& message = event.message_;
+  std::visit(core::Overloaded{
+                 [&](const core::Gossip& body) {
+                   OnGossip(step, message.from_, body);
+                 },
+                 [&](const core::ConfigurationRequest& body) {
+                   OnConfigurationRequest(step, message.from_, body);
+                 },
+                 [&](const core::ListRequest& body) {
+                   OnListRequest(step, message.from_, body);
+                 },
+                 [&](const core::ListBody& body) {
+                   TakeList(step, {body.servers_, {}, true, body.version_},
+                            message.from_);
+                 },
+                 [&](const auto&) {
+                   step.actions_.emplace_back(core::LogEvent{
+                       "peer_message_ignored", {{"from", message.from_}}});
+                 },
+             },
+             message.body_);
+}
+
+void TalkToPeers(Step& step) {
+  Peers& peers = step.dispatcher_.peers_;
+  if (peers.membership_.self_.address_.empty() ||
+      step.now_ < peers.next_round_) {
+    return;
+  }
+  std::uniform_int_distribution<std::int64_t> part(80, 120);
+  peers.next_round_ =
+      step.now_ + kPeerRound * part(step.dispatcher_.random_) / 100;
+  core::ForgetMembers(peers.membership_, step.now_);
+  TellRound(step);
+  AskIfBehind(step);
+}
+
+}  // namespace siskindrum::dispatch
--- a/packages/dispatch/src/repeat_budget.cc
+++ b/packages/dispatch/src/repeat_budget.cc
@@ -6,8 +6,10 @@
 
 namespace {
 
-void DropOld(std::deque<core::TimePoint>& times, core::TimePoint now) {
-  while (!times.empty() && now - times.front() > kRepeatWindow) {
+void DropOld(std::deque<core::TimePoint>& times,
+             core::Milliseconds window,
+             core::TimePoint now) {
+  while (!times.empty() && now - times.front() > window) {
     times.pop_front();
   }
 }
@@ -15,21 +17,27 @@
 }  // namespace
 
 void NoteCall(RepeatBudget& budget,
+              const RepeatBounds& bounds,
               const std::string& pool,
               core::TimePoint now) {
   PoolTraffic& traffic = budget.pools_[pool];
-  DropOld(traffic.calls_, now);
+  DropOld(traffic.calls_, bounds.window_, now);
   traffic.calls_.push_back(now);
 }
 
 bool TakeRepeat(RepeatBudget& budget,
+                const RepeatBounds& bounds,
+                std::size_t entries,
                 const std::string& pool,
                 core::TimePoint now) {
   PoolTraffic& traffic = budget.pools_[pool];
-  DropOld(traffic.calls_, now);
-  DropOld(traffic.repeats_, now);
+  DropOld(traffic.calls_, bounds.window_, now);
+  DropOld(traffic.repeats_, bounds.window_, now);
+  const std::size_t sharers = entries == 1 ? kRepeatEntriesUnknown : entries;
   const double allowed =
-      kRepeatRatio * static_cast<double>(traffic.calls_.size()) + kRepeatBurst;
+      kRepeatShare *
+      (bounds.ratio_ * static_cast<double>(traffic.calls_.size()) +
+       bounds.slack_ / static_cast<double>(sharers));
   if (static_cast<double>(traffic.repeats_.size()) + 1 > allowed) {
     return false;
   }
--- /dev/null
+++ b/packages/dispatch/test/peers_test.cc
@@ -0,0 +1,202 @@
+#include <boost/test/unit_test.hpp>
+
+#include "siskindrum/dispatch/limits.h"
+#include "site.h"
+
+namespace siskindrum::dispatch {
+namespace {
+
+// Two entries that reach each other. The first is in touch with the store; the
+// second starts knowing one live seed and one dead one.
+struct PeersFixture {
+  struct Entry {
+    Dispatcher dispatcher_;
+    std::vector<Action> actions_;
+    std::size_t questions_ = 0;
+  };
+
+  PeersFixture() {
+    Add("entry-1", "east:1", 1);
+    Add("entry-2", "east:2", 2);
+  }
+  void Add(const std::string& name,
+           const std::string& address,
+           core::Incarnation incarnation) {
+    DispatcherOptions options = Site::Options(name);
+    options.peers_address_ = address;
+    options.incarnation_ = incarnation;
+    options.seeds_ = {"east:1", "east:9"};
+    entries_[address].dispatcher_ = MakeDispatcher(options);
+  }
+
+  void Handle(const std::string& address, const Event& event) {
+    std::vector<Action> actions;
+    HandleEvent(entries_.at(address).dispatcher_, event, now_, actions);
+    for (const Action& action : actions) {
+      const auto* tell = std::get_if<TellPeer>(&action);
+      if (tell == nullptr) {
+        continue;
+      }
+      const bool asks = std::holds_alternative<core::ListRequest>(
+          tell->message_.body_);
+      entries_.at(address).questions_ += asks ? 1 : 0;
+      if (!cut_ && entries_.contains(tell->address_)) {
+        in_flight_.push_back({tell->address_, tell->message_});
+      }
+    }
+  }
+  // Delivers what is in flight; the gateway parses rules files on the way.
+  void Deliver() {
+    while (!in_flight_.empty()) {
+      const TellPeer next = in_flight_.front();
+      in_flight_.erase(in_flight_.begin());
+      const auto* body =
+          std::get_if<core::ConfigurationBody>(&next.message_.body_);
+      if (body != nullptr) {
+        Handle(next.address_,
+               ConfigurationRead{
+                   *rules::MakeConfiguration(body->revision_, body->text_),
+                   next.message_.from_});
+      } else {
+        Handle(next.address_, PeerMessageReceived{next.message_});
+      }
+    }
+  }
+  void Pass(Milliseconds time) {
+    const TimePoint until = now_ + time;
+    while (now_ < until) {
+      now_ += Milliseconds(20);
+      for (auto& [address, entry] : entries_) {
+        Handle(address, Ticked{});
+      }
+      Deliver();
+    }
+  }
+  void Configure(const std::string& address, std::uint64_t revision) {
+    Handle(address, ConfigurationRead{
+                        *rules::MakeConfiguration(revision, Site::kRules),
+                        "store"});
+  }
+  void List(const std::string& address,
+            const std::vector<core::ServerInfo>& servers,
+            std::uint64_t version) {
+    Handle(address, ListSeen{{servers, {}, true, version}});
+  }
+  Dispatcher& At(const std::string& address) {
+    return entries_.at(address).dispatcher_;
+  }
+  // The first entry has read version 5 of everything.
+  void Feed() {
+    Configure("east:1", 5);
+    List("east:1",
+         {Site::Engine("d1", core::ServerRole::kDecode), Site::Plain("s1")}, 5);
+  }
+
+  TimePoint now_{std::chrono::hours(1)};
+  std::map<std::string, Entry> entries_;
+  std::vector<TellPeer> in_flight_;
+  bool cut_ = false;
+};
+
+BOOST_FIXTURE_TEST_SUITE(PeerTalk, PeersFixture)
+
+BOOST_AUTO_TEST_CASE(Entry_WhenTheStoreIsAwayAtItsStart_LearnsFromASeed) {
+  Feed();
+  Pass(Milliseconds(100));
+  BOOST_TEST(At("east:2").ready_);
+  BOOST_TEST(At("east:2").configuration_.current_->revision_ == 5U);
+  BOOST_TEST(At("east:2").list_version_ == 5U);
+  const KnownServer* plain = FindServer(At("east:2").pool_, "s1");
+  BOOST_REQUIRE(plain != nullptr);
+  BOOST_TEST((plain->info_.role_ == core::ServerRole::kPlain));
+  BOOST_TEST(plain->info_.slots_ == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(Entry_WhenItsPeersAreUnreachable_ServesFromTheStore) {
+  cut_ = true;
+  Feed();
+  Pass(Milliseconds(3000));
+  BOOST_TEST(At("east:1").ready_);
+  BOOST_TEST(!At("east:2").ready_);
+}
+
+BOOST_AUTO_TEST_CASE(Entry_WhenTheStoreToldItAll_AsksNobody) {
+  Feed();
+  Pass(Milliseconds(3000));
+  const std::size_t before = entries_.at("east:2").questions_;
+  for (std::uint64_t version = 6; version < 12; ++version) {
+    for (const char* address : {"east:1", "east:2"}) {
+      Configure(address, version);
+      List(address, {Site::Plain("s1")}, version);
+      Pass(Milliseconds(200));
+    }
+    Pass(Milliseconds(600));
+  }
+  BOOST_TEST(entries_.at("east:2").questions_ == before);
+}
+
+BOOST_AUTO_TEST_CASE(Entry_WhenTheStoreFallsSilentForIt_TakesNewsFromPeers) {
+  Feed();
+  Pass(Milliseconds(500));
+  core::ServerInfo leaving = Site::Plain("s1");
+  leaving.leaving_ = true;
+  List("east:1", {leaving, Site::Plain("s2")}, 8);
+  Configure("east:1", 7);
+  Pass(Milliseconds(3500));
+  BOOST_TEST(At("east:2").configuration_.current_->revision_ == 7U);
+  Dispatcher& second = At("east:2");
+  BOOST_TEST(!MayServe(*FindServer(second.pool_, "s1"), now_));
+  BOOST_TEST(MayServe(*FindServer(second.pool_, "s2"), now_));
+}
+
+BOOST_AUTO_TEST_CASE(List_WhenAnOlderOneComesLate_ChangesNothing) {
+  Feed();
+  List("east:1", {Site::Plain("s2")}, 9);
+  List("east:1", {Site::Plain("s1")}, 8);
+  BOOST_TEST(At("east:1").list_version_ == 9U);
+  BOOST_TEST((FindServer(At("east:1").pool_, "s2")->listing_ ==
+              Listing::kListed));
+  Configure("east:1", 3);
+  BOOST_TEST(At("east:1").configuration_.current_->revision_ == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(Entry_WhenItReturnsWithALowerIncarnation_IsKnownAgain) {
+  Feed();
+  Pass(Milliseconds(500));
+  BOOST_TEST(EntriesKnown(At("east:1").peers_) == 2U);
+  Add("entry-2", "east:2", 1);
+  cut_ = true;
+  Pass(Milliseconds(3000));
+  cut_ = false;
+  Pass(Milliseconds(2500));
+  const auto& members = At("east:1").peers_.membership_.members_;
+  BOOST_TEST(members.at("entry-2").row_.incarnation_ == 1U);
+  BOOST_TEST(At("east:2").ready_);
+}
+
+BOOST_AUTO_TEST_CASE(Repeats_WhenMoreEntriesAreKnown_AreSharedAmongThem) {
+  const RepeatBounds bounds{0.2, 54, Milliseconds(10000)};
+  const auto taken = [&](std::size_t entries) {
+    RepeatBudget budget;
+    for (int i = 0; i < 50; ++i) {
+      NoteCall(budget, bounds, "desk", now_);
+    }
+    std::size_t count = 0;
+    while (TakeRepeat(budget, bounds, entries, "desk", now_)) {
+      ++count;
+    }
+    return count;
+  };
+  for (const std::size_t entries : {2U, 4U, 5U, 30U}) {
+    const double all = static_cast<double>(entries * taken(entries));
+    BOOST_TEST(all <= 0.2 * 50 * static_cast<double>(entries) + 54);
+    BOOST_TEST(taken(entries) > 0U);
+  }
+  // One that knows nobody yet takes no more than a few.
+  BOOST_TEST(taken(1) <= taken(5));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace siskindrum::dispatch
--- a/packages/dispatch/test/site.h
+++ b/packages/dispatch/test/site.h
@@ -30,7 +30,7 @@
       "first_token=900ms timeout=14s # asked by Ida\n"
       "default then refuse # asked by Flo\n";
 
-  Site() : dispatcher_(MakeDispatcher({"entry-1", "east", 1, 1})) {
+  Site() : dispatcher_(MakeDispatcher(Options("entry-1"))) {
     Configure(1, kRules);
     std::vector<core::ServerInfo> list;
     for (const char* name : {"p1", "p2"}) {
@@ -45,6 +45,14 @@
     List(list, true);
   }
 
+  static DispatcherOptions Options(const std::string& name) {
+    DispatcherOptions options;
+    options.name_ = name;
+    options.domain_ = "east";
+    options.incarnation_ = 1;
+    options.seed_ = 1;
+    return options;
+  }
   static core::ServerInfo Engine(const std::string& name,
                                  core::ServerRole role) {
     core::ServerInfo info;
--- a/packages/gateway/include/siskindrum/gateway/gateway.h
+++ b/packages/gateway/include/siskindrum/gateway/gateway.h
@@ -4,11 +4,13 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <tl/expected.hpp>
 
 #include "siskindrum/dispatch/event.h"
+#include "siskindrum/dispatch/repeat_budget.h"
 #include "siskindrum/gateway/dialect.h"
 #include "siskindrum/http/backend_pool.h"
 
@@ -22,6 +24,10 @@
   std::string operators_address_;  // Metrics, dump, explain; empty: none.
   core::Milliseconds drain_limit_{7000};
   bool gives_orders_ = false;  // As in dispatch::DispatcherOptions.
+  std::string peers_address_;  // Of the peers' interface; empty: none.
+  std::string fleet_;          // Entries of another fleet are refused.
+  std::vector<std::string> seeds_;
+  dispatch::RepeatBounds repeats_;
   Dialect dialect_;
 };
 
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -12,6 +12,7 @@
 #include "exchange_p.h"
 #include "listener_p.h"
 #include "operators_p.h"
+#include "peer_link_p.h"
 #include "siskindrum/gateway/decision_thread.h"
 #include "siskindrum/http/clock.h"
 #include "siskindrum/telemetry/log_writer.h"
@@ -27,9 +28,15 @@
 constexpr core::Milliseconds kDrainIdle{2800};
 constexpr core::Milliseconds kOwnRequestTime{2000};
 
+// Rises from one process of an entry to the next, as far as the time of day
+// does.
 core::Incarnation MakeIncarnation() {
+  constexpr int kRandomBits = 20;
+  const auto now = std::chrono::duration_cast<core::Milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
   std::random_device random;
-  return static_cast<std::uint64_t>(random()) << 32 | random();
+  return static_cast<std::uint64_t>(now.count()) << kRandomBits |
+         random() % (1U << kRandomBits);
 }
 
 dispatch::DispatcherOptions MakeOptions(const GatewayOptions& options) {
@@ -39,6 +46,9 @@
   made.incarnation_ = MakeIncarnation();
   made.seed_ = made.incarnation_;
   made.gives_orders_ = options.gives_orders_;
+  made.peers_address_ = options.peers_address_;
+  made.seeds_ = options.seeds_;
+  made.repeats_ = options.repeats_;
   return made;
 }
 
@@ -58,6 +68,9 @@
         pool_(context_),
         decisions_(decision_options_),
         logs_(metrics_),
+        peers_({options_.peers_address_, options_.fleet_},
+               {[this](dispatch::Event event) { Post(std::move(event)); },
+                [this](core::LogEvent event) { logs_.Add(std::move(event)); }}),
         exchange_context_{
             options_.dialect_, pool_, metrics_,
             [this](dispatch::Event event) { Post(std::move(event)); }},
@@ -73,6 +86,7 @@
   telemetry::Metrics metrics_;
   DecisionThread decisions_;
   telemetry::LogWriter logs_;
+  PeerLink peers_;
   ExchangeContext exchange_context_;
   Listener callers_;
   Listener probes_;
@@ -266,14 +280,17 @@
     callers_.SetLimits(limits);
   }
   void Do(const dispatch::ReadyChanged& changed) { ready_ = changed.ready_; }
+  void Do(const dispatch::TellPeer& tell) { peers_.Tell(tell); }
   void Do(const core::LogEvent& event) { logs_.Add(event); }
 
   void Dispatch(std::vector<dispatch::Action> actions) {
-    // Log lines need no turn of the network thread.
+    // Log lines and messages to peers need no turn of the network thread.
     std::vector<dispatch::Action> rest;
     for (dispatch::Action& action : actions) {
       if (auto* log = std::get_if<core::LogEvent>(&action)) {
         logs_.Add(std::move(*log));
+      } else if (const auto* tell = std::get_if<dispatch::TellPeer>(&action)) {
+        peers_.Tell(*tell);
       } else {
         rest.push_back(std::move(action));
       }
@@ -344,6 +361,7 @@
 
 Gateway::~Gateway() {
   state_->decisions_.Stop();
+  state_->peers_.Stop();
   state_->logs_.Stop();
 }
 
@@ -357,6 +375,9 @@
   if (opened.has_value() && !options.operators_address_.empty()) {
     opened = state.operators_.Open(options.operators_address_);
   }
+  if (opened.has_value()) {
+    opened = state.peers_.Start();
+  }
   if (!opened.has_value()) {
     return opened;
   }
@@ -377,6 +398,7 @@
 void Gateway::Run() {
   state_->context_.run();
   state_->decisions_.Stop();
+  state_->peers_.Stop();
   state_->logs_.Add({"entry_stopped", {{"name", state_->options_.name_}}});
   state_->logs_.Stop();
 }
--- /dev/null
+++ b/packages/gateway/src/peer_link_p.h
@@ -0,0 +1,53 @@
+#ifndef SISKINDRUM_GATEWAY_PEER_LINK_P_H_
+#define SISKINDRUM_GATEWAY_PEER_LINK_P_H_
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <tl/expected.hpp>
+
+#include "siskindrum/dispatch/event.h"
+#include "siskindrum/peer/node.h"
+
+namespace siskindrum::gateway {
+
+struct PeerLinkOptions {
+  std::string address_;  // "ip:port" of this entry; empty: it has no peers.
+  std::string fleet_;
+};
+
+// Both are called on the link's own thread and must be thread-safe.
+struct PeerLinkHandlers {
+  std::function<void(dispatch::Event)> post_;
+  std::function<void(core::LogEvent)> log_;
+};
+
+// Carries messages between the decisions of this entry and those of others.
+class PeerLink {
+ public:
+  PeerLink(PeerLinkOptions options, PeerLinkHandlers handlers);
+
+  // Binds the address and starts the thread. Call once.
+  tl::expected<void, std::string> Start();
+  // Ends the thread. Thread-safe: no.
+  void Stop();
+  // Hands a message over; it may get lost. Thread-safe: yes.
+  void Tell(const dispatch::TellPeer& tell);
+  // All zero without peers. Thread-safe: yes.
+  peer::NodeCounters Counters() const;
+
+ private:
+  bool OnBytes(const std::string& bytes);
+
+  PeerLinkOptions options_;
+  PeerLinkHandlers handlers_;
+  std::unique_ptr<peer::Node> node_;
+  std::atomic<bool> running_{false};
+};
+
+}  // namespace siskindrum::gateway
+
+#endif  // SISKINDRUM_GATEWAY_PEER_LINK_P_H_
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -14,6 +14,8 @@
 #include "loopback.h"
 #include "siskindrum/gateway/event_splitter.h"
 #include "siskindrum/gateway/gateway.h"
+#include "siskindrum/http/clock.h"
+#include "siskindrum/http/endpoint.h"
 #include "siskindrum/rules/rules.h"
 
 namespace siskindrum::gateway {
@@ -353,6 +355,60 @@
   BOOST_TEST(splitter_.last_event_.value() == 9U);
 }
 
+BOOST_AUTO_TEST_CASE(Peers_WhenAnEntryStartsWithoutTheStore_TellItAll) {
+  const auto make = [](const std::string& name, const std::string& peers,
+                       const std::string& seed) {
+    GatewayOptions options;
+    options.name_ = name;
+    options.callers_address_ =
+        absl::StrCat("127.0.0.1:", GatewayFixture::FreePort());
+    options.ready_address_ =
+        absl::StrCat("127.0.0.1:", GatewayFixture::FreePort());
+    options.peers_address_ = peers;
+    options.seeds_ = {seed};
+    options.fleet_ = "test";
+    options.dialect_ = TestDialect();
+    return options;
+  };
+  const std::string address =
+      absl::StrCat("127.0.0.1:", GatewayFixture::FreePort());
+  const std::string other =
+      absl::StrCat("127.0.0.1:", GatewayFixture::FreePort());
+  const GatewayOptions options = make("b", other, address);
+  Gateway first(make("a", address, address));
+  Gateway second(options);
+  BOOST_REQUIRE(first.Start().has_value());
+  BOOST_REQUIRE(second.Start().has_value());
+  std::thread first_thread([&] { first.Run(); });
+  std::thread second_thread([&] { second.Run(); });
+  first.Post(dispatch::ConfigurationRead{*rules::MakeConfiguration(4, kRules),
+                                         "test"});
+  core::ServerInfo info;
+  info.name_ = "s";
+  info.address_ = "127.0.0.1:1";
+  info.service_ = "plain";
+  info.role_ = core::ServerRole::kPlain;
+  first.Post(dispatch::ListSeen{{{info}, {}, true, 9}});
+  const std::uint16_t ready_port =
+      http::ParseEndpoint(options.ready_address_)->port();
+  std::string answer;
+  const core::TimePoint limit =
+      http::MonotonicNow() + core::Milliseconds(test::kWaitMs);
+  while (!absl::StartsWith(answer, "HTTP/1.1 200") &&
+         http::MonotonicNow() < limit) {
+    test::Peer peer = test::Peer::Connect(ready_port);
+    peer.Send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    answer = peer.ReadAll();
+  }
+  BOOST_TEST(absl::StartsWith(answer, "HTTP/1.1 200"));
+  for (Gateway* gateway : {&first, &second}) {
+    boost::asio::post(gateway->Context(),
+                      [gateway] { gateway->Context().stop(); });
+  }
+  first_thread.join();
+  second_thread.join();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/peer/src/connection.cc
+++ b/packages/peer/src/connection.cc
@@ -17,6 +17,8 @@
 constexpr std::size_t kReadBytes = 64 * 1024;
 constexpr std::int32_t kWindowBytes = 4 * 1024 * 1024;
 constexpr std::uint32_t kMaxStreams = 1000;
+// A peer answers as soon as it has read a message.
+constexpr core::Milliseconds kAnswerTime{2000};
 
 nghttp2_nv MakeHeader(const std::string& name, const std::string& value) {
   return {reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data())),
@@ -193,6 +195,7 @@
     return;
   }
   ++connection.shared_->counters_.sent_;
+  message.sent_at_ = std::chrono::steady_clock::now();
   connection.outgoing_[stream] = std::move(message);
 }
 
@@ -249,6 +252,12 @@
           nghttp2_session_want_write(connection.session_) != 0);
 }
 
+bool IsSilent(const Connection& connection, core::TimePoint now) {
+  // Streams are numbered as they were opened: the first is the oldest.
+  return !connection.outgoing_.empty() &&
+         now - connection.outgoing_.begin()->second.sent_at_ > kAnswerTime;
+}
+
 void CloseConnection(Connection& connection) {
   if (connection.socket_ >= 0) {
     close(connection.socket_);
--- a/packages/peer/src/connection_p.h
+++ b/packages/peer/src/connection_p.h
@@ -19,6 +19,7 @@
   std::string bytes_;
   std::uint64_t tag_ = 0;
   std::size_t offset_ = 0;  // Bytes the session has taken.
+  core::TimePoint sent_at_{};
 };
 
 // A message on its way in.
@@ -67,6 +68,10 @@
 // True when there is something to write.
 bool WantsWrite(const Connection& connection);
 
+// True when a message was handed over and not answered for so long that the
+// connection must have fallen silent.
+bool IsSilent(const Connection& connection, core::TimePoint now);
+
 // Closes the socket and reports every message without an answer.
 void CloseConnection(Connection& connection);
 
--- a/packages/peer/src/node.cc
+++ b/packages/peer/src/node.cc
@@ -197,6 +197,7 @@
         connection.broken_ = true;
       }
     }
+    connection.broken_ = connection.broken_ || IsSilent(connection, Clock());
     if (!connection.connecting_ && !connection.broken_) {
       if ((events & (POLLIN | POLLHUP | POLLERR)) != 0) {
         ReadSocket(connection);
--- a/packages/peer/test/peer_test.cc
+++ b/packages/peer/test/peer_test.cc
@@ -1,6 +1,9 @@
 #define BOOST_TEST_MODULE peer
 #include <boost/test/unit_test.hpp>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -171,6 +174,36 @@
   BOOST_TEST(not_run_ == 1);
 }
 
+// A peer whose kernel takes the connection and which never answers.
+struct SilentPeer {
+  SilentPeer() : socket_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    bind(socket_, reinterpret_cast<sockaddr*>(&address), length);
+    listen(socket_, 8);
+    getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &length);
+    address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  }
+  ~SilentPeer() { close(socket_); }
+  SilentPeer(const SilentPeer&) = delete;
+  SilentPeer& operator=(const SilentPeer&) = delete;
+
+  int socket_;
+  std::string address_;
+};
+
+BOOST_FIXTURE_TEST_CASE(Node_WhenAConnectionFallsSilent_ReportsMayHaveRun,
+                        TwoNodes) {
+  const SilentPeer silent;
+  Node sender({"127.0.0.1", PortOf(4), "fleet"}, SenderHandlers());
+  BOOST_REQUIRE(sender.Start().has_value());
+  sender.Send(silent.address_, "hello", 1);
+  BOOST_TEST(Await([&] { return failed_ == 1; }));
+  BOOST_TEST(not_run_ == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
