--- a/packages/core/include/siskindrum/core/fleet.h
+++ b/packages/core/include/siskindrum/core/fleet.h
@@ -28,6 +28,8 @@
   ServerRole role_ = ServerRole::kMixed;
   bool leaving_ = false;
   std::uint32_t slots_ = 0;  // Zero: unknown.
+
+  bool operator==(const ServerInfo&) const = default;
 };
 
 // A request that an engine says it holds memory for.
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -176,11 +176,17 @@
   }
 }
 
+// Logs what the changes, not yet taken, say anew.
 void LogChanges(Step& step,
                 const ListChanges& changes,
                 const std::string& source) {
   const std::string version = std::to_string(changes.version_);
   for (const core::ServerInfo& info : changes.seen_) {
+    const KnownServer* known = FindServer(step.dispatcher_.pool_, info.name_);
+    if (known != nullptr && known->info_ == info &&
+        known->listing_ != Listing::kLapsed) {
+      continue;
+    }
     step.actions_.emplace_back(
         core::LogEvent{"server_listed",
                        {{"server", info.name_},
@@ -283,10 +289,10 @@
   }
   dispatcher.list_version_ =
       std::max(dispatcher.list_version_, changes.version_);
+  LogChanges(step, changes, source);
   TakeChanges(dispatcher.pool_, changes, step.now_);
   dispatcher.list_read_ = true;
   dispatcher.list_changed_at_ = step.now_;
-  LogChanges(step, changes, source);
   UpdateReady(step);
 }
 
--- a/packages/dispatch/src/peers.cc
+++ b/packages/dispatch/src/peers.cc
@@ -222,8 +222,11 @@
                    OnListRequest(step, message.from_, body);
                  },
                  [&](const core::ListBody& body) {
-                   TakeList(step, {body.servers_, {}, true, body.version_},
-                            message.from_);
+                   // The store may have told the same meanwhile.
+                   if (body.version_ > step.dispatcher_.list_version_) {
+                     TakeList(step, {body.servers_, {}, true, body.version_},
+                              message.from_);
+                   }
                  },
                  [&](const auto&) {
                    step.actions_.emplace_back(core::LogEvent{
