Tell which engines are being turned; notice a settings file that changes without a signal

A settings file that changed without SIGHUP was never read again. The test of the peers' codec named version 2 as a foreign one; it takes the version after the current one now. An unsequenced change of a counter in the property test is mended.

--- a/packages/core/include/siskindrum/core/membership.h
+++ b/packages/core/include/siskindrum/core/membership.h
@@ -41,6 +41,7 @@
   bool leaving_ = false;
   std::vector<CellDigest> cells_;
   std::vector<std::string> leaving_servers_;
+  std::vector<std::string> turning_servers_;  // It gave them another role.
 };
 
 struct Member {
--- a/packages/core/test/property_test.cc
+++ b/packages/core/test/property_test.cc
@@ -159,7 +159,8 @@
         Give(entry, DrainAsked{});
         break;
       case Move::kPublish:
-        Publish(entry, ++published_, kRules + std::string(published_, '\n'));
+        ++published_;
+        Publish(entry, published_, kRules + std::string(published_, '\n'));
         break;
       case Move::kPass:
         Pass(Milliseconds(step.argument_ % 200));
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -6,12 +6,14 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "siskindrum/core/configuration.h"
 #include "siskindrum/core/event.h"
 #include "siskindrum/core/peer_message.h"
 #include "siskindrum/core/types.h"
 #include "siskindrum/core/verdict.h"
+#include "siskindrum/dispatch/repeat_budget.h"
 #include "siskindrum/dispatch/server_pool.h"
 
 namespace siskindrum::dispatch {
@@ -114,6 +116,12 @@
   std::string source_;
 };
 
+// Settings that may change while the process runs.
+struct SettingsRead {
+  std::vector<std::string> seeds_;  // Addresses of other entries.
+  RepeatBounds repeats_;
+};
+
 struct DrainBegan {};
 struct Ticked {};
 
@@ -126,6 +134,7 @@
                            ListSeen,
                            ConfigurationRead,
                            PeerMessageReceived,
+                           SettingsRead,
                            DrainBegan,
                            Ticked>;
 
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -102,6 +102,8 @@
 inline constexpr std::size_t kOrderLeastEngines = 6;
 // The list must not have changed for this long before engines are turned.
 inline constexpr Milliseconds kOrderSettle{1500};
+// Until a turned engine is listed in its new role, at most.
+inline constexpr Milliseconds kTurnTime{12000};
 // Orders are given this soon after the start or not at all.
 inline constexpr Milliseconds kOrderWindow{8000};
 
--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -33,6 +33,7 @@
   std::uint32_t failures_ = 0;        // In a row.
   TimePoint suspended_until_{};
   TimePoint full_until_{};            // It had no room for a reservation.
+  TimePoint turning_until_{};         // It is to change its role.
   TimePoint silent_since_{};          // Sent to since then without any answer.
   double error_share_ = 0;            // Of its answers, lately.
   double mean_ms_ = 0;                // Of its plain answers; zero: unknown.
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -106,7 +106,8 @@
                       " to prefill, in ", server.info_.domain_,
                       MayServe(server, step.now_) ? "" : ", leaving",
                       server.suspended_until_ > step.now_ ? ", failing" : "",
-                      server.full_until_ > step.now_ ? ", full" : "")});
+                      server.full_until_ > step.now_ ? ", full" : "",
+                      server.turning_until_ > step.now_ ? ", turning" : "")});
   }
 }
 
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -236,7 +236,9 @@
   }
   for (const std::string& name : EnginesToTurn(dispatcher.pool_)) {
     ++dispatcher.counters_.orders_;
-    const KnownServer* server = FindServer(dispatcher.pool_, name);
+    KnownServer* server = FindServer(dispatcher.pool_, name);
+    server->turning_until_ = step.now_ + kTurnTime;
+    dispatcher.peers_.next_round_ = step.now_;
     step.actions_.emplace_back(TurnToDecode{name, server->info_.address_});
     step.actions_.emplace_back(core::LogEvent{
         "engine_turned",
@@ -280,11 +282,11 @@
   const bool older =
       changes.version_ != 0 && changes.version_ < dispatcher.list_version_;
   if (older) {
-    step.actions_.emplace_back(core::LogEvent{
-        "list_not_taken",
-        {{"version", std::to_string(changes.version_)},
-         {"known", std::to_string(dispatcher.list_version_)},
-         {"source", source}}});
+    step.actions_.emplace_back(
+        core::LogEvent{"list_not_taken",
+                       {{"version", std::to_string(changes.version_)},
+                        {"known", std::to_string(dispatcher.list_version_)},
+                        {"source", source}}});
     return;
   }
   dispatcher.list_version_ =
@@ -333,30 +335,33 @@
     dispatcher.started_at_ = now;
   }
   Step step{dispatcher, now, actions};
-  std::visit(core::Overloaded{
-                 [&](const CallArrived& e) { OnArrived(step, e); },
-                 [&](const CallerLeft& e) { OnCallerLeft(step, e); },
-                 [&](const PrefillDone& e) { OnPrefill(step, e); },
-                 [&](const ReserveDone& e) { OnReserve(step, e); },
-                 [&](const AnswerBegan& e) {
-                   ActiveCall* call = FindAttempt(step, e.request_, e.attempt_);
-                   if (call != nullptr) {
-                     OnAnswerBegan(step, *call);
-                   }
-                 },
-                 [&](const AttemptDone& e) { OnAttemptDone(step, e); },
-                 [&](const ListSeen& e) {
-                   TakeList(step, e.changes_, "store");
-                 },
-                 [&](const PeerMessageReceived& e) { OnPeerMessage(step, e); },
-                 [&](const ConfigurationRead& e) { OnConfiguration(step, e); },
-                 [&](const DrainBegan&) {
-                   dispatcher.draining_ = true;
-                   UpdateReady(step);
-                 },
-                 [&](const Ticked&) { OnTick(step); },
-             },
-             event);
+  std::visit(
+      core::Overloaded{
+          [&](const CallArrived& e) { OnArrived(step, e); },
+          [&](const CallerLeft& e) { OnCallerLeft(step, e); },
+          [&](const PrefillDone& e) { OnPrefill(step, e); },
+          [&](const ReserveDone& e) { OnReserve(step, e); },
+          [&](const AnswerBegan& e) {
+            ActiveCall* call = FindAttempt(step, e.request_, e.attempt_);
+            if (call != nullptr) {
+              OnAnswerBegan(step, *call);
+            }
+          },
+          [&](const AttemptDone& e) { OnAttemptDone(step, e); },
+          [&](const ListSeen& e) { TakeList(step, e.changes_, "store"); },
+          [&](const PeerMessageReceived& e) { OnPeerMessage(step, e); },
+          [&](const ConfigurationRead& e) { OnConfiguration(step, e); },
+          [&](const SettingsRead& e) {
+            dispatcher.peers_.seeds_ = e.seeds_;
+            dispatcher.options_.repeats_ = e.repeats_;
+          },
+          [&](const DrainBegan&) {
+            dispatcher.draining_ = true;
+            UpdateReady(step);
+          },
+          [&](const Ticked&) { OnTick(step); },
+      },
+      event);
 }
 
 const core::DecisionRecord* FindDecision(const Dispatcher& dispatcher,
--- a/packages/dispatch/src/peers.cc
+++ b/packages/dispatch/src/peers.cc
@@ -28,8 +28,16 @@
       core::PeerMessage{self.name_, self.incarnation_, std::move(body)}});
 }
 
-void FillOwnRow(Dispatcher& dispatcher) {
+void FillOwnRow(Step& step) {
+  Dispatcher& dispatcher = step.dispatcher_;
   MemberRow& self = dispatcher.peers_.membership_.self_;
+  self.turning_servers_.clear();
+  for (const auto& [name, server] : dispatcher.pool_.servers_) {
+    if (dispatcher.options_.gives_orders_ &&
+        server.turning_until_ > step.now_) {
+      self.turning_servers_.push_back(name);
+    }
+  }
   ++self.counter_;
   self.revision_ = OwnRevision(dispatcher);
   self.list_version_ = dispatcher.list_version_;
@@ -40,11 +48,9 @@
 std::vector<std::string> UnknownSeeds(const Peers& peers) {
   std::vector<std::string> unknown;
   for (const std::string& seed : peers.seeds_) {
-    const bool known =
-        std::any_of(peers.membership_.members_.begin(),
-                    peers.membership_.members_.end(), [&](const auto& entry) {
-                      return entry.second.row_.address_ == seed;
-                    });
+    const bool known = std::any_of(
+        peers.membership_.members_.begin(), peers.membership_.members_.end(),
+        [&](const auto& entry) { return entry.second.row_.address_ == seed; });
     if (!known && seed != peers.membership_.self_.address_) {
       unknown.push_back(seed);
     }
@@ -61,9 +67,9 @@
 void TellRound(Step& step) {
   Dispatcher& dispatcher = step.dispatcher_;
   Peers& peers = dispatcher.peers_;
-  FillOwnRow(dispatcher);
-  std::vector<std::string> targets = core::GossipTargets(
-      peers.membership_, step.now_, dispatcher.random_);
+  FillOwnRow(step);
+  std::vector<std::string> targets =
+      core::GossipTargets(peers.membership_, step.now_, dispatcher.random_);
   targets.resize(std::min(targets.size(), kPeerFanOut));
   for (const std::string& name : targets) {
     TellRows(step, name, peers.membership_.members_.at(name).row_.address_);
@@ -95,9 +101,9 @@
         (newer_rules == nullptr ? own : newer_rules->row_.revision_)) {
       newer_rules = &member;
     }
-    if (member.row_.list_version_ >
-        (newer_list == nullptr ? dispatcher.list_version_
-                               : newer_list->row_.list_version_)) {
+    if (member.row_.list_version_ > (newer_list == nullptr
+                                         ? dispatcher.list_version_
+                                         : newer_list->row_.list_version_)) {
       newer_list = &member;
     }
   }
@@ -132,7 +138,8 @@
 
 // Forgets an earlier process of the sender whose incarnation was higher, once
 // that one has fallen silent: the time of day may have been set back.
-void ForgetEarlierProcess(Step& step, const std::string& from,
+void ForgetEarlierProcess(Step& step,
+                          const std::string& from,
                           const MemberRow& row) {
   core::Membership& membership = step.dispatcher_.peers_.membership_;
   const auto known = membership.members_.find(from);
@@ -143,6 +150,21 @@
   }
 }
 
+// Engines that another entry gave a new role do not prefill meanwhile, though
+// the list does not say so yet.
+void NoteTurning(Step& step, const std::vector<MemberRow>& rows) {
+  for (const MemberRow& row : rows) {
+    for (const std::string& name : row.turning_servers_) {
+      KnownServer* server = FindServer(step.dispatcher_.pool_, name);
+      if (server != nullptr &&
+          server->info_.role_ == core::ServerRole::kPrefill) {
+        server->turning_until_ =
+            step.now_ + step.dispatcher_.peers_.membership_.suspect_after_;
+      }
+    }
+  }
+}
+
 void OnGossip(Step& step, const std::string& from, const core::Gossip& gossip) {
   Dispatcher& dispatcher = step.dispatcher_;
   core::Membership& membership = dispatcher.peers_.membership_;
@@ -158,8 +180,9 @@
          {"entries",
           std::to_string(core::LiveEntries(membership, step.now_).size())}}});
   }
+  NoteTurning(step, gossip.rows_);
   if (sender.revision_ == 0 && OwnRevision(dispatcher) != 0) {
-    FillOwnRow(dispatcher);
+    FillOwnRow(step);
     TellRows(step, from, sender.address_);
   }
   AskIfBehind(step);
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -112,7 +112,9 @@
     const bool fits = server.info_.role_ == role ||
                       (server.info_.role_ == core::ServerRole::kMixed &&
                        role != core::ServerRole::kPlain);
-    if (!fits || server.info_.service_ != need.pool_ ||
+    const bool turning =
+        role == core::ServerRole::kPrefill && server.turning_until_ > now;
+    if (!fits || turning || server.info_.service_ != need.pool_ ||
         !MayServe(server, now)) {
       continue;
     }
--- a/packages/dispatch/src/server_pool.cc
+++ b/packages/dispatch/src/server_pool.cc
@@ -23,6 +23,9 @@
     server.failures_ = 0;
     server.suspended_until_ = {};
   }
+  if (server.info_.role_ != info.role_) {
+    server.turning_until_ = {};
+  }
   server.info_ = info;
   server.misdirected_ = false;
   if (is_new) {
--- a/packages/dispatch/test/peers_test.cc
+++ b/packages/dispatch/test/peers_test.cc
@@ -1,5 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 #include "siskindrum/dispatch/limits.h"
 #include "site.h"
 
@@ -37,8 +39,8 @@
       if (tell == nullptr) {
         continue;
       }
-      const bool asks = std::holds_alternative<core::ListRequest>(
-          tell->message_.body_);
+      const bool asks =
+          std::holds_alternative<core::ListRequest>(tell->message_.body_);
       entries_.at(address).questions_ += asks ? 1 : 0;
       if (!cut_ && entries_.contains(tell->address_)) {
         in_flight_.push_back({tell->address_, tell->message_});
@@ -73,9 +75,9 @@
     }
   }
   void Configure(const std::string& address, std::uint64_t revision) {
-    Handle(address, ConfigurationRead{
-                        *rules::MakeConfiguration(revision, Site::kRules),
-                        "store"});
+    Handle(address,
+           ConfigurationRead{*rules::MakeConfiguration(revision, Site::kRules),
+                             "store"});
   }
   void List(const std::string& address,
             const std::vector<core::ServerInfo>& servers,
@@ -154,8 +156,8 @@
   List("east:1", {Site::Plain("s2")}, 9);
   List("east:1", {Site::Plain("s1")}, 8);
   BOOST_TEST(At("east:1").list_version_ == 9U);
-  BOOST_TEST((FindServer(At("east:1").pool_, "s2")->listing_ ==
-              Listing::kListed));
+  BOOST_TEST(
+      (FindServer(At("east:1").pool_, "s2")->listing_ == Listing::kListed));
   Configure("east:1", 3);
   BOOST_TEST(At("east:1").configuration_.current_->revision_ == 5U);
 }
@@ -174,6 +176,41 @@
   BOOST_TEST(At("east:2").ready_);
 }
 
+BOOST_AUTO_TEST_CASE(Engines_WhenTheyAreTurned_GetNoPrefillFromAnyEntry) {
+  std::vector<core::ServerInfo> engines;
+  for (const char* name : {"p1", "p2", "p3", "d1", "d2", "d3"}) {
+    engines.push_back(Site::Engine(name, name[0] == 'p'
+                                             ? core::ServerRole::kPrefill
+                                             : core::ServerRole::kDecode));
+  }
+  At("east:1").options_.gives_orders_ = true;
+  for (const char* address : {"east:1", "east:2"}) {
+    Configure(address, 5);
+    List(address, engines, 5);
+  }
+  Pass(kOrderSettle + kPeerRound + Milliseconds(300));
+  // Of six engines one is to prefill.
+  for (const char* address : {"east:1", "east:2"}) {
+    PlacementNeed need;
+    need.pool_ = "engines";
+    need.domain_ = "east";
+    need.prompt_tokens_ = 5000;
+    std::set<std::string> used;
+    for (int i = 0; i < 4; ++i) {
+      const EnginePlan plan = PlaceEngines(At(address).pool_, need, now_);
+      used.insert(plan.prefill_);
+      FindServer(At(address).pool_, "p1")->prefill_tokens_ += 5000;
+    }
+    used.erase("");
+    BOOST_TEST((used == std::set<std::string>{"p1"}));
+  }
+  // Listed in its new role, a turned engine is used at once.
+  engines[2].role_ = core::ServerRole::kDecode;
+  List("east:2", engines, 6);
+  BOOST_TEST(
+      (FindServer(At("east:2").pool_, "p3")->turning_until_ == TimePoint{}));
+}
+
 BOOST_AUTO_TEST_CASE(Repeats_WhenMoreEntriesAreKnown_AreSharedAmongThem) {
   const RepeatBounds bounds{0.2, 54, Milliseconds(10000)};
   const auto taken = [&](std::size_t entries) {
--- a/packages/peer/include/siskindrum/peer/codec.h
+++ b/packages/peer/include/siskindrum/peer/codec.h
@@ -10,7 +10,7 @@
 namespace siskindrum::peer {
 
 // Version of the messages; entries of another version refuse each other.
-inline constexpr int kProtocolVersion = 1;
+inline constexpr int kProtocolVersion = 2;
 
 // Largest message, in bytes: a rules file of a megabyte and its frame.
 inline constexpr std::size_t kMaxMessageBytes = 2 * 1024 * 1024;
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -122,7 +122,8 @@
 Json Put(const MemberRow& row) {
   return Json::array({row.name_, row.address_, row.domain_, row.incarnation_,
                       row.counter_, row.revision_, row.list_version_,
-                      row.leaving_, PutRows(row.cells_), row.leaving_servers_});
+                      row.leaving_, PutRows(row.cells_), row.leaving_servers_,
+                      row.turning_servers_});
 }
 void Take(const Json& json, MemberRow& row) {
   row.name_ = json.at(0).get<std::string>();
@@ -135,6 +136,7 @@
   row.leaving_ = json.at(7).get<bool>();
   TakeRows(json.at(8), row.cells_);
   row.leaving_servers_ = json.at(9).get<std::vector<std::string>>();
+  row.turning_servers_ = json.at(10).get<std::vector<std::string>>();
 }
 
 Json Put(const Candidate& row) {
--- a/packages/peer/test/peer_test.cc
+++ b/packages/peer/test/peer_test.cc
@@ -39,6 +39,7 @@
   row.incarnation_ = UINT64_MAX;
   row.cells_ = {{"svc/0", -3, 4, 5, 6}};
   row.leaving_servers_ = {"s"};
+  row.turning_servers_ = {"t"};
   Need need;
   need.request_ = {1, 2};
   need.organisation_ = "o";
@@ -110,7 +111,8 @@
 
 BOOST_AUTO_TEST_CASE(Decode_WhenOfAnotherVersion_Refuses) {
   std::string bytes = Encode({"me", 7, SeatQuery{"s"}});
-  bytes[1] = 2;  // The first element of the array is the version.
+  // The first element of the array is the version.
+  bytes[1] = static_cast<char>(kProtocolVersion + 1);
   BOOST_TEST(Decode(bytes).error().find("version") != std::string::npos);
 }
 
