After a restart, read prompts from the engines that still keep them

Cause: when all entries are killed, their callers come back at once with prompts that engines read a second before. Change: an entry that starts anew asks the engines which prompts they keep (three times within two seconds: an engine notices late that an entry lost power), and for eight seconds lets a decode engine fetch such a prompt from its keeper instead of a prefill.

--- a/fuzz/fuzz_platform.cc
+++ b/fuzz/fuzz_platform.cc
@@ -25,5 +25,6 @@
   (void)siskindrum::adapter::ParseSettings(text);
   (void)siskindrum::adapter::MakeDialect().read_prefill_(text);
   (void)siskindrum::adapter::MakeDialect().read_hold_(text);
+  (void)siskindrum::adapter::MakeDialect().read_kept_(text);
   return 0;
 }
--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -88,6 +88,8 @@
   // This process alone, of all that ever run in the deployment, may give orders
   // to engines.
   bool gives_orders_ = false;
+  // Earlier processes of the deployment may have left prompts at the engines.
+  bool restarted_ = false;
   std::string peers_address_;       // Of this entry; empty: it has no peers.
   std::vector<std::string> seeds_;  // Addresses of other entries.
   RepeatBounds repeats_;            // Over all entries.
@@ -102,6 +104,10 @@
   ServerPool pool_;
   RepeatBudget budget_;
   Peers peers_;
+  // Addresses of engines that kept a prompt when this process started.
+  std::unordered_map<std::uint64_t, std::string> kept_;
+  TimePoint kept_from_{};  // When the engines were first asked.
+  std::size_t kept_asks_ = 0;
   std::vector<RequestId> waiting_;  // For room, as they came.
   TimePoint tight_until_{};         // Room goes to requests in time only.
   // Mean time of an answer for each token expected of it, in milliseconds, by
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -39,6 +39,7 @@
   std::string label_;                // The caller's own id, for logs.
   Milliseconds time_left_{0};        // The caller's deadline; zero: none.
   std::uint32_t answer_tokens_ = 0;  // Expected; zero: unknown.
+  std::uint64_t prompt_ = 0;         // Identity of its prompt; zero: unknown.
   std::optional<std::uint64_t> last_event_;  // The caller resumes behind it.
 };
 
@@ -116,6 +117,12 @@
   std::string source_;
 };
 
+// An engine said which prompts it keeps.
+struct KeptListed {
+  std::string server_;
+  std::vector<std::uint64_t> prompts_;
+};
+
 // Settings that may change while the process runs.
 struct SettingsRead {
   std::vector<std::string> seeds_;  // Addresses of other entries.
@@ -134,6 +141,7 @@
                            ListSeen,
                            ConfigurationRead,
                            PeerMessageReceived,
+                           KeptListed,
                            SettingsRead,
                            DrainBegan,
                            Ticked>;
@@ -190,6 +198,12 @@
   std::string address_;
 };
 
+// Asks an engine which prompts it keeps; no answer is as good as none kept.
+struct ListKept {
+  std::string server_;
+  std::string address_;
+};
+
 // Sends a message to another entry; it may get lost.
 struct TellPeer {
   std::string address_;
@@ -212,6 +226,7 @@
                             FreeHandle,
                             DropHold,
                             TurnToDecode,
+                            ListKept,
                             TellPeer,
                             BoundCallers,
                             ReadyChanged,
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -107,6 +107,14 @@
 // Orders are given this soon after the start or not at all.
 inline constexpr Milliseconds kOrderWindow{8000};
 
+// After a start, prompts that engines kept from before are looked for this
+// long.
+inline constexpr Milliseconds kKeptTime{8000};
+// When engines are asked after a start. An engine notices late that an entry
+// which lost power reads no more, and keeps the prompt only from then on.
+inline constexpr Milliseconds kKeptAskAfter[] = {
+    Milliseconds(0), Milliseconds(700), Milliseconds(2000)};
+
 // Between two rounds of talk with other entries, and how many are told in each.
 inline constexpr Milliseconds kPeerRound{1000};
 inline constexpr std::size_t kPeerFanOut = 2;
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -41,6 +41,7 @@
   if (outcome.kind_ == core::BackendKind::kPlain) {
     SendPlain(step, call);
   } else {
+    UseKept(step, call);
     SeekDecode(step, call);
   }
 }
@@ -268,6 +269,7 @@
     }
     FailCall(step, call, core::Reason::kDeadline, "");
   }
+  AskForKept(step);
   PumpWaiting(step);
   TalkToPeers(step);
   ForgetVanished(dispatcher.pool_, step.now_);
@@ -351,6 +353,7 @@
           [&](const ListSeen& e) { TakeList(step, e.changes_, "store"); },
           [&](const PeerMessageReceived& e) { OnPeerMessage(step, e); },
           [&](const ConfigurationRead& e) { OnConfiguration(step, e); },
+          [&](const KeptListed& e) { OnKeptListed(step, e); },
           [&](const SettingsRead& e) {
             dispatcher.peers_.seeds_ = e.seeds_;
             dispatcher.options_.repeats_ = e.repeats_;
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -64,6 +64,14 @@
 void OnDecodeDone(Step& step, ActiveCall& call, const AttemptDone& event);
 void OnAnswerBegan(Step& step, ActiveCall& call);
 
+// kept_prompts.cc: prompts that engines keep from before this process started.
+
+// Asks all engines a few times after a restart, from when the list was read.
+void AskForKept(Step& step);
+void OnKeptListed(Step& step, const KeptListed& event);
+// Lets a request whose prompt an engine keeps be read from there.
+void UseKept(Step& step, ActiveCall& call);
+
 // waiting.cc: requests that wait for room at a decode engine.
 
 // True when a request that gets room now would still meet its target.
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -46,7 +46,8 @@
   if (direct) {
     ++step.dispatcher_.counters_.prefills_direct_;
     expected = kDirectPrefillFactor * PrefillMs(*server, prompt);
-    fetch_address = call.read_address_;
+    fetch_address =
+        call.read_address_ == server->info_.address_ ? "" : call.read_address_;
     call.counted_prefill_ = prompt;
     server->prefill_tokens_ += prompt;
   }
--- /dev/null
+++ b/packages/dispatch/test/kept_prompts_test.cc
@@ -0,0 +1,98 @@
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+#include "siskindrum/dispatch/limits.h"
+#include "site.h"
+
+namespace siskindrum::dispatch {
+namespace {
+
+// A process that started anew in a deployment that has run before.
+struct KeptFixture : Site {
+  static constexpr std::uint64_t kPrompt = 0x91bd3f06;
+
+  KeptFixture() { dispatcher_.options_.restarted_ = true; }
+
+  RequestId ArriveWith(std::uint64_t prompt) {
+    CallArrived arrived;
+    arrived.request_ = {1, ++requests_};
+    arrived.call_.shape_.path_ = "/resume/1";
+    arrived.call_.shape_.prompt_tokens_ = 5000;
+    arrived.call_.answer_tokens_ = 700;
+    arrived.call_.prompt_ = prompt;
+    arrived.call_.label_ = "r";
+    arrived.arrived_at_ = now_;
+    Handle(arrived);
+    return arrived.request_;
+  }
+  // The engine says that it keeps the prompt, once it was asked.
+  void Keep(const std::string& engine) {
+    Handle(Ticked{});
+    Handle(KeptListed{engine, {kPrompt, 5}});
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(KeptPrompts, KeptFixture)
+
+BOOST_AUTO_TEST_CASE(Engines_AfterARestart_AreAskedAFewTimes) {
+  Pass(kKeptTime);
+  BOOST_TEST(asked_kept_.size() == 5 * std::size(kKeptAskAfter));
+  BOOST_TEST((std::set<std::string>(asked_kept_.begin(), asked_kept_.end()) ==
+              std::set<std::string>{"p1", "p2", "d1", "d2", "d3"}));
+}
+
+BOOST_AUTO_TEST_CASE(Engines_AtTheFirstStart_AreNotAsked) {
+  dispatcher_.options_.restarted_ = false;
+  Pass(kKeptTime);
+  BOOST_TEST(asked_kept_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(Request_WhenAnEngineKeepsItsPrompt_IsNotPrefilledAnew) {
+  Keep("p1");
+  const RequestId id = ArriveWith(kPrompt);
+  Reserve(id, true);
+  BOOST_TEST((Last(id).stage_ == Stage::kDecode));
+  BOOST_TEST(Last(id).fetch_address_ == "p1:1");
+}
+
+BOOST_AUTO_TEST_CASE(Request_WhenItsDecodeEngineKeepsThePrompt_FetchesNothing) {
+  const RequestId probe = Arrive("/resume/1");
+  const std::string chosen = Last(probe).server_;
+  Handle(CallerLeft{probe});
+  Keep(chosen);
+  const RequestId id = ArriveWith(kPrompt);
+  BOOST_TEST(Last(id).server_ == chosen);
+  Reserve(id, true);
+  BOOST_TEST((Last(id).stage_ == Stage::kDecode));
+  BOOST_TEST(Last(id).fetch_address_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(Request_WithAnotherPrompt_IsPrefilled) {
+  Keep("p1");
+  for (const std::uint64_t prompt : {std::uint64_t{0}, kPrompt + 1}) {
+    const RequestId id = ArriveWith(prompt);
+    Reserve(id, true);
+    BOOST_TEST((Last(id).stage_ == Stage::kPrefill));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Request_LongAfterTheStart_IsPrefilled) {
+  Keep("p1");
+  Pass(kKeptTime + Milliseconds(100));
+  const RequestId id = ArriveWith(kPrompt);
+  Reserve(id, true);
+  BOOST_TEST((Last(id).stage_ == Stage::kPrefill));
+}
+
+BOOST_AUTO_TEST_CASE(Engine_WhenItIsUnknown_IsNotFetchedFrom) {
+  Keep("p9");
+  const RequestId id = ArriveWith(kPrompt);
+  Reserve(id, true);
+  BOOST_TEST((Last(id).stage_ == Stage::kPrefill));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace siskindrum::dispatch
--- a/packages/dispatch/test/site.h
+++ b/packages/dispatch/test/site.h
@@ -169,6 +169,7 @@
   std::vector<std::string> dropped_;  // Reservations.
   std::vector<RequestId> order_;      // Of all attempts.
   std::vector<core::LogEvent> logs_;
+  std::vector<std::string> asked_kept_;  // Engines, for what they keep.
   bool ready_ = false;
 
  private:
@@ -186,6 +187,8 @@
       dropped_.push_back(drop->hold_);
     } else if (const auto* ready = std::get_if<ReadyChanged>(&action)) {
       ready_ = ready->ready_;
+    } else if (const auto* kept = std::get_if<ListKept>(&action)) {
+      asked_kept_.push_back(kept->server_);
     } else if (const auto* log = std::get_if<core::LogEvent>(&action)) {
       logs_.push_back(*log);
     }
--- a/packages/gateway/include/siskindrum/gateway/dialect.h
+++ b/packages/gateway/include/siskindrum/gateway/dialect.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <tl/expected.hpp>
 
@@ -75,6 +76,11 @@
   tl::expected<std::string, std::string> (*read_hold_)(std::string_view body) =
       nullptr;
   OwnRequest (*drop_hold_)(const std::string& hold) = nullptr;
+  // Makes the request for the prompts that an engine keeps, and reads the
+  // identities in its answer.
+  OwnRequest (*list_kept_)(const std::string& server) = nullptr;
+  tl::expected<std::vector<std::uint64_t>, std::string> (*read_kept_)(
+      std::string_view body) = nullptr;
   // Makes the order that turns a prefill engine to decode. `holder` names who
   // gives it, `fence` its fencing number.
   OwnRequest (*turn_to_decode_)(const std::string& server,
--- a/packages/gateway/include/siskindrum/gateway/gateway.h
+++ b/packages/gateway/include/siskindrum/gateway/gateway.h
@@ -24,6 +24,7 @@
   std::string operators_address_;  // Metrics, dump, explain; empty: none.
   core::Milliseconds drain_limit_{7000};
   bool gives_orders_ = false;  // As in dispatch::DispatcherOptions.
+  bool restarted_ = false;     // As in dispatch::DispatcherOptions.
   std::string peers_address_;  // Of the peers' interface; empty: none.
   std::string fleet_;          // Entries of another fleet are refused.
   std::vector<std::string> seeds_;
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
 #include "exchange_p.h"
 #include "listener_p.h"
@@ -46,6 +47,7 @@
   made.incarnation_ = MakeIncarnation();
   made.seed_ = made.incarnation_;
   made.gives_orders_ = options.gives_orders_;
+  made.restarted_ = options.restarted_;
   made.peers_address_ = options.peers_address_;
   made.seeds_ = options.seeds_;
   made.repeats_ = options.repeats_;
@@ -249,6 +251,35 @@
             "order_not_given");
   }
 
+  void Do(const dispatch::ListKept& list) {
+    http::BackendCall call;
+    call.address_ = list.address_;
+    call.bytes_ = FormatOwnRequest(options_.dialect_.list_kept_(list.server_));
+    call.write_before_ = http::MonotonicNow() + kOwnRequestTime;
+    const auto body = std::make_shared<std::string>();
+    const auto status = std::make_shared<int>(0);
+    call.on_head_ = [status](const http::Head& head) {
+      *status = head.status_;
+      return http::AnswerUse::kTake;
+    };
+    call.on_body_ = [body](std::string_view data) { body->append(data); };
+    call.on_end_ = [this, list, body, status](const http::CallEnd& end) {
+      const bool whole =
+          end.failure_ == http::CallFailure::kNone && *status == 200;
+      const auto prompts =
+          whole ? options_.dialect_.read_kept_(*body)
+                : tl::unexpected(absl::StrCat("status ", *status, " ",
+                                              http::ToString(end.failure_)));
+      if (prompts.has_value()) {
+        Post(dispatch::KeptListed{list.server_, *prompts});
+      } else {
+        logs_.Add({"prompts_not_listed",
+                   {{"server", list.server_}, {"detail", prompts.error()}}});
+      }
+    };
+    pool_.Send(std::move(call));
+  }
+
   // Sends a request of this system's own whose answer changes nothing.
   void SendOwn(const std::string& address,
                OwnRequest request,
