Send less to plain servers that answer slowly, and try them again

Cause: a plain server that turned five times slower kept its share as long as it had free places; silence was counted from the first of its calls in progress, so that a server which was never idle looked silent though it answered. Change: what its mean answer takes beyond 1.5 times that of the fastest counts against it, less the longer it was not measured; an answer ends the silence. Tests: PlainCalls/Reads_WhenAServerTurnsSlow* plays the load (the slow one gets under a tenth, and is tried again), Reads_WhenABusyServer*, both red before.

--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -28,6 +28,12 @@
 // Expectations before anything was measured.
 inline constexpr double kPrefillTokensPerMs = 50.0;
 inline constexpr Milliseconds kPlainTime{60};
+// Weight of one plain answer in the mean time of its server.
+inline constexpr double kPlainTimeWeight = 0.2;
+// A plain server counts as slow from this many times the time of the fastest.
+// Half of that is forgotten in the time given, so that it is tried again.
+inline constexpr double kSlowFactor = 1.5;
+inline constexpr Milliseconds kSlowHalfLife{1000};
 inline constexpr double kPrefillOverheadMs = 20.0;
 inline constexpr double kTransferMs = 12.0;
 // A decode engine that prefills itself does so at about half the speed.
--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -37,6 +37,7 @@
   TimePoint silent_since_{};          // Sent to since then without any answer.
   double error_share_ = 0;            // Of its answers, lately.
   double mean_ms_ = 0;                // Of its plain answers; zero: unknown.
+  TimePoint measured_at_{};           // When the mean last took an answer.
   double prefill_tokens_per_ms_ = 0;  // Zero: unknown.
 };
 
@@ -77,7 +78,7 @@
 
 // It answered whole; `error` when the answer was an error of its own.
 // Thread-safe: no.
-void NoteAnswer(KnownServer& server, bool error);
+void NoteAnswer(KnownServer& server, bool error, TimePoint now);
 
 // It refused without running the call. Thread-safe: no.
 void NoteRefusal(KnownServer& server, TimePoint now);
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -244,7 +244,7 @@
   const bool is_error = event.outcome_ == AttemptOutcome::kServerError;
   if (server != nullptr &&
       (event.outcome_ == AttemptOutcome::kDelivered || is_error)) {
-    NoteAnswer(*server, is_error);
+    NoteAnswer(*server, is_error, step.now_);
   }
   if (event.outcome_ == AttemptOutcome::kDelivered) {
     call.run_state_ = RunState::kRan;
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -1,6 +1,7 @@
 #include "siskindrum/dispatch/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "siskindrum/dispatch/limits.h"
@@ -53,15 +54,37 @@
   return cost;
 }
 
+// Mean answer of the fastest server of the pool that is known.
+double FastestPlainMs(const ServerPool& pool, const std::string& service) {
+  double fastest = std::numeric_limits<double>::max();
+  for (const auto& [name, server] : pool.servers_) {
+    if (server.info_.service_ == service && server.mean_ms_ > 0) {
+      fastest = std::min(fastest, server.mean_ms_);
+    }
+  }
+  return fastest;
+}
+
+// What a server's answers take beyond those of the fastest one, less the longer
+// it was not measured.
+double SlownessMs(const KnownServer& server, double fastest, TimePoint now) {
+  const double excess = server.mean_ms_ - kSlowFactor * fastest;
+  return excess <= 0 ? 0
+                     : excess * std::exp2(-Ms(now - server.measured_at_) /
+                                          Ms(kSlowHalfLife));
+}
+
 double PlainCost(const KnownServer& server,
                  const PlacementNeed& need,
+                 double fastest,
                  TimePoint now) {
   const std::uint32_t slots =
       server.info_.slots_ > 0 ? server.info_.slots_ : kDefaultPlainSlots;
   const double mean = server.mean_ms_ > 0
                           ? server.mean_ms_
                           : static_cast<double>(kPlainTime.count());
-  double cost = CommonCost(server, need, kFarPlainMs, now);
+  double cost = CommonCost(server, need, kFarPlainMs, now) +
+                SlownessMs(server, fastest, now);
   cost += kBusyShareMs * server.calls_ / slots;
   if (server.calls_ >= slots) {
     cost += mean * (server.calls_ + 1 - slots) / slots;
@@ -138,9 +161,11 @@
 std::string PlacePlain(const ServerPool& pool,
                        const PlacementNeed& need,
                        TimePoint now) {
-  const Choice best = Cheapest(
-      pool, need, core::ServerRole::kPlain, now,
-      [&](const KnownServer& server) { return PlainCost(server, need, now); });
+  const double fastest = FastestPlainMs(pool, need.pool_);
+  const Choice best = Cheapest(pool, need, core::ServerRole::kPlain, now,
+                               [&](const KnownServer& server) {
+                                 return PlainCost(server, need, fastest, now);
+                               });
   return best.server_ == nullptr ? "" : best.server_->info_.name_;
 }
 
--- a/packages/dispatch/src/plain_call.cc
+++ b/packages/dispatch/src/plain_call.cc
@@ -32,13 +32,12 @@
   const bool is_error = event.outcome_ == AttemptOutcome::kServerError;
   if (event.outcome_ == AttemptOutcome::kDelivered || is_error) {
     if (server != nullptr) {
-      NoteAnswer(*server, is_error);
-      constexpr double kWeight = 0.1;
-      server->mean_ms_ = Smooth(
-          server->mean_ms_,
-          std::chrono::duration<double, std::milli>(step.now_ - call.sent_at_)
-              .count(),
-          kWeight);
+      NoteAnswer(*server, is_error, step.now_);
+      const std::chrono::duration<double, std::milli> took =
+          step.now_ - call.sent_at_;
+      server->mean_ms_ =
+          Smooth(server->mean_ms_, took.count(), kPlainTimeWeight);
+      server->measured_at_ = step.now_;
     }
     call.run_state_ = RunState::kRan;
   }
--- a/packages/dispatch/src/server_pool.cc
+++ b/packages/dispatch/src/server_pool.cc
@@ -108,8 +108,9 @@
   server.suspended_until_ = {};
 }
 
-void NoteAnswer(KnownServer& server, bool error) {
+void NoteAnswer(KnownServer& server, bool error, TimePoint now) {
   NoteAlive(server);
+  server.silent_since_ = now;
   server.error_share_ = kErrorMemory * server.error_share_ +
                         (1 - kErrorMemory) * (error ? 1.0 : 0.0);
 }
--- a/packages/dispatch/test/call_test.cc
+++ b/packages/dispatch/test/call_test.cc
@@ -119,6 +119,46 @@
   BOOST_TEST(to_dead == 0U);
 }
 
+// Plays a steady load on three servers, of which s1 takes five times as long.
+BOOST_AUTO_TEST_CASE(Reads_WhenAServerTurnsSlow_MostlyGoToTheOthers) {
+  std::map<std::string, int> taken;
+  std::map<RequestId, TimePoint> ends;
+  for (int i = 0; i < 800; ++i) {
+    const RequestId id = Arrive("/read/1");
+    const std::string server = Last(id).server_;
+    ++taken[server];
+    ends[id] = now_ + Milliseconds(server == "s1" ? 250 : 50);
+    now_ += Milliseconds(20);
+    for (auto it = ends.begin(); it != ends.end();) {
+      if (it->second <= now_) {
+        Done(it->first, AttemptOutcome::kDelivered, RunState::kRan);
+        it = ends.erase(it);
+      } else {
+        ++it;
+      }
+    }
+  }
+  BOOST_TEST(taken["s1"] * 10 <= 800);
+  // It is tried now and then: it may have recovered.
+  BOOST_TEST(taken["s1"] >= 3);
+}
+
+BOOST_AUTO_TEST_CASE(Reads_WhenABusyServerAnswersAllTheWhile_StillGoThere) {
+  Leave(Plain("s2"));
+  Leave(Plain("s3"));
+  std::vector<RequestId> open;
+  for (int i = 0; i < 20; ++i) {
+    open.push_back(Arrive("/read/1"));
+    now_ += Milliseconds(50);
+    if (open.size() > 2) {
+      Done(open.front(), AttemptOutcome::kDelivered, RunState::kRan);
+      open.erase(open.begin());
+    }
+  }
+  BOOST_TEST((now_ - FindServer(dispatcher_.pool_, "s1")->silent_since_ <=
+              Milliseconds(50)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(Servers, Site)
--- a/packages/dispatch/test/engine_call_test.cc
+++ b/packages/dispatch/test/engine_call_test.cc
@@ -181,8 +181,8 @@
   for (int i = 0; i < 6; ++i) {
     const RequestId id = Arrive("/stream/1");
     Reserve(id, true);
-    BOOST_TEST(!(Last(id).stage_ == Stage::kPrefill &&
-                 Last(id).server_ == turned));
+    BOOST_TEST(
+        !(Last(id).stage_ == Stage::kPrefill && Last(id).server_ == turned));
   }
   // The list knows better.
   List({Engine(turned, core::ServerRole::kPrefill)}, false);
