--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -160,7 +160,8 @@
     absl::string_view label = target;
     decisions_.Read([&](const dispatch::Dispatcher& dispatcher) {
       if (target == "/metrics") {
-        text = MetricsText(metrics_, dispatcher, pool_.Counters());
+        text = MetricsText(metrics_, dispatcher, pool_.Counters(),
+                           peers_.Counters());
       } else if (target == "/dump") {
         text = DumpText(dispatcher, http::MonotonicNow());
       } else if (absl::ConsumePrefix(&label, "/explain?request=")) {
--- a/packages/gateway/src/operators.cc
+++ b/packages/gateway/src/operators.cc
@@ -60,7 +60,8 @@
 
 std::string MetricsText(const telemetry::Metrics& metrics,
                         const dispatch::Dispatcher& dispatcher,
-                        const http::PoolCounters& pool) {
+                        const http::PoolCounters& pool,
+                        const peer::NodeCounters& peers) {
   const dispatch::DispatchCounters& counters = dispatcher.counters_;
   return metrics.ToText(std::vector<telemetry::NamedCount>{
       {"requests_total", counters.arrived_},
@@ -84,6 +85,11 @@
       {"connections_opened_total", pool.opened_},
       {"connections_reused_total", pool.reused_},
       {"foreign_answers_total", pool.foreign_answers_},
+      {"peer_messages_sent_total", peers.sent_},
+      {"peer_messages_received_total", peers.received_},
+      {"peer_messages_failed_total", peers.failed_},
+      {"peer_bytes_sent_total", peers.bytes_out_},
+      {"peer_bytes_received_total", peers.bytes_in_},
   });
 }
 
@@ -97,7 +103,14 @@
       {"ready", dispatcher.ready_},
       {"draining", dispatcher.draining_},
       {"revision", configuration == nullptr ? 0 : configuration->revision_},
+      {"list_version", dispatcher.list_version_},
       {"rules", configuration == nullptr ? "" : configuration->rules_.text_}};
+  for (const auto& [name, member] : dispatcher.peers_.membership_.members_) {
+    dump["entries"][name] = {{"address", member.row_.address_},
+                             {"revision", member.row_.revision_},
+                             {"list_version", member.row_.list_version_},
+                             {"heard_ms", AgeMs(now, member.advanced_at_)}};
+  }
   for (const auto& [name, server] : dispatcher.pool_.servers_) {
     dump["servers"][name] = DumpServer(server, now);
   }
--- a/packages/gateway/src/operators_p.h
+++ b/packages/gateway/src/operators_p.h
@@ -5,6 +5,7 @@
 
 #include "siskindrum/dispatch/dispatcher.h"
 #include "siskindrum/http/backend_pool.h"
+#include "siskindrum/peer/node.h"
 #include "siskindrum/telemetry/metrics.h"
 
 namespace siskindrum::gateway {
@@ -12,7 +13,8 @@
 // Counters of the decisions and the connections as text. Thread-safe: no.
 std::string MetricsText(const telemetry::Metrics& metrics,
                         const dispatch::Dispatcher& dispatcher,
-                        const http::PoolCounters& pool);
+                        const http::PoolCounters& pool,
+                        const peer::NodeCounters& peers);
 
 // Whole state of the decisions as JSON, with ages. Thread-safe: no.
 std::string DumpText(const dispatch::Dispatcher& dispatcher,
