Tell a caller at once that no engine could ever hold its prompt

Cause: a prompt whose memory exceeds that of every engine waited for a slot until its target was out of reach and was told 503 with Retry-After: it could come back for ever. Change: the home of a cell refuses it when all decode engines have said how much memory they have and none has enough; the caller is told 400, not run, with the limit, unless another cell refused it for another reason.

--- a/packages/core/include/siskindrum/core/fleet.h
+++ b/packages/core/include/siskindrum/core/fleet.h
@@ -133,6 +133,10 @@
   kCount
 };
 
+// Memory pieces of the largest decode engine of a cell; UINT32_MAX while one of
+// them has not said how many it has. Thread-safe: no.
+std::uint32_t MostPieces(const Fleet& fleet, const Cell& cell);
+
 // Memory pieces of a request with this many tokens. Thread-safe: yes.
 std::uint32_t PiecesFor(std::uint32_t tokens);
 
--- a/packages/core/include/siskindrum/core/peer_message.h
+++ b/packages/core/include/siskindrum/core/peer_message.h
@@ -64,6 +64,7 @@
   Reason reason_ = Reason::kOverloaded;
   Milliseconds retry_after_{0};
   CellDigest digest_;
+  std::uint32_t most_pieces_ = 0;  // Of the largest engine, when too large.
 };
 
 // Gives a slot back, or withdraws a request that waits.
--- a/packages/core/include/siskindrum/core/router.h
+++ b/packages/core/include/siskindrum/core/router.h
@@ -65,6 +65,8 @@
   TimePoint asked_at_{};
   TimePoint seek_at_{};  // While placing: when to look again.
   std::vector<std::string> tried_cells_;
+  bool may_fit_ = false;           // Some cell refused it for another reason.
+  std::uint32_t most_pieces_ = 0;  // Of the largest engine that was too small.
   std::string handle_;
   TimePoint handle_until_{};
 
--- a/packages/core/include/siskindrum/core/verdict.h
+++ b/packages/core/include/siskindrum/core/verdict.h
@@ -36,6 +36,7 @@
   kKeyAnswerDropped,
   kSendTooOld,
   kRetriesExhausted,
+  kTooLarge,  // For the memory of any engine.
   kCount
 };
 
--- a/packages/core/src/fleet.cc
+++ b/packages/core/src/fleet.cc
@@ -195,6 +195,22 @@
   return kNames[static_cast<int>(role)];
 }
 
+std::uint32_t MostPieces(const Fleet& fleet, const Cell& cell) {
+  std::uint32_t most = 0;
+  bool any = false;
+  for (const std::string& name : cell.servers_) {
+    const Server& server = fleet.servers_.at(name);
+    const bool decodes = server.info_.role_ == ServerRole::kDecode ||
+                         server.info_.role_ == ServerRole::kMixed;
+    if (decodes) {
+      any = true;
+      most = std::max(
+          most, server.has_load_ ? server.load_.total_pieces_ : UINT32_MAX);
+    }
+  }
+  return any ? most : UINT32_MAX;
+}
+
 std::uint32_t PiecesFor(std::uint32_t tokens) {
   return std::max(1U, (tokens + kPieceTokens - 1) / kPieceTokens);
 }
--- a/packages/core/src/lease.cc
+++ b/packages/core/src/lease.cc
@@ -94,7 +94,7 @@
 }
 
 LeaseRefuse Refusal(const Need& need, Reason reason, Nanoseconds wait) {
-  return {need.request_, reason, Milliseconds(ToMilliseconds(wait)), {}};
+  return {need.request_, reason, Milliseconds(ToMilliseconds(wait)), {}, 0};
 }
 
 void TellRefusal(Step& step,
@@ -137,6 +137,13 @@
   const TimePoint now = step.now_.steady_;
   WaitQueue& queue = router.queues_[cell.name_];
   const Need& need = waiting.need_;
+  const std::uint32_t most = MostPieces(router.fleet_, cell);
+  if (need.pieces_ > most) {
+    LeaseRefuse refusal = Refusal(need, Reason::kTooLarge, Nanoseconds(0));
+    refusal.most_pieces_ = most;
+    TellRefusal(step, cell, waiting, refusal);
+    return;
+  }
   const Nanoseconds wait =
       ExpectedWait(queue, need, FreeSlotsOfCell(router.fleet_, cell, now),
                    SlotReleaseRate(router.fleet_, cell, now));
@@ -213,9 +220,20 @@
   verdict.run_state_ = request.run_state_;
   verdict.reason_ = why.reason_;
   verdict.retry_after_ = why.retry_after_;
-  verdict.detail_ = "pool " + request.pool_ +
-                    " cannot serve it within the target of line " +
-                    std::to_string(request.rule_->line_);
+  const bool too_large = request.most_pieces_ > 0 && !request.may_fit_;
+  if (too_large) {
+    verdict.reason_ = Reason::kTooLarge;
+    verdict.detail_ =
+        "prompt and answer of " +
+        std::to_string(request.shape_.prompt_tokens_ +
+                       request.shape_.max_tokens_) +
+        " tokens exceed the memory of pool " + request.pool_ + ", about " +
+        std::to_string(request.most_pieces_ * kPieceTokens) + " tokens";
+  } else {
+    verdict.detail_ = "pool " + request.pool_ +
+                      " cannot serve it within the target of line " +
+                      std::to_string(request.rule_->line_);
+  }
   FailRequest(step, request, std::move(verdict));
 }
 
@@ -462,6 +480,12 @@
     step.router_.attended_.insert(request->id_);
     return;
   }
+  if (message.reason_ == Reason::kTooLarge) {
+    request->most_pieces_ =
+        std::max(request->most_pieces_, message.most_pieces_);
+  } else {
+    request->may_fit_ = true;
+  }
   const bool may_seek = request->tried_cells_.size() < kMaxCellTries &&
                         ChooseCell(step, *request) != nullptr &&
                         step.now_.steady_ < request->need_.deadline_;
--- a/packages/core/src/verdict.cc
+++ b/packages/core/src/verdict.cc
@@ -35,6 +35,7 @@
       "key_answer_dropped",
       "send_too_old",
       "retries_exhausted",
+      "too_large",
   };
   static_assert(std::size(kNames) == static_cast<std::size_t>(Reason::kCount));
   return kNames[static_cast<int>(reason)];
--- a/packages/core/test/points_test.cc
+++ b/packages/core/test/points_test.cc
@@ -509,6 +509,28 @@
   BOOST_TEST(refused > 0);
 }
 
+BOOST_AUTO_TEST_CASE(Prompt_WhenNoEngineCouldEverHoldIt_IsToldSoAtOnce) {
+  total_pieces_ = 10;
+  Settle(Milliseconds(2000));
+  RequestShape shape = ModelShape();
+  shape.prompt_tokens_ = 60000;
+  for (std::size_t entry = 0; entry < nodes_.size(); ++entry) {
+    const RequestId id = Ask(entry, shape);
+    Settle(Milliseconds(100));
+    BOOST_TEST(told_[id].answers_ == 1);
+    const Verdict& verdict = told_[id].verdict_;
+    BOOST_TEST((verdict.reason_ == Reason::kTooLarge));
+    BOOST_TEST((verdict.run_state_ == RunState::kNotRun));
+    BOOST_TEST(verdict.retry_after_.count() == 0);
+    BOOST_TEST(verdict.detail_.find("20000 tokens") != std::string::npos);
+    BOOST_TEST(runs_by_request_[id] == 0);
+  }
+  shape.prompt_tokens_ = 10000;
+  const RequestId fits = Ask(0, shape);
+  Settle(Milliseconds(3000));
+  BOOST_TEST(told_[fits].has_answer_);
+}
+
 BOOST_AUTO_TEST_CASE(Outage_WhenAPoolIsDown_KeepsRetriesUnderATenth) {
   RequestShape shape;
   shape.service_ = "desk";
--- a/packages/core/test/world.h
+++ b/packages/core/test/world.h
@@ -82,6 +82,7 @@
   Incarnation next_incarnation_ = 100;
   std::map<Incarnation, std::string> owners_;  // Who ran under it.
   bool reports_ = true;  // Engines report their load with every Settle round.
+  std::uint32_t total_pieces_ = UINT32_MAX;  // Of every engine.
 
   World();
 
--- a/packages/core/test/world_test.cc
+++ b/packages/core/test/world_test.cc
@@ -362,6 +362,7 @@
       }
       LoadReport report;
       report.slots_ = kDefaultSlots;
+      report.total_pieces_ = total_pieces_;
       report.running_ = static_cast<std::uint32_t>(held_[info.name_].size());
       for (const RequestId& id : held_[info.name_]) {
         report.held_.push_back({id, owners_[id.incarnation_], Milliseconds(0)});
--- a/packages/entry/src/openai.cc
+++ b/packages/entry/src/openai.cc
@@ -259,6 +259,7 @@
     case Reason::kOrganisationLimit:
       return 429;
     case Reason::kKeyMalformed:
+    case Reason::kTooLarge:
       return 400;
     case Reason::kKeyClosed:
     case Reason::kKeyUnknownPast:
--- a/packages/entry/test/process_test.cc
+++ b/packages/entry/test/process_test.cc
@@ -200,6 +200,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(Prompt_WhenNoEngineCouldHoldIt_IsABadRequest) {
+  const auto ask = [this] {
+    return Post(CallerPort(0), "/v1/completions",
+                R"({"model":"reader","prompt":"x","max_tokens":900000})");
+  };
+  // Until the engines have said how much memory they have, it may fit.
+  BOOST_TEST(Await([&] { return ask().status_ == 400; }));
+  const Answer answer = ask();
+  BOOST_TEST(answer.headers_.at("X-Siskindrum-Verdict") == "not_run");
+  BOOST_TEST(answer.headers_.at("X-Siskindrum-Reason") == "too_large");
+  BOOST_TEST(!answer.headers_.contains("Retry-After"));
+  BOOST_TEST(answer.body_.find(" tokens exceed the memory of pool ") !=
+             std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(Pool_WhenDown_IsToldNotRunAndDidNotRun) {
   Kill("prefill-0");
   Kill("prefill-1");
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -329,32 +329,6 @@
   BOOST_TEST(absl::StrContains(answer, "Connection: close"));
 }
 
-BOOST_AUTO_TEST_SUITE_END()
-
-struct SplitterFixture {
-  EventSplitter splitter_;
-};
-
-BOOST_FIXTURE_TEST_SUITE(Splitter, SplitterFixture)
-
-BOOST_AUTO_TEST_CASE(TakeBytes_WhenAnEventComesInPieces_PassesItWhole) {
-  BOOST_TEST(TakeBytes(splitter_, "id: 1\nda").empty());
-  BOOST_TEST(TakeBytes(splitter_, "ta: x\n").empty());
-  BOOST_TEST(TakeBytes(splitter_, "\nid: 2\n") == "id: 1\ndata: x\n\n");
-  BOOST_TEST(splitter_.last_event_.value() == 1U);
-}
-
-BOOST_AUTO_TEST_CASE(TakeBytes_WhenEventsAreRepeated_PassesThemOnce) {
-  TakeBytes(splitter_, Events(1, 4));
-  DropPartial(splitter_);
-  BOOST_TEST(TakeBytes(splitter_, Events(3, 6)) == Events(5, 6));
-}
-
-BOOST_AUTO_TEST_CASE(TakeBytes_WhenLinesEndInCrLf_FindsTheEnd) {
-  BOOST_TEST(TakeBytes(splitter_, "id: 9\r\ndata: x\r\n\r\n").size() == 18U);
-  BOOST_TEST(splitter_.last_event_.value() == 9U);
-}
-
 BOOST_AUTO_TEST_CASE(Peers_WhenAnEntryStartsWithoutTheStore_TellItAll) {
   const auto make = [](const std::string& name, const std::string& peers,
                        const std::string& seed) {
@@ -411,5 +385,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+struct SplitterFixture {
+  EventSplitter splitter_;
+};
+
+BOOST_FIXTURE_TEST_SUITE(Splitter, SplitterFixture)
+
+BOOST_AUTO_TEST_CASE(TakeBytes_WhenAnEventComesInPieces_PassesItWhole) {
+  BOOST_TEST(TakeBytes(splitter_, "id: 1\nda").empty());
+  BOOST_TEST(TakeBytes(splitter_, "ta: x\n").empty());
+  BOOST_TEST(TakeBytes(splitter_, "\nid: 2\n") == "id: 1\ndata: x\n\n");
+  BOOST_TEST(splitter_.last_event_.value() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(TakeBytes_WhenEventsAreRepeated_PassesThemOnce) {
+  TakeBytes(splitter_, Events(1, 4));
+  DropPartial(splitter_);
+  BOOST_TEST(TakeBytes(splitter_, Events(3, 6)) == Events(5, 6));
+}
+
+BOOST_AUTO_TEST_CASE(TakeBytes_WhenLinesEndInCrLf_FindsTheEnd) {
+  BOOST_TEST(TakeBytes(splitter_, "id: 9\r\ndata: x\r\n\r\n").size() == 18U);
+  BOOST_TEST(splitter_.last_event_.value() == 9U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace siskindrum::gateway
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -327,13 +327,14 @@
 
 Json Put(const LeaseRefuse& m) {
   return Json::array({Put(m.request_), PutEnum(m.reason_),
-                      m.retry_after_.count(), Put(m.digest_)});
+                      m.retry_after_.count(), Put(m.digest_), m.most_pieces_});
 }
 void Take(const Json& json, LeaseRefuse& m) {
   Take(json.at(0), m.request_);
   m.reason_ = TakeEnum<Reason>(json.at(1));
   m.retry_after_ = Milliseconds(json.at(2).get<std::int64_t>());
   Take(json.at(3), m.digest_);
+  m.most_pieces_ = json.at(4).get<std::uint32_t>();
 }
 
 Json Put(const LeaseRelease& m) {
