--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -8,11 +8,11 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
 #include "exchange_p.h"
 #include "listener_p.h"
 #include "operators_p.h"
+#include "own_requests_p.h"
 #include "peer_link_p.h"
 #include "siskindrum/gateway/decision_thread.h"
 #include "siskindrum/http/clock.h"
@@ -27,7 +27,6 @@
 // After a drain began: until balancers have surely seen that this entry is not
 // ready, and idle callers are let go.
 constexpr core::Milliseconds kDrainIdle{2800};
-constexpr core::Milliseconds kOwnRequestTime{2000};
 
 // Rises from one process of an entry to the next, as far as the time of day
 // does.
@@ -76,6 +75,10 @@
         exchange_context_{
             options_.dialect_, pool_, metrics_,
             [this](dispatch::Event event) { Post(std::move(event)); }},
+        own_requests_(
+            {options_.dialect_, pool_, options_.name_,
+             [this](dispatch::Event event) { Post(std::move(event)); },
+             [this](core::LogEvent event) { logs_.Add(std::move(event)); }}),
         callers_(context_, CallerHandlers()),
         probes_(context_, ProbeHandlers()),
         operators_(context_, OperatorHandlers()),
@@ -90,6 +93,7 @@
   telemetry::LogWriter logs_;
   PeerLink peers_;
   ExchangeContext exchange_context_;
+  OwnRequests own_requests_;
   Listener callers_;
   Listener probes_;
   Listener operators_;
@@ -101,7 +105,6 @@
                      core::RequestIdHash>
       by_id_;
   std::uint64_t next_sequence_ = 0;
-  std::uint64_t last_fence_ = 0;
   int sweeps_ = 0;
   bool ready_ = false;
   bool draining_ = false;
@@ -234,75 +237,10 @@
       exchange->DeliverKept();
     }
   }
-  void Do(const dispatch::FreeHandle& free) {
-    SendOwn(free.address_, options_.dialect_.free_handle_(free.handle_),
-            "handle_not_freed");
-  }
-  void Do(const dispatch::DropHold& drop) {
-    SendOwn(drop.address_, options_.dialect_.drop_hold_(drop.hold_),
-            "hold_not_dropped");
-  }
-
-  void Do(const dispatch::TurnToDecode& turn) {
-    // One process gives orders, and each one but once, so that any number that
-    // rises in it will do.
-    SendOwn(turn.address_,
-            options_.dialect_.turn_to_decode_(turn.server_, options_.name_,
-                                              ++last_fence_),
-            "order_not_given");
-  }
-
-  void Do(const dispatch::ListKept& list) {
-    http::BackendCall call;
-    call.address_ = list.address_;
-    call.bytes_ = FormatOwnRequest(options_.dialect_.list_kept_(list.server_));
-    call.write_before_ = http::MonotonicNow() + kOwnRequestTime;
-    const auto body = std::make_shared<std::string>();
-    const auto status = std::make_shared<int>(0);
-    call.on_head_ = [status](const http::Head& head) {
-      *status = head.status_;
-      return http::AnswerUse::kTake;
-    };
-    call.on_body_ = [body](std::string_view data) { body->append(data); };
-    call.on_end_ = [this, list, body, status](const http::CallEnd& end) {
-      const bool whole =
-          end.failure_ == http::CallFailure::kNone && *status == 200;
-      const auto prompts =
-          whole ? options_.dialect_.read_kept_(*body)
-                : tl::unexpected(absl::StrCat("status ", *status, " ",
-                                              http::ToString(end.failure_)));
-      if (prompts.has_value()) {
-        Post(dispatch::KeptListed{list.server_, *prompts});
-      } else {
-        logs_.Add({"prompts_not_listed",
-                   {{"server", list.server_}, {"detail", prompts.error()}}});
-      }
-    };
-    pool_.Send(std::move(call));
-  }
-
-  // Sends a request of this system's own whose answer changes nothing.
-  void SendOwn(const std::string& address,
-               OwnRequest request,
-               const std::string& failure_event) {
-    http::BackendCall call;
-    call.address_ = address;
-    const std::string target = request.head_.target_;
-    call.bytes_ = FormatOwnRequest(std::move(request));
-    call.write_before_ = http::MonotonicNow() + kOwnRequestTime;
-    call.on_head_ = [](const http::Head&) { return http::AnswerUse::kTake; };
-    call.on_body_ = [](std::string_view) {};
-    call.on_end_ = [this, address, target,
-                    failure_event](const http::CallEnd& end) {
-      if (end.failure_ != http::CallFailure::kNone) {
-        logs_.Add({failure_event,
-                   {{"address", address},
-                    {"target", target},
-                    {"detail", end.detail_}}});
-      }
-    };
-    pool_.Send(std::move(call));
-  }
+  void Do(const dispatch::FreeHandle& free) { own_requests_.Send(free); }
+  void Do(const dispatch::DropHold& drop) { own_requests_.Send(drop); }
+  void Do(const dispatch::TurnToDecode& turn) { own_requests_.Send(turn); }
+  void Do(const dispatch::ListKept& list) { own_requests_.Send(list); }
   void Do(const dispatch::BoundCallers& bound) {
     http::CallerLimits limits;
     limits.parser_.head_bytes_ = bound.bounds_.head_bytes_;
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -72,6 +72,16 @@
     return request;
   };
   dialect.drop_hold_ = dialect.free_handle_;
+  dialect.list_kept_ = [](const std::string& server) {
+    OwnRequest request;
+    request.head_.method_ = "GET";
+    request.head_.target_ = "/kept/" + server;
+    return request;
+  };
+  dialect.read_kept_ = [](std::string_view body)
+      -> tl::expected<std::vector<std::uint64_t>, std::string> {
+    return std::vector<std::uint64_t>{body.size()};
+  };
   return dialect;
 }
 
@@ -329,6 +339,42 @@
   BOOST_TEST(absl::StrContains(answer, "Connection: close"));
 }
 
+BOOST_AUTO_TEST_CASE(Engine_AfterARestart_IsAskedWhatItKeeps) {
+  std::promise<std::string> asked;
+  test::ScriptedServer engine([&](test::Peer& peer, int connection) {
+    const std::string request = peer.ReadUntil("\r\n\r\n");
+    if (connection == 0) {
+      asked.set_value(request);
+    }
+    peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+  });
+  GatewayOptions options;
+  options.name_ = "again";
+  options.callers_address_ = absl::StrCat("127.0.0.1:", FreePort());
+  options.operators_address_ = absl::StrCat("127.0.0.1:", FreePort());
+  options.restarted_ = true;
+  options.dialect_ = TestDialect();
+  Gateway again(options);
+  BOOST_REQUIRE(again.Start().has_value());
+  std::thread thread([&] { again.Run(); });
+  core::ServerInfo info;
+  info.name_ = "d";
+  info.address_ = engine.Address();
+  info.service_ = "engines";
+  info.role_ = core::ServerRole::kDecode;
+  again.Post(dispatch::ListSeen{{{info}, {}, true, 1}});
+  std::future<std::string> request = asked.get_future();
+  const bool came =
+      request.wait_for(std::chrono::milliseconds(test::kWaitMs)) ==
+      std::future_status::ready;
+  BOOST_TEST(came);
+  if (came) {
+    BOOST_TEST(absl::StartsWith(request.get(), "GET /kept/d "));
+  }
+  boost::asio::post(again.Context(), [&] { again.Context().stop(); });
+  thread.join();
+}
+
 BOOST_AUTO_TEST_CASE(Peers_WhenAnEntryStartsWithoutTheStore_TellItAll) {
   const auto make = [](const std::string& name, const std::string& peers,
                        const std::string& seed) {
