Refuse fractions in peer messages

Cause: a message with a floating point number in place of an integer was read by a conversion that overflows, undefined behaviour. Change: the guard that reads a message before it is built refuses fractions; no message has one.

--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -14,8 +14,9 @@
 constexpr int kMaxDepth = 12;
 constexpr std::size_t kMaxRows = 200000;
 
-// Refuses deep nesting before the value is built, since the parser recurses.
-struct DepthGuard : nlohmann::json_sax<Json> {
+// Refuses, before the value is built, deep nesting, since the parser recurses,
+// and fractions, which would overflow the integers that they stand for.
+struct ShapeGuard : nlohmann::json_sax<Json> {
   int depth_ = 0;
   bool null() override { return true; }             // NOLINT
   bool boolean(bool) override { return true; }      // NOLINT
@@ -26,7 +27,7 @@
     return true;
   }
   bool number_float(number_float_t, const string_t&) override {  // NOLINT
-    return true;
+    return false;
   }
   bool string(string_t&) override { return true; }           // NOLINT
   bool binary(binary_t&) override { return true; }           // NOLINT
@@ -441,7 +442,7 @@
   if (bytes.size() > kMaxMessageBytes) {
     return tl::unexpected(std::string("message is too long"));
   }
-  DepthGuard guard;
+  ShapeGuard guard;
   if (!Json::sax_parse(bytes, &guard, Json::input_format_t::cbor)) {
     return tl::unexpected(std::string("message is not well-formed"));
   }
--- a/packages/peer/test/peer_test.cc
+++ b/packages/peer/test/peer_test.cc
@@ -109,6 +109,16 @@
   BOOST_TEST(!Decode(std::string(kMaxMessageBytes + 1, '\x00')).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(Decode_WhenANumberIsAFraction_Refuses) {
+  // A revision of 1e300 in place of an integer fits no integer.
+  const std::string good = Encode({"me", 7, ConfigurationRequest{5}});
+  const std::string last = good.substr(good.size() - 1);
+  BOOST_REQUIRE(last == std::string(1, '\x05'));
+  const std::string huge("\xfb\x7e\x37\xe4\x3c\x88\x00\x75\x9c", 9);
+  BOOST_TEST(Decode(good).has_value());
+  BOOST_TEST(!Decode(good.substr(0, good.size() - 1) + huge).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(Decode_WhenOfAnotherVersion_Refuses) {
   std::string bytes = Encode({"me", 7, SeatQuery{"s"}});
   // The first element of the array is the version.
