Make one piece of what stood twice; drop what nothing uses

The incarnation of a process is made in one place (peer::MakeIncarnation), not in the product's entry and the gateway each. BackendConnection::parsing_ and http::ReadClocks, which nothing used, go. No behaviour changes but that the gateway's incarnation has 16 random bits, not 20.

--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -55,6 +55,11 @@
   std::uint64_t version_ = 0;
 };
 
+// Add what the list said next. It may tell of a server more than once: the last
+// word counts. Thread-safe: no.
+void AddSeen(ListChanges& changes, const core::ServerInfo& info);
+void AddRemoved(ListChanges& changes, const std::string& name);
+
 // Takes changes of the list. Thread-safe: no.
 void TakeChanges(ServerPool& pool, const ListChanges& changes, TimePoint now);
 
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -136,14 +136,20 @@
   return need;
 }
 
-void ReleaseAttempt(Step& step, ActiveCall& call) {
-  KnownServer* server = FindServer(step.dispatcher_.pool_, call.server_);
+void ReleasePrefill(KnownServer* server, ActiveCall& call) {
   if (server != nullptr) {
-    NoteEnded(*server);
     server->prefill_tokens_ -=
         std::min(server->prefill_tokens_, call.counted_prefill_);
   }
   call.counted_prefill_ = 0;
+}
+
+void ReleaseAttempt(Step& step, ActiveCall& call) {
+  KnownServer* server = FindServer(step.dispatcher_.pool_, call.server_);
+  if (server != nullptr) {
+    NoteEnded(*server);
+  }
+  ReleasePrefill(server, call);
   call.server_.clear();
 }
 
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -20,6 +20,9 @@
 
 bool IsRepeatable(const ActiveCall& call);
 PlacementNeed NeedOf(const Step& step, const ActiveCall& call);
+// Takes back the prompt that the request counts for at its server, which may be
+// null when it is known no longer.
+void ReleasePrefill(KnownServer* server, ActiveCall& call);
 // Takes back what the attempt in progress counts for at its server.
 void ReleaseAttempt(Step& step, ActiveCall& call);
 // Takes back what the request counts for at its decode engine, and gives back
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -42,19 +42,18 @@
   const bool direct = call.handle_.empty();
   const std::uint32_t prompt = call.call_.shape_.prompt_tokens_;
   double expected = kTransferMs + kPrefillOverheadMs;
-  std::string fetch_address;
   if (direct) {
     ++step.dispatcher_.counters_.prefills_direct_;
     expected = kDirectPrefillFactor * PrefillMs(*server, prompt);
-    fetch_address =
-        call.read_address_ == server->info_.address_ ? "" : call.read_address_;
     call.counted_prefill_ = prompt;
     server->prefill_tokens_ += prompt;
   }
   StartAttempt start = BeginAttempt(step, call, Stage::kDecode, *server);
   start.source_address_ = call.handle_address_;
   start.handle_ = call.handle_;
-  start.fetch_address_ = fetch_address;
+  if (direct && call.read_address_ != server->info_.address_) {
+    start.fetch_address_ = call.read_address_;
+  }
   start.resume_after_ = call.last_event_;
   if (step.now_ + kHoldMargin < call.hold_until_) {
     start.hold_ = call.hold_;
@@ -223,10 +222,8 @@
   KnownServer* server = FindServer(step.dispatcher_.pool_, call.server_);
   if (server != nullptr) {
     NoteAlive(*server);
-    server->prefill_tokens_ -=
-        std::min(server->prefill_tokens_, call.counted_prefill_);
   }
-  call.counted_prefill_ = 0;
+  ReleasePrefill(server, call);
   if (!call.answer_begun_) {
     call.begun_at_ = step.now_;
   }
--- a/packages/dispatch/src/server_pool.cc
+++ b/packages/dispatch/src/server_pool.cc
@@ -44,6 +44,18 @@
 
 }  // namespace
 
+void AddSeen(ListChanges& changes, const core::ServerInfo& info) {
+  std::erase(changes.removed_, info.name_);
+  changes.seen_.push_back(info);
+}
+
+void AddRemoved(ListChanges& changes, const std::string& name) {
+  std::erase_if(changes.seen_, [&name](const core::ServerInfo& info) {
+    return info.name_ == name;
+  });
+  changes.removed_.push_back(name);
+}
+
 void TakeChanges(ServerPool& pool, const ListChanges& changes, TimePoint now) {
   std::set<std::string> seen;
   for (const core::ServerInfo& info : changes.seen_) {
--- a/packages/dispatch/test/engine_call_test.cc
+++ b/packages/dispatch/test/engine_call_test.cc
@@ -6,18 +6,7 @@
 namespace siskindrum::dispatch {
 namespace {
 
-struct EngineFixture : Site {
-  // A request whose answer has begun.
-  RequestId Answering(const std::string& path) {
-    const RequestId id = Arrive(path);
-    Reserve(id, true);
-    Prefill(id, true);
-    Begin(id);
-    return id;
-  }
-};
-
-BOOST_FIXTURE_TEST_SUITE(EngineCalls, EngineFixture)
+BOOST_FIXTURE_TEST_SUITE(EngineCalls, Site)
 
 BOOST_AUTO_TEST_CASE(Request_WhenThereIsRoom_ReservesThenPrefillsThenDecodes) {
   const RequestId id = Arrive("/stream/1");
--- a/packages/dispatch/test/site.h
+++ b/packages/dispatch/test/site.h
@@ -145,6 +145,14 @@
   void Begin(const RequestId& id) {
     Handle(AnswerBegan{id, Last(id).attempt_});
   }
+  // A request whose answer has begun.
+  RequestId Answering(const std::string& path) {
+    const RequestId id = Arrive(path);
+    Reserve(id, true);
+    Prefill(id, true);
+    Begin(id);
+    return id;
+  }
   void Done(const RequestId& id,
             AttemptOutcome outcome,
             RunState run_state = RunState::kMayHaveRun,
--- a/packages/dispatch/test/waiting_test.cc
+++ b/packages/dispatch/test/waiting_test.cc
@@ -13,13 +13,6 @@
       Reserve(id, false);
     }
   }
-  RequestId Answering(const std::string& path) {
-    const RequestId id = Arrive(path);
-    Reserve(id, true);
-    Prefill(id, true);
-    Begin(id);
-    return id;
-  }
   std::size_t Logged(const std::string& event) const {
     return static_cast<std::size_t>(std::count_if(
         logs_.begin(), logs_.end(),
--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -1,13 +1,13 @@
 #include "siskindrum/entry/entry.h"
 
 #include <atomic>
-#include <random>
 
 #include "callers_p.h"
 #include "core_thread_p.h"
 #include "duties_p.h"
 #include "operators_p.h"
 #include "siskindrum/peer/codec.h"
+#include "siskindrum/peer/incarnation.h"
 #include "siskindrum/peer/node.h"
 #include "siskindrum/rules/rules.h"
 
@@ -24,23 +24,12 @@
   return request.sequence_ << 2 | static_cast<std::uint64_t>(kind);
 }
 
-// Rises with the time of the start, so that a later run of the same entry has
-// the higher incarnation.
-core::Incarnation MakeIncarnation() {
-  constexpr std::uint64_t kRandomBits = 16;
-  const auto now = std::chrono::duration_cast<core::Milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
-  std::random_device random;
-  return (static_cast<std::uint64_t>(now.count()) << kRandomBits) |
-         (random() & ((1U << kRandomBits) - 1));
-}
-
 core::RouterOptions MakeOptions(const settings::Settings& settings) {
   core::RouterOptions options;
   options.name_ = settings.name_;
   options.domain_ = settings.domain_;
   options.peer_address_ = settings::ToString(settings.peers_);
-  options.incarnation_ = MakeIncarnation();
+  options.incarnation_ = peer::MakeIncarnation();
   options.seed_ = settings.seed_ != 0 ? settings.seed_ : options.incarnation_;
   return options;
 }
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -1,6 +1,5 @@
 #include "siskindrum/gateway/gateway.h"
 
-#include <random>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -16,6 +15,7 @@
 #include "peer_link_p.h"
 #include "siskindrum/gateway/decision_thread.h"
 #include "siskindrum/http/clock.h"
+#include "siskindrum/peer/incarnation.h"
 #include "siskindrum/telemetry/log_writer.h"
 
 namespace siskindrum::gateway {
@@ -28,22 +28,11 @@
 // ready, and idle callers are let go.
 constexpr core::Milliseconds kDrainIdle{2800};
 
-// Rises from one process of an entry to the next, as far as the time of day
-// does.
-core::Incarnation MakeIncarnation() {
-  constexpr int kRandomBits = 20;
-  const auto now = std::chrono::duration_cast<core::Milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
-  std::random_device random;
-  return static_cast<std::uint64_t>(now.count()) << kRandomBits |
-         random() % (1U << kRandomBits);
-}
-
 dispatch::DispatcherOptions MakeOptions(const GatewayOptions& options) {
   dispatch::DispatcherOptions made;
   made.name_ = options.name_;
   made.domain_ = options.domain_;
-  made.incarnation_ = MakeIncarnation();
+  made.incarnation_ = peer::MakeIncarnation();
   made.seed_ = made.incarnation_;
   made.gives_orders_ = options.gives_orders_;
   made.restarted_ = options.restarted_;
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -102,9 +102,10 @@
     GatewayOptions options;
     options.name_ = "entry";
     options.domain_ = "east";
-    options.callers_address_ = absl::StrCat("127.0.0.1:", port_ = FreePort());
+    options.callers_address_ =
+        absl::StrCat("127.0.0.1:", port_ = test::FreePort());
     options.operators_address_ =
-        absl::StrCat("127.0.0.1:", operators_port_ = FreePort());
+        absl::StrCat("127.0.0.1:", operators_port_ = test::FreePort());
     options.drain_limit_ = core::Milliseconds(4000);
     options.dialect_ = TestDialect();
     gateway_ = std::make_unique<Gateway>(options);
@@ -118,10 +119,6 @@
                       [this] { gateway_->Context().stop(); });
     thread_.join();
   }
-  static std::uint16_t FreePort() {
-    test::ScriptedServer server([](test::Peer&, int) {});
-    return server.Port();
-  }
   void List(const std::string& name,
             const std::string& pool,
             core::ServerRole role,
@@ -357,8 +354,8 @@
   });
   GatewayOptions options;
   options.name_ = "again";
-  options.callers_address_ = absl::StrCat("127.0.0.1:", FreePort());
-  options.operators_address_ = absl::StrCat("127.0.0.1:", FreePort());
+  options.callers_address_ = absl::StrCat("127.0.0.1:", test::FreePort());
+  options.operators_address_ = absl::StrCat("127.0.0.1:", test::FreePort());
   options.restarted_ = true;
   options.dialect_ = TestDialect();
   Gateway again(options);
@@ -387,20 +384,16 @@
                        const std::string& seed) {
     GatewayOptions options;
     options.name_ = name;
-    options.callers_address_ =
-        absl::StrCat("127.0.0.1:", GatewayFixture::FreePort());
-    options.ready_address_ =
-        absl::StrCat("127.0.0.1:", GatewayFixture::FreePort());
+    options.callers_address_ = absl::StrCat("127.0.0.1:", test::FreePort());
+    options.ready_address_ = absl::StrCat("127.0.0.1:", test::FreePort());
     options.peers_address_ = peers;
     options.seeds_ = {seed};
     options.fleet_ = "test";
     options.dialect_ = TestDialect();
     return options;
   };
-  const std::string address =
-      absl::StrCat("127.0.0.1:", GatewayFixture::FreePort());
-  const std::string other =
-      absl::StrCat("127.0.0.1:", GatewayFixture::FreePort());
+  const std::string address = absl::StrCat("127.0.0.1:", test::FreePort());
+  const std::string other = absl::StrCat("127.0.0.1:", test::FreePort());
   const GatewayOptions options = make("b", other, address);
   Gateway first(make("a", address, address));
   Gateway second(options);
--- a/packages/http/include/siskindrum/http/clock.h
+++ b/packages/http/include/siskindrum/http/clock.h
@@ -9,9 +9,6 @@
 // process that wakes up sees how old its beliefs are. Thread-safe: yes.
 core::TimePoint MonotonicNow();
 
-// MonotonicNow with the calendar time. Thread-safe: yes.
-core::Now ReadClocks();
-
 }  // namespace siskindrum::http
 
 #endif  // SISKINDRUM_HTTP_CLOCK_H_
--- a/packages/http/src/backend_connection_p.h
+++ b/packages/http/src/backend_connection_p.h
@@ -78,7 +78,6 @@
   bool written_ = false;
   bool skipping_ = false;
   bool failing_ = false;
-  bool parsing_ = false;
   core::TimePoint connect_until_{};
   core::TimePoint idle_until_{};
 };
--- a/packages/http/src/clock.cc
+++ b/packages/http/src/clock.cc
@@ -11,9 +11,4 @@
                          core::Nanoseconds(time.tv_nsec));
 }
 
-core::Now ReadClocks() {
-  return {MonotonicNow(), std::chrono::time_point_cast<core::Milliseconds>(
-                              std::chrono::system_clock::now())};
-}
-
 }  // namespace siskindrum::http
--- a/packages/http/test/loopback.h
+++ b/packages/http/test/loopback.h
@@ -157,6 +157,11 @@
   std::vector<std::thread> threads_;
 };
 
+// A port that nobody listens on at this moment.
+inline std::uint16_t FreePort() {
+  return ScriptedServer([](Peer&, int) {}).Port();
+}
+
 }  // namespace siskindrum::test
 
 #endif  // SISKINDRUM_HTTP_TEST_LOOPBACK_H_
