--- a/packages/gateway/include/siskindrum/gateway/gateway.h
+++ b/packages/gateway/include/siskindrum/gateway/gateway.h
@@ -4,31 +4,24 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <tl/expected.hpp>
 
-#include "siskindrum/dispatch/event.h"
-#include "siskindrum/dispatch/repeat_budget.h"
+#include "siskindrum/dispatch/dispatcher.h"
 #include "siskindrum/gateway/dialect.h"
 #include "siskindrum/http/backend_pool.h"
 
 namespace siskindrum::gateway {
 
 struct GatewayOptions {
-  std::string name_;
-  std::string domain_;
+  // Of the decisions; the gateway itself makes the incarnation and the seed.
+  dispatch::DispatcherOptions decisions_;
   std::string callers_address_;    // "ip:port" of the callers' listener.
   std::string ready_address_;      // Empty: none of its own.
   std::string operators_address_;  // Metrics, dump, explain; empty: none.
+  std::string fleet_;              // Entries of another fleet are refused.
   core::Milliseconds drain_limit_{7000};
-  bool gives_orders_ = false;  // As in dispatch::DispatcherOptions.
-  bool restarted_ = false;     // As in dispatch::DispatcherOptions.
-  std::string peers_address_;  // Of the peers' interface; empty: none.
-  std::string fleet_;          // Entries of another fleet are refused.
-  std::vector<std::string> seeds_;
-  dispatch::RepeatBounds repeats_;
   Dialect dialect_;
 };
 
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -28,18 +28,10 @@
 // ready, and idle callers are let go.
 constexpr core::Milliseconds kDrainIdle{2800};
 
-dispatch::DispatcherOptions MakeOptions(const GatewayOptions& options) {
-  dispatch::DispatcherOptions made;
-  made.name_ = options.name_;
-  made.domain_ = options.domain_;
-  made.incarnation_ = peer::MakeIncarnation();
-  made.seed_ = made.incarnation_;
-  made.gives_orders_ = options.gives_orders_;
-  made.restarted_ = options.restarted_;
-  made.peers_address_ = options.peers_address_;
-  made.seeds_ = options.seeds_;
-  made.repeats_ = options.repeats_;
-  return made;
+GatewayOptions WithIncarnation(GatewayOptions options) {
+  options.decisions_.incarnation_ = peer::MakeIncarnation();
+  options.decisions_.seed_ = options.decisions_.incarnation_;
+  return options;
 }
 
 http::Head TextHead(int status) {
@@ -53,19 +45,18 @@
 
 struct Gateway::State {
   explicit State(const GatewayOptions& options)
-      : options_(options),
-        decision_options_(MakeOptions(options)),
+      : options_(WithIncarnation(options)),
         pool_(context_),
-        decisions_(decision_options_),
+        decisions_(options_.decisions_),
         logs_(metrics_),
-        peers_({options_.peers_address_, options_.fleet_},
+        peers_({options_.decisions_.peers_address_, options_.fleet_},
                {[this](dispatch::Event event) { Post(std::move(event)); },
                 [this](core::LogEvent event) { logs_.Add(std::move(event)); }}),
         exchange_context_{
             options_.dialect_, pool_, metrics_,
             [this](dispatch::Event event) { Post(std::move(event)); }},
         own_requests_(
-            {options_.dialect_, pool_, options_.name_,
+            {options_.dialect_, pool_, options_.decisions_.name_,
              [this](dispatch::Event event) { Post(std::move(event)); },
              [this](core::LogEvent event) { logs_.Add(std::move(event)); }}),
         callers_(context_, CallerHandlers()),
@@ -74,7 +65,6 @@
         timer_(context_) {}
 
   GatewayOptions options_;
-  dispatch::DispatcherOptions decision_options_;
   boost::asio::io_context context_{1};
   http::BackendPool pool_;
   telemetry::Metrics metrics_;
@@ -177,7 +167,8 @@
       caller->Respond(TextHead(400), call.error() + "\n");
       return;
     }
-    const core::RequestId id{decision_options_.incarnation_, ++next_sequence_};
+    const core::RequestId id{options_.decisions_.incarnation_,
+                             ++next_sequence_};
     dispatch::CallArrived arrived{id, *call, request.arrived_at_};
     auto exchange = std::make_shared<Exchange>(
         id, call->label_, caller, std::move(request), exchange_context_);
@@ -343,9 +334,9 @@
   state.logs_.Start();
   state.logs_.Add(
       {"entry_started",
-       {{"name", options.name_},
-        {"domain", options.domain_},
-        {"incarnation", std::to_string(state.decision_options_.incarnation_)},
+       {{"name", options.decisions_.name_},
+        {"domain", options.decisions_.domain_},
+        {"incarnation", std::to_string(options.decisions_.incarnation_)},
         {"callers", options.callers_address_}}});
   state.decisions_.Start([&state](std::vector<dispatch::Action> actions) {
     state.Dispatch(std::move(actions));
@@ -358,7 +349,8 @@
   state_->context_.run();
   state_->decisions_.Stop();
   state_->peers_.Stop();
-  state_->logs_.Add({"entry_stopped", {{"name", state_->options_.name_}}});
+  state_->logs_.Add(
+      {"entry_stopped", {{"name", state_->options_.decisions_.name_}}});
   state_->logs_.Stop();
 }
 
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -100,8 +100,8 @@
 struct GatewayFixture {
   GatewayFixture() {
     GatewayOptions options;
-    options.name_ = "entry";
-    options.domain_ = "east";
+    options.decisions_.name_ = "entry";
+    options.decisions_.domain_ = "east";
     options.callers_address_ =
         absl::StrCat("127.0.0.1:", port_ = test::FreePort());
     options.operators_address_ =
@@ -353,10 +353,10 @@
     peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
   });
   GatewayOptions options;
-  options.name_ = "again";
+  options.decisions_.name_ = "again";
   options.callers_address_ = absl::StrCat("127.0.0.1:", test::FreePort());
   options.operators_address_ = absl::StrCat("127.0.0.1:", test::FreePort());
-  options.restarted_ = true;
+  options.decisions_.restarted_ = true;
   options.dialect_ = TestDialect();
   Gateway again(options);
   BOOST_REQUIRE(again.Start().has_value());
@@ -383,11 +383,11 @@
   const auto make = [](const std::string& name, const std::string& peers,
                        const std::string& seed) {
     GatewayOptions options;
-    options.name_ = name;
+    options.decisions_.name_ = name;
     options.callers_address_ = absl::StrCat("127.0.0.1:", test::FreePort());
     options.ready_address_ = absl::StrCat("127.0.0.1:", test::FreePort());
-    options.peers_address_ = peers;
-    options.seeds_ = {seed};
+    options.decisions_.peers_address_ = peers;
+    options.decisions_.seeds_ = {seed};
     options.fleet_ = "test";
     options.dialect_ = TestDialect();
     return options;
