Tell other entries what is taken of the servers, and reserve by how long answers turn out

A reservation held what the caller expects, which is right only in the middle, so that half of all answers outgrew it; those are stopped midway when memory runs out and read again. Change: entries of a failure domain tell each other what they hold and have to read at each server (100 ms, on change), one of each other domain hears the sum; placement orders by the part of an engine's memory that is taken, and by chance among equals. A line is fitted through the logarithms of expected and actual lengths by route (tokens an event are published); one standard deviation more is reserved, never more than the caller allows.

--- a/packages/core/include/siskindrum/core/peer_message.h
+++ b/packages/core/include/siskindrum/core/peer_message.h
@@ -120,6 +120,23 @@
   std::string seat_;
 };
 
+// What requests in progress take of one server.
+struct ServerUse {
+  std::string server_;
+  std::uint32_t held_tokens_ = 0;     // Of answers, with what they may grow to.
+  std::uint32_t prefill_tokens_ = 0;  // Of prompts not yet read.
+
+  bool operator==(const ServerUse&) const = default;
+};
+
+// What the requests of the sender, or of all entries of its failure domain,
+// take of the servers. A whole statement: servers not named are not used.
+struct UseTold {
+  std::uint64_t counter_ = 0;  // Rises with each statement of the sender.
+  bool of_domain_ = false;
+  std::vector<ServerUse> servers_;
+};
+
 using PeerBody = std::variant<Gossip,
                               ConfigurationRequest,
                               ConfigurationBody,
@@ -135,7 +152,8 @@
                               CallForward,
                               CallAnswer,
                               SeatClosing,
-                              SeatQuery>;
+                              SeatQuery,
+                              UseTold>;
 
 struct PeerMessage {
   std::string from_;
--- a/packages/core/include/siskindrum/core/rule.h
+++ b/packages/core/include/siskindrum/core/rule.h
@@ -83,6 +83,7 @@
   std::uint32_t slots_ = 0;          // Of one server; zero: unknown.
   std::uint32_t memory_tokens_ = 0;  // Of one engine; zero: unknown.
   std::uint32_t connections_ = 0;    // To one server; zero: unknown.
+  std::uint32_t event_tokens_ = 0;   // In one event of a stream; zero: unknown.
   Milliseconds hold_{0};  // Longest reservation; zero: none can be made.
   int line_ = 0;
 };
--- a/packages/core/src/router.cc
+++ b/packages/core/src/router.cc
@@ -35,6 +35,7 @@
                  [&](const CallAnswer& m) { OnCallAnswer(step, m); },
                  [&](const SeatClosing& m) { OnSeatClosing(step, m); },
                  [&](const SeatQuery& m) { OnSeatQuery(step, from, m); },
+                 [](const UseTold&) {},  // A home counts its servers itself.
              },
              message.body_);
 }
--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -10,11 +10,13 @@
 #include <vector>
 
 #include "siskindrum/core/router.h"
+#include "siskindrum/dispatch/answer_length.h"
 #include "siskindrum/dispatch/event.h"
 #include "siskindrum/dispatch/peers.h"
 #include "siskindrum/dispatch/placement.h"
 #include "siskindrum/dispatch/repeat_budget.h"
 #include "siskindrum/dispatch/server_pool.h"
+#include "siskindrum/dispatch/use_view.h"
 
 namespace siskindrum::dispatch {
 
@@ -27,6 +29,7 @@
   std::string pool_;
   TimePoint arrived_at_{};
   TimePoint deadline_{};
+  std::uint64_t draw_ = 0;  // As in PlacementNeed.
   // Of the attempt in progress.
   std::uint32_t attempt_ = 0;
   Stage stage_ = Stage::kPlain;
@@ -104,6 +107,7 @@
   ServerPool pool_;
   RepeatBudget budget_;
   Peers peers_;
+  UseView use_;
   // Addresses of engines that kept a prompt when this process started.
   std::unordered_map<std::uint64_t, std::string> kept_;
   TimePoint kept_from_{};  // When the engines were first asked.
@@ -113,6 +117,8 @@
   // Mean time of an answer for each token expected of it, in milliseconds, by
   // pool.
   std::unordered_map<std::string, double> token_ms_;
+  // Of answers by pool, and by rule by its text without its version.
+  std::unordered_map<std::string, AnswerLengths> answer_lengths_;
   std::unordered_map<RequestId, ActiveCall, core::RequestIdHash> calls_;
   std::unordered_map<std::string, core::DecisionRecord>
       decisions_;  // By label.
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -90,10 +90,16 @@
 inline constexpr double kAnswerTimeSlack = 1.1;
 // Weight of one answer in the mean time of a token.
 inline constexpr double kTokenTimeWeight = 0.05;
-// Share of an answer's expected tokens that are reserved besides the prompt. A
-// reservation stays with its answer, so that more than it needs is lost to
-// others until its end.
-inline constexpr double kHoldAnswerShare = 1.0;
+// Standard deviations by which an answer may turn out longer than likely before
+// it outgrows its reservation. One that does may be stopped midway and read
+// again; what it does not need is lost to others until its end.
+inline constexpr double kHoldDeviations = 1.0;
+// Weight of the past answers' lengths when another one is taken.
+inline constexpr double kLengthMemory = 0.99;
+// Answers, and variance of their logarithm, that speak for the caller's own
+// expectation.
+inline constexpr double kLengthPriorAnswers = 4;
+inline constexpr double kLengthPriorVariance = 0.1;
 // From the end of a prefill to the first event, beside the transfer.
 inline constexpr Milliseconds kFirstStep{60};
 
@@ -132,6 +138,17 @@
 inline constexpr Milliseconds kPeerLag{1000};
 inline constexpr Milliseconds kPeerQuestion{500};
 
+// Between two statements to peers of what this entry takes of the servers, and
+// after which an unchanged one is repeated.
+inline constexpr Milliseconds kUseRound{100};
+inline constexpr Milliseconds kUseRepeat{1000};
+// Between two statements of a whole failure domain to the others.
+inline constexpr Milliseconds kFarUseRound{1000};
+// What a peer said counts for this long.
+inline constexpr Milliseconds kUseMemory{2500};
+// Entries of the own failure domain that are told in one round.
+inline constexpr std::size_t kUseFanOut = 16;
+
 inline constexpr Milliseconds kTickInterval{20};
 inline constexpr std::size_t kExplainRecords = 2000;
 // Servers that an explanation lists beside the chosen one.
--- a/packages/dispatch/include/siskindrum/dispatch/peers.h
+++ b/packages/dispatch/include/siskindrum/dispatch/peers.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "siskindrum/core/membership.h"
+#include "siskindrum/core/peer_message.h"
 
 namespace siskindrum::dispatch {
 
@@ -20,6 +21,11 @@
   TimePoint next_round_{};
   TimePoint behind_since_{};  // Epoch: no peer knows anything newer.
   TimePoint next_question_{};
+  TimePoint next_use_{};  // When servers' use may be told next.
+  TimePoint next_far_use_{};
+  TimePoint use_told_at_{};
+  std::uint64_t use_counter_ = 0;
+  std::vector<core::ServerUse> use_told_;
   std::size_t entries_ = 1;  // Most that were known.
   TimePoint entries_grew_at_{};
 };
--- a/packages/dispatch/include/siskindrum/dispatch/placement.h
+++ b/packages/dispatch/include/siskindrum/dispatch/placement.h
@@ -17,6 +17,7 @@
   std::uint32_t answer_tokens_ = 0;         // Expected.
   const core::PoolFacts* facts_ = nullptr;  // May be null.
   std::vector<std::string> avoid_;          // Servers that failed this request.
+  std::uint64_t draw_ = 0;  // Chooses among servers that are much alike.
 };
 
 // Where a request for a model goes first.
--- /dev/null
+++ b/packages/dispatch/src/answer_length.cc
@@ -0,0 +1,81 @@
+#include "siskindrum/dispatch/answer_length.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "siskindrum/dispatch/limits.h"
+
+namespace siskindrum::dispatch {
+
+namespace {
+
+// Longest length that is computed with.
+constexpr double kMostTokens = 10e6;
+
+// A line through the logarithms, and how far answers lie from it.
+struct Fit {
+  double slope_ = 1;
+  double offset_ = 0;
+  double deviation_ = 0;
+};
+
+// Few answers leave the caller's expectation nearly as it is: the line is drawn
+// to the one on which both are equal.
+Fit FitLine(const AnswerLengths& lengths) {
+  Fit fit;
+  const double n = lengths.count_;
+  if (n <= 0) {
+    return fit;
+  }
+  const double mean_x = lengths.expected_ / n;
+  const double mean_y = lengths.actual_ / n;
+  const double spread_x = lengths.expected_squared_ - n * mean_x * mean_x;
+  const double common = lengths.product_ - n * mean_x * mean_y;
+  const double prior = kLengthPriorAnswers * kLengthPriorVariance;
+  fit.slope_ = std::clamp((common + prior) / (spread_x + prior), 0.0, 1.0);
+  const double trust = n / (n + kLengthPriorAnswers);
+  fit.offset_ = mean_y - fit.slope_ * mean_x;
+  fit.slope_ = 1 + trust * (fit.slope_ - 1);
+  fit.offset_ *= trust;
+  const double spread_y = lengths.actual_squared_ - n * mean_y * mean_y;
+  const double rest = std::max(0.0, spread_y - fit.slope_ * common);
+  fit.deviation_ = std::sqrt((rest + prior) / (n + kLengthPriorAnswers));
+  return fit;
+}
+
+}  // namespace
+
+void NoteAnswerLength(AnswerLengths& lengths,
+                      std::uint32_t expected,
+                      std::uint32_t actual) {
+  if (expected == 0 || actual == 0) {
+    return;
+  }
+  const double x = std::log(static_cast<double>(expected));
+  const double y = std::log(static_cast<double>(actual));
+  const auto add = [](double& sum, double value) {
+    sum = kLengthMemory * sum + value;
+  };
+  add(lengths.count_, 1);
+  add(lengths.expected_, x);
+  add(lengths.actual_, y);
+  add(lengths.expected_squared_, x * x);
+  add(lengths.product_, x * y);
+  add(lengths.actual_squared_, y * y);
+}
+
+std::uint32_t LikelyLength(const AnswerLengths& lengths,
+                           std::uint32_t expected,
+                           double deviations) {
+  if (expected == 0 || lengths.count_ <= 0) {
+    return expected;
+  }
+  const Fit fit = FitLine(lengths);
+  const double likely = fit.offset_ +
+                        fit.slope_ * std::log(static_cast<double>(expected)) +
+                        deviations * fit.deviation_;
+  return static_cast<std::uint32_t>(
+      std::clamp(std::exp(likely), 1.0, kMostTokens));
+}
+
+}  // namespace siskindrum::dispatch
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -125,14 +125,49 @@
              : outcome.resume_ == core::Resume::kAllowed;
 }
 
+namespace {
+
+// Answers of one path of one pool are alike, whatever version of the rules
+// sends them there.
+std::string LengthKey(const ActiveCall& call) {
+  return absl::StrCat(call.pool_, " ", call.rule_->match_.host_,
+                      call.rule_->match_.path_);
+}
+
+}  // namespace
+
+std::uint32_t AnswerToReserve(const Step& step, const ActiveCall& call) {
+  std::uint32_t tokens = call.call_.answer_tokens_;
+  const auto known = step.dispatcher_.answer_lengths_.find(LengthKey(call));
+  if (known != step.dispatcher_.answer_lengths_.end()) {
+    tokens = LikelyLength(known->second, tokens, kHoldDeviations);
+  }
+  const std::uint32_t most = call.call_.shape_.max_tokens_;
+  return most > 0 ? std::min(tokens, most) : tokens;
+}
+
+void NoteLength(Step& step, const ActiveCall& call) {
+  const core::PoolFacts* facts =
+      core::FindPool(call.configuration_->rules_, call.pool_);
+  if (facts == nullptr || !call.last_event_.has_value()) {
+    return;
+  }
+  const std::uint64_t tokens = *call.last_event_ * facts->event_tokens_;
+  NoteAnswerLength(
+      step.dispatcher_.answer_lengths_[LengthKey(call)],
+      call.call_.answer_tokens_,
+      static_cast<std::uint32_t>(std::min<std::uint64_t>(tokens, UINT32_MAX)));
+}
+
 PlacementNeed NeedOf(const Step& step, const ActiveCall& call) {
   PlacementNeed need;
   need.pool_ = call.pool_;
   need.domain_ = step.dispatcher_.options_.domain_;
   need.prompt_tokens_ = call.call_.shape_.prompt_tokens_;
-  need.answer_tokens_ = call.call_.answer_tokens_;
+  need.answer_tokens_ = AnswerToReserve(step, call);
   need.facts_ = core::FindPool(call.configuration_->rules_, call.pool_);
   need.avoid_ = call.avoid_;
+  need.draw_ = call.draw_;
   return need;
 }
 
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -53,6 +53,7 @@
   call.id_ = event.request_;
   call.call_ = event.call_;
   call.arrived_at_ = event.arrived_at_;
+  call.draw_ = dispatcher.random_();
   call.last_event_ = event.call_.last_event_;
   call.configuration_ = dispatcher.configuration_.current_;
   call.deadline_ = TimePoint::max();
@@ -272,6 +273,7 @@
   AskForKept(step);
   PumpWaiting(step);
   TalkToPeers(step);
+  TellUse(step);
   ForgetVanished(dispatcher.pool_, step.now_);
 }
 
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -20,6 +20,11 @@
 
 bool IsRepeatable(const ActiveCall& call);
 PlacementNeed NeedOf(const Step& step, const ActiveCall& call);
+// Length of the request's answer that is exceeded by few, in tokens, no more
+// than the caller allows.
+std::uint32_t AnswerToReserve(const Step& step, const ActiveCall& call);
+// Takes the length of a whole answer into what is expected of its route.
+void NoteLength(Step& step, const ActiveCall& call);
 // Takes back the prompt that the request counts for at its server, which may be
 // null when it is known no longer.
 void ReleasePrefill(KnownServer* server, ActiveCall& call);
@@ -102,6 +107,11 @@
 // Tells some peers what this entry knows, once a round, and asks one that knows
 // something newer.
 void TalkToPeers(Step& step);
+// Tells entries of the own failure domain what this entry takes of the servers,
+// and one of each other domain what all entries here take. The load it answers:
+// fleets whose entries each send too few requests to tell from their own which
+// engines are full.
+void TellUse(Step& step);
 
 // dispatcher.cc
 // Takes changes of the list unless what is known is newer.
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -99,8 +99,7 @@
   ++call.reserves_;
   StartAttempt start = BeginAttempt(step, call, Stage::kReserve, server);
   start.hold_tokens_ =
-      call.call_.shape_.prompt_tokens_ +
-      static_cast<std::uint32_t>(kHoldAnswerShare * call.call_.answer_tokens_);
+      call.call_.shape_.prompt_tokens_ + AnswerToReserve(step, call);
   start.hold_time_ = HoldTime(NeedOf(step, call));
   start.patience_ = kHoldPatience;
   step.actions_.emplace_back(std::move(start));
@@ -246,6 +245,7 @@
   if (event.outcome_ == AttemptOutcome::kDelivered) {
     call.run_state_ = RunState::kRan;
     NoteAnswerTime(step, call);
+    NoteLength(step, call);
     ++dispatcher.counters_.delivered_;
     EndCall(step, call, "delivered");
     return;
--- a/packages/dispatch/src/peers.cc
+++ b/packages/dispatch/src/peers.cc
@@ -1,6 +1,7 @@
 #include "siskindrum/dispatch/peers.h"
 
 #include <algorithm>
+#include <map>
 
 #include "absl/strings/str_cat.h"
 #include "dispatcher_p.h"
@@ -235,37 +236,121 @@
   Tell(step, address, std::move(body));
 }
 
+void OnUseTold(Step& step,
+               const core::PeerMessage& message,
+               const core::UseTold& told) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  const core::Membership& membership = dispatcher.peers_.membership_;
+  const auto sender = membership.members_.find(message.from_);
+  if (sender == membership.members_.end()) {
+    return;  // Its failure domain is not known yet.
+  }
+  const std::string& domain = sender->second.row_.domain_;
+  const bool near = domain == membership.self_.domain_;
+  if (near == told.of_domain_) {
+    return;
+  }
+  TakeUse(dispatcher.use_, message.from_, message.from_incarnation_, domain,
+          told, step.now_);
+  ApplyUse(dispatcher.use_, dispatcher.pool_, step.now_);
+}
+
+// Peers that can be told, by failure domain, in random order.
+std::map<std::string, std::vector<const MemberRow*>> ReachablePeers(
+    Step& step) {
+  const core::Membership& membership = step.dispatcher_.peers_.membership_;
+  std::map<std::string, std::vector<const MemberRow*>> peers;
+  for (const auto& [name, member] : membership.members_) {
+    if (core::IsHeard(membership, member, step.now_)) {
+      peers[member.row_.domain_].push_back(&member.row_);
+    }
+  }
+  for (auto& [domain, rows] : peers) {
+    std::shuffle(rows.begin(), rows.end(), step.dispatcher_.random_);
+  }
+  return peers;
+}
+
+void TellNearUse(Step& step) {
+  Peers& peers = step.dispatcher_.peers_;
+  std::vector<core::ServerUse> used = OwnUse(step.dispatcher_.pool_);
+  const bool changed = used != peers.use_told_;
+  const bool repeat =
+      !used.empty() && step.now_ - peers.use_told_at_ >= kUseRepeat;
+  if (!changed && !repeat) {
+    return;
+  }
+  peers.next_use_ = step.now_ + kUseRound;
+  peers.use_told_at_ = step.now_;
+  peers.use_told_ = used;
+  const core::UseTold told{++peers.use_counter_, false, std::move(used)};
+  auto near = ReachablePeers(step)[peers.membership_.self_.domain_];
+  near.resize(std::min(near.size(), kUseFanOut));
+  for (const MemberRow* row : near) {
+    Tell(step, row->address_, told);
+  }
+}
+
+void TellFarUse(Step& step) {
+  Peers& peers = step.dispatcher_.peers_;
+  peers.next_far_use_ = step.now_ + kFarUseRound;
+  const core::UseTold told{
+      ++peers.use_counter_, true,
+      DomainUse(step.dispatcher_.use_, step.dispatcher_.pool_)};
+  for (const auto& [domain, rows] : ReachablePeers(step)) {
+    if (domain != peers.membership_.self_.domain_) {
+      Tell(step, rows.front()->address_, told);
+    }
+  }
+}
+
 }  // namespace
 
+void TellUse(Step& step) {
+  const Peers& peers = step.dispatcher_.peers_;
+  if (peers.membership_.self_.address_.empty()) {
+    return;
+  }
+  if (step.now_ >= peers.next_use_) {
+    TellNearUse(step);
+  }
+  if (step.now_ >= peers.next_far_use_) {
+    TellFarUse(step);
+    ApplyUse(step.dispatcher_.use_, step.dispatcher_.pool_, step.now_);
+  }
+}
+
 std::size_t EntriesKnown(const Peers& peers) {
   return core::CountEntries(peers.membership_);
 }
 
 void OnPeerMessage(Step& step, const PeerMessageReceived& event) {
   const core::PeerMessage& message = event.message_;
-  std::visit(core::Overloaded{
-                 [&](const core::Gossip& body) {
-                   OnGossip(step, message.from_, body);
-                 },
-                 [&](const core::ConfigurationRequest& body) {
-                   OnConfigurationRequest(step, message.from_, body);
-                 },
-                 [&](const core::ListRequest& body) {
-                   OnListRequest(step, message.from_, body);
-                 },
-                 [&](const core::ListBody& body) {
-                   // The store may have told the same meanwhile.
-                   if (body.version_ > step.dispatcher_.list_version_) {
-                     TakeList(step, {body.servers_, {}, true, body.version_},
-                              message.from_);
-                   }
-                 },
-                 [&](const auto&) {
-                   step.actions_.emplace_back(core::LogEvent{
-                       "peer_message_ignored", {{"from", message.from_}}});
-                 },
-             },
-             message.body_);
+  std::visit(
+      core::Overloaded{
+          [&](const core::Gossip& body) {
+            OnGossip(step, message.from_, body);
+          },
+          [&](const core::ConfigurationRequest& body) {
+            OnConfigurationRequest(step, message.from_, body);
+          },
+          [&](const core::ListRequest& body) {
+            OnListRequest(step, message.from_, body);
+          },
+          [&](const core::ListBody& body) {
+            // The store may have told the same meanwhile.
+            if (body.version_ > step.dispatcher_.list_version_) {
+              TakeList(step, {body.servers_, {}, true, body.version_},
+                       message.from_);
+            }
+          },
+          [&](const core::UseTold& body) { OnUseTold(step, message, body); },
+          [&](const auto&) {
+            step.actions_.emplace_back(core::LogEvent{
+                "peer_message_ignored", {{"from", message.from_}}});
+          },
+      },
+      message.body_);
 }
 
 void TalkToPeers(Step& step) {
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -19,7 +19,12 @@
 constexpr double kFullCost = 5e3;
 constexpr double kFullFrom = kFullCost / 2;
 constexpr double kErrorMs = 300.0;  // At an error share of one.
-constexpr double kSlotMs = 3.0;     // Of each answer in progress.
+// What an engine without room to spare is worse than an empty one.
+constexpr double kLoadMs = 300.0;
+// Servers closer than this are chosen among by chance, since entries that
+// decide at the same moment do not know of each other.
+constexpr double kEngineJitterMs = 15.0;
+constexpr double kPlainJitterMs = 5.0;
 constexpr double kBusyShareMs = 25.0;
 constexpr std::uint32_t kDefaultPlainSlots = 6;
 constexpr std::uint32_t kDefaultEngineSlots = 20;
@@ -101,24 +106,34 @@
   const std::uint32_t slots =
       server.info_.slots_ > 0 ? server.info_.slots_ : kDefaultEngineSlots;
   double cost = CommonCost(server, need, kFarDecodeMs, now);
-  cost += kSlotMs * server.calls_;
   if (server.calls_ > kFullShare * slots || server.full_until_ > now) {
     cost += kFullCost;
   }
+  double load = static_cast<double>(server.calls_) / slots;
   const std::uint32_t memory =
       need.facts_ != nullptr ? need.facts_->memory_tokens_ : 0;
-  const double tokens = static_cast<double>(server.held_tokens_) +
-                        need.prompt_tokens_ + need.answer_tokens_;
-  if (memory > 0 && tokens > kFullShare * memory) {
-    cost += kFullCost;
+  if (memory > 0) {
+    const double own = static_cast<double>(server.held_tokens_) +
+                       need.prompt_tokens_ + need.answer_tokens_;
+    if (own > kFullShare * memory) {
+      cost += kFullCost;
+    }
+    load = std::max(load, (own + server.told_held_tokens_) / memory);
   }
-  return cost;
+  return cost + kLoadMs * load;
 }
 
 double DirectMs(const KnownServer& server, std::uint32_t tokens) {
   return kDirectPrefillFactor * PrefillMs(server, tokens);
 }
 
+// The next of a row of numbers from zero to one that look random.
+double NextPart(std::uint64_t& draw) {
+  draw = draw * 6364136223846793005ULL + 1442695040888963407ULL;
+  constexpr double kScale = 1.0 / static_cast<double>(1ULL << 53);
+  return static_cast<double>(draw >> 11) * kScale;
+}
+
 struct Choice {
   const KnownServer* server_ = nullptr;
   double cost_ = std::numeric_limits<double>::max();
@@ -130,7 +145,10 @@
                 core::ServerRole role,
                 TimePoint now,
                 Cost cost) {
+  const double jitter_ms =
+      role == core::ServerRole::kPlain ? kPlainJitterMs : kEngineJitterMs;
   Choice best;
+  std::uint64_t draw = need.draw_;
   for (const auto& [name, server] : pool.servers_) {
     const bool fits = server.info_.role_ == role ||
                       (server.info_.role_ == core::ServerRole::kMixed &&
@@ -141,7 +159,7 @@
         !MayServe(server, now)) {
       continue;
     }
-    const double one = cost(server);
+    const double one = cost(server) + jitter_ms * NextPart(draw);
     if (one < best.cost_) {
       best = {&server, one};
     }
@@ -155,7 +173,9 @@
   const double rate = server.prefill_tokens_per_ms_ > 0
                           ? server.prefill_tokens_per_ms_
                           : kPrefillTokensPerMs;
-  return kPrefillOverheadMs + (server.prefill_tokens_ + tokens) / rate;
+  const double waiting =
+      static_cast<double>(server.prefill_tokens_) + server.told_prefill_tokens_;
+  return kPrefillOverheadMs + (waiting + tokens) / rate;
 }
 
 std::string PlacePlain(const ServerPool& pool,
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -63,6 +63,8 @@
 void Take(const Json& json, EntryInfo& row);
 Json Put(const SeatRecord& row);
 void Take(const Json& json, SeatRecord& row);
+Json Put(const ServerUse& row);
+void Take(const Json& json, ServerUse& row);
 
 // Every struct is written as an array of its fields in order of declaration.
 
@@ -413,6 +415,24 @@
   m.seat_ = json.at(0).get<std::string>();
 }
 
+Json Put(const ServerUse& row) {
+  return Json::array({row.server_, row.held_tokens_, row.prefill_tokens_});
+}
+void Take(const Json& json, ServerUse& row) {
+  row.server_ = json.at(0).get<std::string>();
+  row.held_tokens_ = json.at(1).get<std::uint32_t>();
+  row.prefill_tokens_ = json.at(2).get<std::uint32_t>();
+}
+
+Json Put(const UseTold& m) {
+  return Json::array({m.counter_, m.of_domain_, PutRows(m.servers_)});
+}
+void Take(const Json& json, UseTold& m) {
+  m.counter_ = json.at(0).get<std::uint64_t>();
+  m.of_domain_ = json.at(1).get<bool>();
+  TakeRows(json.at(2), m.servers_);
+}
+
 template <std::size_t Index = 0>
 PeerBody TakeBody(std::size_t kind, const Json& json) {
   if constexpr (Index < std::variant_size_v<PeerBody>) {
--- a/packages/rules/src/rules.cc
+++ b/packages/rules/src/rules.cc
@@ -352,7 +352,8 @@
       {words[1].text_, words[3].text_, line.number_});
 }
 
-// Reads: pool NAME slots=N memory=TOKENS connections=N hold=DURATION
+// Reads: pool NAME slots=N memory=TOKENS connections=N event=TOKENS
+// hold=DURATION
 void ParsePoolLine(Parser& parser, const Line& line) {
   core::PoolFacts facts;
   facts.line_ = line.number_;
@@ -373,12 +374,14 @@
     std::uint32_t* field = word->key_ == "slots"         ? &facts.slots_
                            : word->key_ == "memory"      ? &facts.memory_tokens_
                            : word->key_ == "connections" ? &facts.connections_
+                           : word->key_ == "event"       ? &facts.event_tokens_
                                                          : nullptr;
     if (field == nullptr || word->comparison_ != "=" ||
         !ParseCount(word->value_, kMaxTokens, field)) {
       AddError(
           parser, line, word->column_,
-          "expected slots=N, memory=TOKENS, connections=N or hold=DURATION");
+          "expected slots=N, memory=TOKENS, connections=N, event=TOKENS or "
+          "hold=DURATION");
     }
   }
   parser.parsed_.rules_.pools_.push_back(std::move(facts));
