Tell the engines' use at a bounded rate; near engines first; reserve one and a half deviations

Change: 15 statements a second and entry over all peers, memory held only, own failure domain only; jitter among decode engines of a few answers' share, since what is told is older. What far entries take is not told, so a far engine must be better by seven tenths of an engine.

--- a/packages/core/include/siskindrum/core/peer_message.h
+++ b/packages/core/include/siskindrum/core/peer_message.h
@@ -120,20 +120,19 @@
   std::string seat_;
 };
 
-// What requests in progress take of one server.
+// Memory that answers in progress take of one engine, with what they may grow
+// to.
 struct ServerUse {
   std::string server_;
-  std::uint32_t held_tokens_ = 0;     // Of answers, with what they may grow to.
-  std::uint32_t prefill_tokens_ = 0;  // Of prompts not yet read.
+  std::uint32_t held_tokens_ = 0;
 
   bool operator==(const ServerUse&) const = default;
 };
 
-// What the requests of the sender, or of all entries of its failure domain,
-// take of the servers. A whole statement: servers not named are not used.
+// What the sender's requests take of the engines. A whole statement: engines
+// that are not named are not used.
 struct UseTold {
-  std::uint64_t counter_ = 0;  // Rises with each statement of the sender.
-  bool of_domain_ = false;
+  std::uint64_t counter_ = 0;  // Rises with each statement of a process.
   std::vector<ServerUse> servers_;
 };
 
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -45,7 +45,8 @@
 // What a server in another failure domain must be better by.
 inline constexpr double kFarPlainMs = 15.0;
 inline constexpr double kFarPrefillMs = 25.0;
-inline constexpr double kFarDecodeMs = 70.0;
+// Entries of other failure domains do not tell what they take of their engines.
+inline constexpr double kFarDecodeMs = 210.0;
 
 // A decision older than this is not sent.
 inline constexpr Milliseconds kDecisionAge{400};
@@ -93,7 +94,7 @@
 // Standard deviations by which an answer may turn out longer than likely before
 // it outgrows its reservation. One that does may be stopped midway and read
 // again; what it does not need is lost to others until its end.
-inline constexpr double kHoldDeviations = 1.0;
+inline constexpr double kHoldDeviations = 1.5;
 // Weight of the past answers' lengths when another one is taken.
 inline constexpr double kLengthMemory = 0.99;
 // Answers, and variance of their logarithm, that speak for the caller's own
@@ -138,14 +139,14 @@
 inline constexpr Milliseconds kPeerLag{1000};
 inline constexpr Milliseconds kPeerQuestion{500};
 
-// Between two statements to peers of what this entry takes of the servers, and
-// after which an unchanged one is repeated.
-inline constexpr Milliseconds kUseRound{100};
-inline constexpr Milliseconds kUseRepeat{1000};
-// Between two statements of a whole failure domain to the others.
-inline constexpr Milliseconds kFarUseRound{1000};
-// What a peer said counts for this long.
-inline constexpr Milliseconds kUseMemory{2500};
+// Statements of the engines' use that this entry sends, over all peers: they
+// come more rarely the more peers there are.
+inline constexpr double kUseMessagesPerSecond = 15;
+inline constexpr Milliseconds kUseRound{100};  // At least between two rounds.
+// An unchanged statement is repeated after this many rounds, and counts at its
+// receiver for the time given.
+inline constexpr int kUseRepeatRounds = 2;
+inline constexpr Milliseconds kUseMemory{4000};
 // Entries of the own failure domain that are told in one round.
 inline constexpr std::size_t kUseFanOut = 16;
 
--- a/packages/dispatch/include/siskindrum/dispatch/peers.h
+++ b/packages/dispatch/include/siskindrum/dispatch/peers.h
@@ -21,9 +21,8 @@
   TimePoint next_round_{};
   TimePoint behind_since_{};  // Epoch: no peer knows anything newer.
   TimePoint next_question_{};
-  TimePoint next_use_{};  // When servers' use may be told next.
-  TimePoint next_far_use_{};
-  TimePoint use_told_at_{};
+  TimePoint next_use_{};  // When the engines' use may be told next.
+  int use_rounds_ = 0;    // Passed over since it was told.
   std::uint64_t use_counter_ = 0;
   std::vector<core::ServerUse> use_told_;
   std::size_t entries_ = 1;  // Most that were known.
--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -30,9 +30,8 @@
   std::uint32_t calls_ = 0;           // Of this entry, in progress.
   std::uint32_t prefill_tokens_ = 0;  // Of this entry, not yet read.
   std::uint32_t held_tokens_ = 0;     // Of this entry's answers in progress.
-  std::uint32_t told_held_tokens_ = 0;     // The same of other entries.
-  std::uint32_t told_prefill_tokens_ = 0;  // As they told lately.
-  std::uint32_t failures_ = 0;             // In a row.
+  std::uint32_t told_held_tokens_ = 0;  // Of others, as they told lately.
+  std::uint32_t failures_ = 0;          // In a row.
   TimePoint suspended_until_{};
   TimePoint full_until_{};            // It had no room for a reservation.
   TimePoint turning_until_{};         // It is to change its role.
--- a/packages/dispatch/include/siskindrum/dispatch/use_view.h
+++ b/packages/dispatch/include/siskindrum/dispatch/use_view.h
@@ -11,27 +11,26 @@
 
 namespace siskindrum::dispatch {
 
-// What a peer said last of the servers' use.
+// What a peer said last of the engines' use.
 struct HeardUse {
-  std::uint64_t incarnation_ = 0;  // Of the peer's process.
+  core::Incarnation incarnation_ = 0;  // Of the peer's process.
   std::uint64_t counter_ = 0;
   TimePoint heard_at_{};
   std::vector<core::ServerUse> servers_;
 };
 
-// What other entries take of the servers. It only orders servers: a view that
-// is late, wrong or empty costs balance, never a promise.
+// What other entries of the own failure domain take of the engines, by entry.
+// It only orders engines: a view that is late, wrong or empty costs balance,
+// never a promise.
 struct UseView {
-  std::map<std::string, HeardUse> entries_;  // Of the own failure domain.
-  std::map<std::string, HeardUse> domains_;  // Sums of the others.
+  std::map<std::string, HeardUse> entries_;
 };
 
 // Takes a peer's statement, unless a later one of the same process is known.
-// Requires: `message.body_` is a UseTold. Thread-safe: no.
+// Thread-safe: no.
 void TakeUse(UseView& view,
              const std::string& from,
              core::Incarnation incarnation,
-             const std::string& domain,
              const core::UseTold& told,
              TimePoint now);
 
@@ -39,13 +38,9 @@
 // not. Thread-safe: no.
 void ApplyUse(UseView& view, ServerPool& pool, TimePoint now);
 
-// What this entry takes of the servers. Thread-safe: no.
+// What this entry takes of the engines. Thread-safe: no.
 std::vector<core::ServerUse> OwnUse(const ServerPool& pool);
 
-// What all entries of the own failure domain take. Thread-safe: no.
-std::vector<core::ServerUse> DomainUse(const UseView& view,
-                                       const ServerPool& pool);
-
 }  // namespace siskindrum::dispatch
 
 #endif  // SISKINDRUM_DISPATCH_USE_VIEW_H_
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -107,10 +107,9 @@
 // Tells some peers what this entry knows, once a round, and asks one that knows
 // something newer.
 void TalkToPeers(Step& step);
-// Tells entries of the own failure domain what this entry takes of the servers,
-// and one of each other domain what all entries here take. The load it answers:
-// fleets whose entries each send too few requests to tell from their own which
-// engines are full.
+// Tells entries of the own failure domain what this entry takes of the engines.
+// The load it answers: fleets whose entries each send too few requests to tell
+// from their own which engines are full.
 void TellUse(Step& step);
 
 // dispatcher.cc
--- a/packages/dispatch/src/peers.cc
+++ b/packages/dispatch/src/peers.cc
@@ -1,7 +1,6 @@
 #include "siskindrum/dispatch/peers.h"
 
 #include <algorithm>
-#include <map>
 
 #include "absl/strings/str_cat.h"
 #include "dispatcher_p.h"
@@ -240,83 +239,53 @@
                const core::PeerMessage& message,
                const core::UseTold& told) {
   Dispatcher& dispatcher = step.dispatcher_;
-  const core::Membership& membership = dispatcher.peers_.membership_;
-  const auto sender = membership.members_.find(message.from_);
-  if (sender == membership.members_.end()) {
-    return;  // Its failure domain is not known yet.
-  }
-  const std::string& domain = sender->second.row_.domain_;
-  const bool near = domain == membership.self_.domain_;
-  if (near == told.of_domain_) {
-    return;
-  }
-  TakeUse(dispatcher.use_, message.from_, message.from_incarnation_, domain,
-          told, step.now_);
+  TakeUse(dispatcher.use_, message.from_, message.from_incarnation_, told,
+          step.now_);
   ApplyUse(dispatcher.use_, dispatcher.pool_, step.now_);
 }
 
-// Peers that can be told, by failure domain, in random order.
-std::map<std::string, std::vector<const MemberRow*>> ReachablePeers(
-    Step& step) {
+// Entries of the own failure domain that can be told, some of them where there
+// are many.
+std::vector<const MemberRow*> NearPeers(Step& step) {
   const core::Membership& membership = step.dispatcher_.peers_.membership_;
-  std::map<std::string, std::vector<const MemberRow*>> peers;
+  std::vector<const MemberRow*> peers;
   for (const auto& [name, member] : membership.members_) {
-    if (core::IsHeard(membership, member, step.now_)) {
-      peers[member.row_.domain_].push_back(&member.row_);
+    if (member.row_.domain_ == membership.self_.domain_ &&
+        core::IsHeard(membership, member, step.now_)) {
+      peers.push_back(&member.row_);
     }
   }
-  for (auto& [domain, rows] : peers) {
-    std::shuffle(rows.begin(), rows.end(), step.dispatcher_.random_);
-  }
+  std::shuffle(peers.begin(), peers.end(), step.dispatcher_.random_);
+  peers.resize(std::min(peers.size(), kUseFanOut));
   return peers;
 }
 
-void TellNearUse(Step& step) {
-  Peers& peers = step.dispatcher_.peers_;
-  std::vector<core::ServerUse> used = OwnUse(step.dispatcher_.pool_);
-  const bool changed = used != peers.use_told_;
-  const bool repeat =
-      !used.empty() && step.now_ - peers.use_told_at_ >= kUseRepeat;
-  if (!changed && !repeat) {
-    return;
-  }
-  peers.next_use_ = step.now_ + kUseRound;
-  peers.use_told_at_ = step.now_;
-  peers.use_told_ = used;
-  const core::UseTold told{++peers.use_counter_, false, std::move(used)};
-  auto near = ReachablePeers(step)[peers.membership_.self_.domain_];
-  near.resize(std::min(near.size(), kUseFanOut));
-  for (const MemberRow* row : near) {
-    Tell(step, row->address_, told);
-  }
-}
-
-void TellFarUse(Step& step) {
-  Peers& peers = step.dispatcher_.peers_;
-  peers.next_far_use_ = step.now_ + kFarUseRound;
-  const core::UseTold told{
-      ++peers.use_counter_, true,
-      DomainUse(step.dispatcher_.use_, step.dispatcher_.pool_)};
-  for (const auto& [domain, rows] : ReachablePeers(step)) {
-    if (domain != peers.membership_.self_.domain_) {
-      Tell(step, rows.front()->address_, told);
-    }
-  }
-}
-
 }  // namespace
 
 void TellUse(Step& step) {
-  const Peers& peers = step.dispatcher_.peers_;
-  if (peers.membership_.self_.address_.empty()) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  Peers& peers = dispatcher.peers_;
+  if (peers.membership_.self_.address_.empty() || step.now_ < peers.next_use_) {
     return;
   }
-  if (step.now_ >= peers.next_use_) {
-    TellNearUse(step);
+  const std::vector<const MemberRow*> near = NearPeers(step);
+  const auto round = std::chrono::duration<double>(
+      static_cast<double>(near.size()) / kUseMessagesPerSecond);
+  peers.next_use_ =
+      step.now_ +
+      std::max<core::Nanoseconds>(
+          kUseRound, std::chrono::duration_cast<core::Nanoseconds>(round));
+  ApplyUse(dispatcher.use_, dispatcher.pool_, step.now_);
+  std::vector<core::ServerUse> used = OwnUse(dispatcher.pool_);
+  const bool repeat = !used.empty() && ++peers.use_rounds_ >= kUseRepeatRounds;
+  if (used == peers.use_told_ && !repeat) {
+    return;
   }
-  if (step.now_ >= peers.next_far_use_) {
-    TellFarUse(step);
-    ApplyUse(step.dispatcher_.use_, step.dispatcher_.pool_, step.now_);
+  peers.use_rounds_ = 0;
+  peers.use_told_ = used;
+  const core::UseTold told{++peers.use_counter_, std::move(used)};
+  for (const MemberRow* row : near) {
+    Tell(step, row->address_, told);
   }
 }
 
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -22,8 +22,10 @@
 // What an engine without room to spare is worse than an empty one.
 constexpr double kLoadMs = 300.0;
 // Servers closer than this are chosen among by chance, since entries that
-// decide at the same moment do not know of each other.
-constexpr double kEngineJitterMs = 15.0;
+// decide at the same moment do not know of each other. For decode engines it is
+// what a few answers add.
+constexpr double kPrefillJitterMs = 15.0;
+constexpr double kDecodeJitterAnswers = 4.0;
 constexpr double kPlainJitterMs = 5.0;
 constexpr double kBusyShareMs = 25.0;
 constexpr std::uint32_t kDefaultPlainSlots = 6;
@@ -100,6 +102,16 @@
   return cost;
 }
 
+// What the request itself adds to the load of a decode engine.
+double OwnLoadMs(const PlacementNeed& need) {
+  const std::uint32_t memory =
+      need.facts_ != nullptr ? need.facts_->memory_tokens_ : 0;
+  const double tokens =
+      static_cast<double>(need.prompt_tokens_) + need.answer_tokens_;
+  return memory > 0 ? kLoadMs * std::min(1.0, tokens / memory)
+                    : kLoadMs / kDefaultEngineSlots;
+}
+
 double DecodeCost(const KnownServer& server,
                   const PlacementNeed& need,
                   TimePoint now) {
@@ -143,10 +155,9 @@
 Choice Cheapest(const ServerPool& pool,
                 const PlacementNeed& need,
                 core::ServerRole role,
+                double jitter_ms,
                 TimePoint now,
                 Cost cost) {
-  const double jitter_ms =
-      role == core::ServerRole::kPlain ? kPlainJitterMs : kEngineJitterMs;
   Choice best;
   std::uint64_t draw = need.draw_;
   for (const auto& [name, server] : pool.servers_) {
@@ -173,19 +184,18 @@
   const double rate = server.prefill_tokens_per_ms_ > 0
                           ? server.prefill_tokens_per_ms_
                           : kPrefillTokensPerMs;
-  const double waiting =
-      static_cast<double>(server.prefill_tokens_) + server.told_prefill_tokens_;
-  return kPrefillOverheadMs + (waiting + tokens) / rate;
+  return kPrefillOverheadMs + (server.prefill_tokens_ + tokens) / rate;
 }
 
 std::string PlacePlain(const ServerPool& pool,
                        const PlacementNeed& need,
                        TimePoint now) {
   const double fastest = FastestPlainMs(pool, need.pool_);
-  const Choice best = Cheapest(pool, need, core::ServerRole::kPlain, now,
-                               [&](const KnownServer& server) {
-                                 return PlainCost(server, need, fastest, now);
-                               });
+  const Choice best =
+      Cheapest(pool, need, core::ServerRole::kPlain, kPlainJitterMs, now,
+               [&](const KnownServer& server) {
+                 return PlainCost(server, need, fastest, now);
+               });
   return best.server_ == nullptr ? "" : best.server_->info_.name_;
 }
 
@@ -194,7 +204,8 @@
                        bool direct,
                        TimePoint now) {
   const Choice best =
-      Cheapest(pool, need, core::ServerRole::kDecode, now,
+      Cheapest(pool, need, core::ServerRole::kDecode,
+               kDecodeJitterAnswers * OwnLoadMs(need), now,
                [&](const KnownServer& server) {
                  return DecodeCost(server, need, now) +
                         (direct ? DirectMs(server, need.prompt_tokens_) : 0);
@@ -215,7 +226,7 @@
     return {};
   }
   const Choice prefill =
-      Cheapest(pool, need, core::ServerRole::kPrefill, now,
+      Cheapest(pool, need, core::ServerRole::kPrefill, kPrefillJitterMs, now,
                [&](const KnownServer& server) {
                  return CommonCost(server, need, kFarPrefillMs, now) +
                         PrefillMs(server, need.prompt_tokens_);
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -416,21 +416,19 @@
 }
 
 Json Put(const ServerUse& row) {
-  return Json::array({row.server_, row.held_tokens_, row.prefill_tokens_});
+  return Json::array({row.server_, row.held_tokens_});
 }
 void Take(const Json& json, ServerUse& row) {
   row.server_ = json.at(0).get<std::string>();
   row.held_tokens_ = json.at(1).get<std::uint32_t>();
-  row.prefill_tokens_ = json.at(2).get<std::uint32_t>();
 }
 
 Json Put(const UseTold& m) {
-  return Json::array({m.counter_, m.of_domain_, PutRows(m.servers_)});
+  return Json::array({m.counter_, PutRows(m.servers_)});
 }
 void Take(const Json& json, UseTold& m) {
   m.counter_ = json.at(0).get<std::uint64_t>();
-  m.of_domain_ = json.at(1).get<bool>();
-  TakeRows(json.at(2), m.servers_);
+  TakeRows(json.at(1), m.servers_);
 }
 
 template <std::size_t Index = 0>
