--- a/packages/peer/test/peer_test.cc
+++ b/packages/peer/test/peer_test.cc
@@ -40,6 +40,7 @@
   row.cells_ = {{"svc/0", -3, 4, 5, 6}};
   row.leaving_servers_ = {"s"};
   row.turning_servers_ = {"t"};
+  row.domain_entries_ = 7;
   Need need;
   need.request_ = {1, 2};
   need.organisation_ = "o";
@@ -74,7 +75,8 @@
           SeatClosing{"seat",
                       {WallTime(Milliseconds(1)), WallTime(Milliseconds(2))},
                       {{"k", CallState::kAnswered, {200, "t", "b"}, true}}},
-          SeatQuery{"seat"}};
+          SeatQuery{"seat"},
+          UseTold{8, {{"d1", 9000}, {"d2", 400}}}};
 }
 
 BOOST_AUTO_TEST_SUITE(Peer)
