--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -14,6 +14,8 @@
 
 // Larger answers are passed on before they are whole.
 constexpr std::size_t kGatherBytes = 256 * 1024;
+// Longest body that is kept whole, and longest single event: more is no answer.
+constexpr std::size_t kMostKeptBytes = 4 * 1024 * 1024;
 // Written to a caller and not taken: above, the server is held back.
 constexpr std::size_t kBacklogBytes = 128 * 1024;
 
@@ -161,7 +163,7 @@
 }
 
 void Exchange::OnBody(std::uint32_t attempt, std::string_view data) {
-  if (attempt != start_.attempt_ || done_) {
+  if (attempt != start_.attempt_ || done_ || !attempt_open_) {
     return;
   }
   if (IsStreaming()) {
@@ -176,6 +178,16 @@
     }
     caller_->RespondPiece(body_);
     body_.clear();
+    HoldBackIfUnread();
+  } else if (body_.size() > kMostKeptBytes) {
+    FailAttempt(Reason::kBadAnswer, "the body is too long");
+  }
+}
+
+void Exchange::HoldBackIfUnread() {
+  if (caller_->WriteBacklog() > kBacklogBytes) {
+    paused_ = true;
+    call_.Pause();
   }
 }
 
@@ -194,6 +206,10 @@
 void Exchange::PassEvents(std::string_view data) {
   const std::string whole =
       is_event_stream_ ? TakeBytes(events_, data) : std::string(data);
+  if (events_.partial_.size() > kMostKeptBytes) {
+    FailAttempt(Reason::kBadAnswer, "an event is too long");
+    return;
+  }
   if (whole.empty()) {
     return;
   }
@@ -202,10 +218,7 @@
     BeginAnswer();
   }
   caller_->RespondPiece(whole);
-  if (caller_->WriteBacklog() > kBacklogBytes) {
-    paused_ = true;
-    call_.Pause();
-  }
+  HoldBackIfUnread();
 }
 
 void Exchange::OnCallerWritable() {
@@ -388,15 +401,18 @@
   if (limit.count() == 0 || now - quiet_since_ < limit) {
     return;
   }
+  FailAttempt(Reason::kDeadline, "no answer in time");
+}
+
+void Exchange::FailAttempt(Reason reason, const std::string& detail) {
   attempt_open_ = false;
   call_.Cancel();
   if (start_.stage_ == Stage::kReserve) {
-    ReportReserve(false, false, "", "no answer in time");
+    ReportReserve(false, false, "", detail);
   } else if (start_.stage_ == Stage::kPrefill) {
-    ReportPrefill(false, false, "", "no result in time");
+    ReportPrefill(false, false, "", detail);
   } else {
-    Report(AttemptOutcome::kFailed, RunState::kMayHaveRun, Reason::kDeadline,
-           "no answer in time");
+    Report(AttemptOutcome::kFailed, RunState::kMayHaveRun, reason, detail);
   }
 }
 
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -67,6 +67,10 @@
   void EndPrefill(const http::CallEnd& end);
   void EndRun(const http::CallEnd& end);
   void PassEvents(std::string_view data);
+  // Reads no more from the server while the caller takes nothing.
+  void HoldBackIfUnread();
+  // Ends the attempt as one that may have run.
+  void FailAttempt(core::Reason reason, const std::string& detail);
   void BeginAnswer();
   void Report(dispatch::AttemptOutcome outcome,
               core::RunState run_state,
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -330,6 +330,78 @@
   BOOST_TEST(requests == 0);
 }
 
+// A server that goes on sending after `head` until the connection is closed, or
+// far more was taken than anything has to keep.
+struct EndlessServer {
+  static constexpr std::size_t kFarTooMuch = 64 * 1024 * 1024;
+
+  explicit EndlessServer(const std::string& head)
+      : server_([this, head](test::Peer& peer, int) {
+          peer.ReadUntil("\r\n\r\n");
+          peer.Send(head);
+          const std::string piece(64 * 1024, 'x');
+          while (taken_ < kFarTooMuch && peer.Send(piece)) {
+            taken_ += piece.size();
+          }
+          ended_ = true;
+        }) {}
+
+  std::atomic<std::size_t> taken_{0};
+  std::atomic<bool> ended_{false};
+  test::ScriptedServer server_;
+};
+
+BOOST_AUTO_TEST_CASE(Error_WhenItsBodyHasNoEnd_IsCutOffAndTheCallerTold) {
+  EndlessServer endless(
+      "HTTP/1.1 500 X\r\nId: 7\r\nMark: m\r\n"
+      "Content-Length: 1000000000000\r\n\r\n");
+  List("s", "plain", core::ServerRole::kPlain, endless.server_.Address());
+  BOOST_TEST(absl::StartsWith(Ask("/once"), "HTTP/1.1 502"));
+  BOOST_TEST(endless.taken_ < EndlessServer::kFarTooMuch);
+}
+
+BOOST_AUTO_TEST_CASE(Stream_WhenAnEventHasNoEnd_IsCutOff) {
+  EndlessServer endless(
+      "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\n"
+      "Content-Type: text/event-stream\r\n"
+      "Content-Length: 1000000000000\r\n\r\n");
+  List("d", "engines", core::ServerRole::kDecode, endless.server_.Address());
+  BOOST_TEST(!absl::StartsWith(Ask("/stream"), "HTTP/1.1 200"));
+  BOOST_TEST(endless.taken_ < EndlessServer::kFarTooMuch);
+}
+
+BOOST_AUTO_TEST_CASE(Prefill_WhenItsResultHasNoEnd_IsDoneElsewhere) {
+  EndlessServer endless(
+      "HTTP/1.1 200 OK\r\nId: 7\r\n"
+      "Content-Length: 1000000000000\r\n\r\n");
+  test::ScriptedServer decode([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    const std::string events = Events(1, 3);
+    peer.Send(Answer("Content-Type: text/event-stream\r\n", events));
+  });
+  List("p", "engines", core::ServerRole::kPrefill, endless.server_.Address());
+  List("d", "engines", core::ServerRole::kDecode, decode.Address());
+  BOOST_TEST(absl::StrContains(Ask("/stream"), "id: 3"));
+  BOOST_TEST(endless.taken_ < EndlessServer::kFarTooMuch);
+}
+
+BOOST_AUTO_TEST_CASE(Answer_WhenItsCallerDoesNotRead_IsHeldBackAtTheServer) {
+  EndlessServer endless(
+      "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\n"
+      "Content-Length: 1000000000000\r\n\r\n");
+  List("s", "plain", core::ServerRole::kPlain, endless.server_.Address());
+  test::Peer caller = test::Peer::Connect(port_);
+  caller.Send(
+      "POST /once HTTP/1.1\r\nHost: h\r\nId: 7\r\n"
+      "Content-Length: 0\r\n\r\n");
+  // Until the route's time is up the server may send, but nobody takes it.
+  const core::TimePoint limit = http::MonotonicNow() + core::Milliseconds(1500);
+  while (!endless.ended_ && http::MonotonicNow() < limit) {
+    std::this_thread::sleep_for(core::Milliseconds(10));
+  }
+  BOOST_TEST(endless.taken_ < EndlessServer::kFarTooMuch);
+}
+
 BOOST_AUTO_TEST_CASE(Drain_WhenARequestIsInProgress_LetsItEnd) {
   test::ScriptedServer server([this](test::Peer& peer, int) {
     peer.ReadUntil("\r\n\r\n");
--- a/packages/http/test/loopback.h
+++ b/packages/http/test/loopback.h
@@ -40,16 +40,18 @@
     return Peer(fd);
   }
 
-  void Send(const std::string& text) const {
+  // Returns false when the other side takes no more.
+  bool Send(const std::string& text) const {
     std::size_t sent = 0;
     while (sent < text.size()) {
       const ssize_t count =
           send(fd_, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
       if (count <= 0) {
-        return;
+        return false;
       }
       sent += static_cast<std::size_t>(count);
     }
+    return true;
   }
 
   // Reads until the text ends in `end`, the connection ends, or time is up.
