--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -117,7 +117,7 @@
   // Mean time of an answer for each token expected of it, in milliseconds, by
   // pool.
   std::unordered_map<std::string, double> token_ms_;
-  // Of answers by pool, and by rule by its text without its version.
+  // By pool, host and path of the rule.
   std::unordered_map<std::string, AnswerLengths> answer_lengths_;
   std::unordered_map<RequestId, ActiveCall, core::RequestIdHash> calls_;
   std::unordered_map<std::string, core::DecisionRecord>
