Work out what a reservation needs once, and nothing for plain calls

Cause: the length to reserve was worked out twice for each reservation, and its route's key was made and looked up for every plain call, which expects none. Behaviour as before; dispatch_test, gateway_test and platform_test pass.

--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -138,6 +138,9 @@
 
 std::uint32_t AnswerToReserve(const Step& step, const ActiveCall& call) {
   std::uint32_t tokens = call.call_.answer_tokens_;
+  if (tokens == 0) {
+    return 0;  // No expectation, as of every plain call.
+  }
   const auto known = step.dispatcher_.answer_lengths_.find(LengthKey(call));
   if (known != step.dispatcher_.answer_lengths_.end()) {
     tokens = LikelyLength(known->second, tokens, kHoldDeviations);
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -98,9 +98,9 @@
   ++step.dispatcher_.counters_.reserves_;
   ++call.reserves_;
   StartAttempt start = BeginAttempt(step, call, Stage::kReserve, server);
-  start.hold_tokens_ =
-      call.call_.shape_.prompt_tokens_ + AnswerToReserve(step, call);
-  start.hold_time_ = HoldTime(NeedOf(step, call));
+  const PlacementNeed need = NeedOf(step, call);
+  start.hold_tokens_ = need.prompt_tokens_ + need.answer_tokens_;
+  start.hold_time_ = HoldTime(need);
   start.patience_ = kHoldPatience;
   step.actions_.emplace_back(std::move(start));
 }
