Repeat budget: an abandoned prefill makes the next send a repeat; prefill queues of other entries are measured

Change: a prefill that may have reached its engine marks the request as sent; the delay that other entries cause at a prefill engine is measured, fades, and lengthens the timeout and the expected time. request_done also says the longest gap, the events, and the prompt, to follow a caller's returns.

--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -37,6 +37,7 @@
   std::string server_;
   TimePoint sent_at_{};
   std::uint32_t counted_prefill_ = 0;  // Tokens counted at `server_`.
+  double expected_prefill_ms_ = 0;     // Of the prefill at `server_`.
   // No other prefill of this entry was queued at `server_` when this one was
   // sent.
   bool prefill_was_unqueued_ = false;
@@ -67,6 +68,7 @@
   std::string prompt_address_;
   // Last event delivered to the caller.
   std::optional<std::uint64_t> last_event_;
+  Milliseconds longest_gap_{0};  // Between two events of the answer.
 };
 
 struct DispatchCounters {
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -67,6 +67,7 @@
   std::string detail_;
   // Refused because it was meant for another server or role.
   bool misdirected_ = false;
+  bool sent_ = true;  // The request may have reached the server.
 };
 
 // Result of a reservation.
@@ -107,6 +108,9 @@
   // Last event delivered to the caller.
   std::optional<std::uint64_t> last_event_;
   bool misdirected_ = false;  // As in PrefillDone.
+  // Longest time between two events of the whole answer so far, including
+  // earlier attempts.
+  Milliseconds longest_gap_{0};
 };
 
 struct ListSeen {
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -40,6 +40,10 @@
 inline constexpr Milliseconds kSlowHalfLife{1000};
 // Part of the prefill time that does not depend on the prompt length.
 inline constexpr double kPrefillOverheadMs = 20.0;
+// Smoothing weight of one sample in a server's mean prefill delay, and the time
+// after which an unconfirmed delay counts half.
+inline constexpr double kPrefillDelayWeight = 0.3;
+inline constexpr Milliseconds kPrefillDelayHalfLife{500};
 // Expected time of the KV transfer to the decode engine.
 inline constexpr double kTransferMs = 12.0;
 // A decode engine prefills at about half the speed of a prefill engine.
--- a/packages/dispatch/include/siskindrum/dispatch/placement.h
+++ b/packages/dispatch/include/siskindrum/dispatch/placement.h
@@ -55,9 +55,18 @@
                             TimePoint now);
 
 // Estimates the time of a prefill on this server in milliseconds, including the
-// prefills already queued there.
-// Thread-safe: no.
-double EstimatePrefillMs(const ServerState& server, std::uint32_t tokens);
+// prefills of this entry already queued there and the recent delay caused by
+// those of other entries. Thread-safe: no.
+double EstimatePrefillMs(const ServerState& server,
+                         std::uint32_t tokens,
+                         TimePoint now);
+
+// Records that a prefill which was expected to take `expected_ms` ended or was
+// abandoned after `took_ms`. Thread-safe: no.
+void RecordPrefillDelay(ServerState& server,
+                        double expected_ms,
+                        double took_ms,
+                        TimePoint now);
 
 }  // namespace siskindrum::dispatch
 
--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -41,6 +41,10 @@
   double mean_ms_ = 0;       // Mean time of plain answers; zero: unknown.
   TimePoint measured_at_{};  // When `mean_ms_` was last updated.
   double prefill_tokens_per_ms_ = 0;  // Zero: unknown.
+  // Mean time by which prefills took longer than this entry's own queue there
+  // explains, and when it was last updated.
+  double prefill_delay_ms_ = 0;
+  TimePoint prefill_delay_at_{};
 };
 
 // All known servers by name.
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -46,6 +46,18 @@
   if (call.answer_begun_) {
     log.fields_.push_back(
         {"first_ms", FormatMs(call.begun_at_ - call.arrived_at_)});
+    log.fields_.push_back({"gap_ms", FormatMs(call.longest_gap_)});
+  }
+  if (call.last_event_.has_value()) {
+    log.fields_.push_back({"events", absl::StrCat(*call.last_event_)});
+  }
+  if (call.call_.prompt_ != 0) {
+    log.fields_.push_back(
+        {"prompt", absl::StrCat(absl::Hex(call.call_.prompt_))});
+    log.fields_.push_back(
+        {"prompt_tokens", absl::StrCat(call.call_.shape_.prompt_tokens_)});
+    log.fields_.push_back(
+        {"answer_tokens", absl::StrCat(call.call_.answer_tokens_)});
   }
   if (!detail.empty()) {
     log.fields_.push_back({"detail", detail});
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -15,7 +15,8 @@
   ++step.dispatcher_.counters_.prefills_elsewhere_;
   call.prefill_was_unqueued_ = server.prefill_tokens_ == 0;
   const std::uint32_t tokens = call.call_.shape_.prompt_tokens_;
-  const double expected = EstimatePrefillMs(server, tokens);
+  const double expected = EstimatePrefillMs(server, tokens, step.now_);
+  call.expected_prefill_ms_ = expected;
   call.counted_prefill_ = tokens;
   server.prefill_tokens_ += tokens;
   StartAttempt start = BeginAttempt(step, call, Stage::kPrefill, server);
@@ -44,7 +45,8 @@
   double expected = kTransferMs + kPrefillOverheadMs;
   if (direct) {
     ++step.dispatcher_.counters_.prefills_direct_;
-    expected = kDirectPrefillFactor * EstimatePrefillMs(*server, prompt);
+    expected =
+        kDirectPrefillFactor * EstimatePrefillMs(*server, prompt, step.now_);
     call.counted_prefill_ = prompt;
     server->prefill_tokens_ += prompt;
   }
@@ -187,6 +189,9 @@
   const std::uint32_t tokens = call.counted_prefill_;
   const bool unqueued = call.prefill_was_unqueued_;
   ReleaseAttempt(step, call);
+  if (server != nullptr && !event.refused_ && event.sent_) {
+    RecordPrefillDelay(*server, call.expected_prefill_ms_, took, step.now_);
+  }
   if (event.ok_) {
     if (server != nullptr) {
       RecordResponse(*server);
@@ -204,11 +209,13 @@
     return;
   }
   call.avoid_.push_back(name);
+  // The abandoned prefill may have arrived, which makes any further send a
+  // repeat.
+  call.sent_before_ = call.sent_before_ || event.sent_;
   if (event.refused_) {
     // A refused prefill counts against the rule's retries; one that succeeded
     // or failed does not.
     ++call.sends_;
-    call.sent_before_ = true;
     if (server != nullptr) {
       RecordRefusedAttempt(step, call, *server, event.misdirected_);
     }
@@ -239,6 +246,7 @@
   if (event.last_event_.has_value()) {
     call.last_event_ = event.last_event_;
   }
+  call.longest_gap_ = std::max(call.longest_gap_, event.longest_gap_);
   const bool is_error = event.outcome_ == AttemptOutcome::kServerError;
   if (server != nullptr &&
       (event.outcome_ == AttemptOutcome::kDelivered || is_error)) {
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -145,8 +145,18 @@
   return cost + kLoadMs * load;
 }
 
-double DirectPrefillMs(const ServerState& server, std::uint32_t tokens) {
-  return kDirectPrefillFactor * EstimatePrefillMs(server, tokens);
+double DirectPrefillMs(const ServerState& server,
+                       std::uint32_t tokens,
+                       TimePoint now) {
+  return kDirectPrefillFactor * EstimatePrefillMs(server, tokens, now);
+}
+
+// Returns the delay caused by other entries' prefills, which fades once their
+// queue is no longer observed.
+double PrefillDelayMs(const ServerState& server, TimePoint now) {
+  return server.prefill_delay_ms_ *
+         std::exp2(-Ms(now - server.prefill_delay_at_) /
+                   Ms(kPrefillDelayHalfLife));
 }
 
 // Returns the next pseudo-random number in [0, 1) and advances `draw`.
@@ -190,11 +200,24 @@
 
 }  // namespace
 
-double EstimatePrefillMs(const ServerState& server, std::uint32_t tokens) {
+double EstimatePrefillMs(const ServerState& server,
+                         std::uint32_t tokens,
+                         TimePoint now) {
   const double rate = server.prefill_tokens_per_ms_ > 0
                           ? server.prefill_tokens_per_ms_
                           : kDefaultPrefillTokensPerMs;
-  return kPrefillOverheadMs + (server.prefill_tokens_ + tokens) / rate;
+  return kPrefillOverheadMs + (server.prefill_tokens_ + tokens) / rate +
+         PrefillDelayMs(server, now);
+}
+
+void RecordPrefillDelay(ServerState& server,
+                        double expected_ms,
+                        double took_ms,
+                        TimePoint now) {
+  const double known = PrefillDelayMs(server, now);
+  const double delay = std::max(0.0, known + took_ms - expected_ms);
+  server.prefill_delay_ms_ = known + kPrefillDelayWeight * (delay - known);
+  server.prefill_delay_at_ = now;
 }
 
 std::string PlacePlain(const ServerPool& pool,
@@ -218,7 +241,8 @@
       kDecodeJitterAnswers * OwnLoadMs(request), now,
       [&](const ServerState& server) {
         return DecodeCost(server, request, now) +
-               (direct ? DirectPrefillMs(server, request.prompt_tokens_) : 0);
+               (direct ? DirectPrefillMs(server, request.prompt_tokens_, now)
+                       : 0);
       });
   if (best.server_ == nullptr) {
     return {};
@@ -239,7 +263,7 @@
       pool, request, core::ServerRole::kPrefill, kPrefillJitterMs, now,
       [&](const ServerState& server) {
         return CommonCost(server, request, kRemotePrefillPenaltyMs, now) +
-               EstimatePrefillMs(server, request.prompt_tokens_);
+               EstimatePrefillMs(server, request.prompt_tokens_, now);
       });
   if (prefill.server_ == nullptr) {
     return direct;
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -42,7 +42,8 @@
   const double prefill_ms =
       prefill == nullptr
           ? kDirectPrefillFactor * kPrefillOverheadMs
-          : EstimatePrefillMs(*prefill, call.call_.shape_.prompt_tokens_);
+          : EstimatePrefillMs(*prefill, call.call_.shape_.prompt_tokens_,
+                              step.now_);
   const Milliseconds needed =
       Milliseconds(static_cast<std::int64_t>(prefill_ms + kTransferMs)) +
       kFirstDecodeStepTime;
--- a/packages/dispatch/test/engine_call_test.cc
+++ b/packages/dispatch/test/engine_call_test.cc
@@ -193,6 +193,55 @@
   BOOST_TEST(AcceptsNewWork(*FindServer(dispatcher_.pool_, gone), now_));
 }
 
+BOOST_AUTO_TEST_CASE(Prefills_WhenManyTimeOut_StayWithinTheRepeatBudget) {
+  // Each abandoned prefill reached its engine, so that the send which follows
+  // is a repeat.
+  constexpr int kRequests = 60;
+  for (int i = 0; i < kRequests; ++i) {
+    for (const char* name : {"p1", "p2"}) {
+      RecordResponse(*FindServer(dispatcher_.pool_, name));
+    }
+    const RequestId id = Arrive("/resume/1", 100, 10);
+    Reserve(id, true);
+    if (Last(id).stage_ == Stage::kPrefill) {
+      Prefill(id, false);
+    }
+    Handle(CallerLeft{id});
+  }
+  const RepeatLimits limits;
+  BOOST_TEST(static_cast<double>(dispatcher_.counters_.repeats_) <=
+             limits.ratio_ * kRequests + limits.slack_);
+  BOOST_TEST(dispatcher_.counters_.repeats_ > 0U);
+  BOOST_TEST(dispatcher_.counters_.repeats_denied_ > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Prefill_WhenItsConnectionFails_IsNoRepeat) {
+  const RequestId id = Arrive("/stream/1");
+  Reserve(id, true);
+  Handle(PrefillDone{id, Last(id).attempt_, false, false, "", "", false,
+                     /*sent_=*/false});
+  BOOST_TEST((Last(id).stage_ == Stage::kDecode));
+  BOOST_TEST(dispatcher_.counters_.repeats_ == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Prefill_WhenOtherEntriesFillTheQueue_IsGivenMoreTime) {
+  const RequestId slow = Arrive("/stream/1");
+  Reserve(slow, true);
+  const Milliseconds first = Last(slow).first_byte_timeout_;
+  Pass(Milliseconds(320));
+  Prefill(slow, true);
+  const RequestId next = Arrive("/stream/1");
+  Reserve(next, true);
+  ServerState* busy = FindServer(dispatcher_.pool_, "p1");
+  ServerState* other = FindServer(dispatcher_.pool_, "p2");
+  BOOST_TEST(std::max(EstimatePrefillMs(*busy, 5000, now_),
+                      EstimatePrefillMs(*other, 5000, now_)) >
+             static_cast<double>(first.count()) / 3);
+  Pass(Milliseconds(10000));
+  BOOST_TEST(EstimatePrefillMs(*busy, 5000, now_) <
+             static_cast<double>(first.count()));
+}
+
 BOOST_AUTO_TEST_CASE(Answer_WhenItsAttemptIsOver_IsIgnored) {
   const RequestId id = StartAnswer("/resume/1");
   const std::uint32_t old_attempt = Last(id).attempt_;
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -221,7 +221,10 @@
   last_progress_at_ = http::MonotonicNow();
   if (!answer_begun_) {
     BeginAnswer();
+  } else {
+    longest_gap_ = std::max(longest_gap_, last_progress_at_ - last_event_at_);
   }
+  last_event_at_ = last_progress_at_;
   caller_->RespondData(whole);
   ApplyBackpressure();
 }
@@ -268,7 +271,8 @@
 void Exchange::OnPrefillEnd(const http::CallResult& end) {
   if (end.failure_ != http::CallFailure::kNone) {
     ReportPrefill(false, false, "",
-                  absl::StrCat(http::ToString(end.failure_), " ", end.detail_));
+                  absl::StrCat(http::ToString(end.failure_), " ", end.detail_),
+                  end.sent_);
     return;
   }
   if (!IsSuccess(*answer_)) {
@@ -349,6 +353,8 @@
   done.status_ = answer_.has_value() ? answer_->status_ : 0;
   done.detail_ = detail;
   done.last_event_ = events_.last_event_;
+  done.longest_gap_ =
+      std::chrono::duration_cast<core::Milliseconds>(longest_gap_);
   done.misdirected_ = answer_fields_.misdirected_;
   context_.post_(std::move(done));
 }
@@ -356,10 +362,11 @@
 void Exchange::ReportPrefill(bool ok,
                              bool refused,
                              const std::string& handle,
-                             const std::string& detail) {
+                             const std::string& detail,
+                             bool sent) {
   context_.post_(dispatch::PrefillDone{id_, start_.attempt_, ok, refused,
                                        handle, detail,
-                                       answer_fields_.misdirected_});
+                                       answer_fields_.misdirected_, sent});
 }
 
 void Exchange::ReportReserve(bool ok,
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -86,7 +86,8 @@
   void ReportPrefill(bool ok,
                      bool refused,
                      const std::string& handle,
-                     const std::string& detail);
+                     const std::string& detail,
+                     bool sent = true);
   // Records the time since the request arrived.
   void RecordTiming(telemetry::Timing timing) const;
   std::string RequestBytes(const dispatch::StartAttempt& start) const;
@@ -111,6 +112,8 @@
   bool done_ = false;
   core::TimePoint started_at_{};        // Start of the current attempt.
   core::TimePoint last_progress_at_{};  // The timeout counts from here.
+  core::TimePoint last_event_at_{};     // Last event sent to the caller.
+  core::Nanoseconds longest_gap_{0};    // Between two such events.
 };
 
 }  // namespace siskindrum::gateway
