Placement: the time of a KV transfer follows from published link rates and from what was measured

Hypothesis: a fixed 12 ms for a transfer makes prefills on other engines look cheap where links are slow; their results lapse on the way and the prompt is read twice. Change: pools state bytes a token, link rate and how long a prefill result is kept; the delay of each prefill engine's transfers is measured and fades; a prompt whose result would lapse is read where it answers.

--- a/packages/core/include/siskindrum/core/rule.h
+++ b/packages/core/include/siskindrum/core/rule.h
@@ -85,7 +85,11 @@
   std::uint32_t memory_tokens_ = 0;  // Per engine; zero if unknown.
   std::uint32_t connections_ = 0;    // Per server; zero if unknown.
   std::uint32_t event_tokens_ = 0;   // Per stream event; zero if unknown.
-  Milliseconds hold_{0};  // Longest reservation; zero if unsupported.
+  Milliseconds hold_{0};           // Longest reservation; zero if unsupported.
+  std::uint32_t token_bytes_ = 0;  // KV cache of one token; zero if unknown.
+  std::uint32_t link_mbps_ = 0;    // Per engine; zero if unknown.
+  // An engine keeps a prefill result this long; zero if unknown.
+  Milliseconds handle_{0};
   int line_ = 0;
 };
 
--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -37,7 +37,10 @@
   std::string server_;
   TimePoint sent_at_{};
   std::uint32_t counted_prefill_ = 0;  // Tokens counted at `server_`.
-  double expected_prefill_ms_ = 0;     // Of the prefill at `server_`.
+  double expected_prefill_ms_ = 0;     // Of the prefill at `prefill_server_`.
+  std::string prefill_server_;         // Of the last prefill; empty: none.
+  // Until the prefill result reaches the decode engine; zero: no transfer.
+  double expected_transfer_ms_ = 0;
   // No other prefill of this entry was queued at `server_` when this one was
   // sent.
   bool prefill_was_unqueued_ = false;
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -40,12 +40,14 @@
 inline constexpr Milliseconds kSlowHalfLife{1000};
 // Part of the prefill time that does not depend on the prompt length.
 inline constexpr double kPrefillOverheadMs = 20.0;
-// Smoothing weight of one sample in a server's mean prefill delay, and the time
-// after which an unconfirmed delay counts half.
-inline constexpr double kPrefillDelayWeight = 0.3;
-inline constexpr Milliseconds kPrefillDelayHalfLife{500};
-// Expected time of the KV transfer to the decode engine.
-inline constexpr double kTransferMs = 12.0;
+// Smoothing weight of one sample in a measured delay, and the time after which
+// an unconfirmed delay counts half.
+inline constexpr double kDelayWeight = 0.3;
+inline constexpr Milliseconds kDelayHalfLife{500};
+// Part of the KV transfer's time that does not depend on its size, and the
+// factor of a transfer to another failure domain.
+inline constexpr double kTransferOverheadMs = 12.0;
+inline constexpr double kRemoteTransferFactor = 2.0;
 // A decode engine prefills at about half the speed of a prefill engine.
 inline constexpr double kDirectPrefillFactor = 2.0;
 // A prefill on a decode engine also stalls every answer in progress there, so
--- a/packages/dispatch/include/siskindrum/dispatch/placement.h
+++ b/packages/dispatch/include/siskindrum/dispatch/placement.h
@@ -61,12 +61,11 @@
                          std::uint32_t tokens,
                          TimePoint now);
 
-// Records that a prefill which was expected to take `expected_ms` ended or was
-// abandoned after `took_ms`. Thread-safe: no.
-void RecordPrefillDelay(ServerState& server,
-                        double expected_ms,
-                        double took_ms,
-                        TimePoint now);
+// Returns the time in milliseconds in which the KV cache of a prompt reaches
+// another engine over idle links. Thread-safe: yes.
+double TransferMs(const core::PoolSettings* settings,
+                  std::uint32_t tokens,
+                  bool across_domains);
 
 }  // namespace siskindrum::dispatch
 
--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -21,6 +21,23 @@
   kCount
 };
 
+// Mean time by which calls recently took longer than expected. It fades, so
+// that a server is tried again once its delay is no longer observed.
+struct MeasuredDelay {
+  double ms_ = 0;
+  TimePoint measured_at_{};
+};
+
+// Returns the delay as it counts now. Thread-safe: no.
+double CurrentDelayMs(const MeasuredDelay& delay, TimePoint now);
+
+// Records that a call which was expected to take `expected_ms`, including the
+// current delay, took `took_ms` or was abandoned then. Thread-safe: no.
+void RecordDelay(MeasuredDelay& delay,
+                 double expected_ms,
+                 double took_ms,
+                 TimePoint now);
+
 // This entry's view of a backend server.
 struct ServerState {
   core::ServerInfo info_;
@@ -41,10 +58,11 @@
   double mean_ms_ = 0;       // Mean time of plain answers; zero: unknown.
   TimePoint measured_at_{};  // When `mean_ms_` was last updated.
   double prefill_tokens_per_ms_ = 0;  // Zero: unknown.
-  // Mean time by which prefills took longer than this entry's own queue there
-  // explains, and when it was last updated.
-  double prefill_delay_ms_ = 0;
-  TimePoint prefill_delay_at_{};
+  // Of prefills, beyond what this entry's own queue there explains.
+  MeasuredDelay prefill_delay_;
+  // Of prefill results on their way to decode engines, beyond what the rate of
+  // the links explains.
+  MeasuredDelay transfer_delay_;
 };
 
 // All known servers by name.
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -17,6 +17,7 @@
   const std::uint32_t tokens = call.call_.shape_.prompt_tokens_;
   const double expected = EstimatePrefillMs(server, tokens, step.now_);
   call.expected_prefill_ms_ = expected;
+  call.prefill_server_ = server.info_.name_;
   call.counted_prefill_ = tokens;
   server.prefill_tokens_ += tokens;
   StartAttempt start = BeginAttempt(step, call, Stage::kPrefill, server);
@@ -26,6 +27,46 @@
   step.actions_.emplace_back(std::move(start));
 }
 
+// Returns the time until the prefill result has reached the decode engine,
+// including the recent delay of its sender.
+double ExpectedTransferMs(const Step& step,
+                          const ActiveCall& call,
+                          const ServerState& decode) {
+  const ServerState* sender =
+      FindServer(step.dispatcher_.pool_, call.prefill_server_);
+  const double delay = sender == nullptr
+                           ? 0
+                           : CurrentDelayMs(sender->transfer_delay_, step.now_);
+  return delay +
+         TransferMs(core::FindPool(call.configuration_->rules_, call.pool_),
+                    call.call_.shape_.prompt_tokens_,
+                    sender != nullptr &&
+                        sender->info_.domain_ != decode.info_.domain_);
+}
+
+// Measures how long the prefill result took to reach the decode engine.
+// `lost` is true when it lapsed on its way.
+void RecordTransfer(Step& step, ActiveCall& call, bool lost) {
+  ServerState* sender =
+      FindServer(step.dispatcher_.pool_, call.prefill_server_);
+  const core::PoolSettings* settings =
+      core::FindPool(call.configuration_->rules_, call.pool_);
+  if (sender == nullptr || settings == nullptr ||
+      call.expected_transfer_ms_ == 0) {
+    return;
+  }
+  const double expected = call.expected_transfer_ms_ +
+                          static_cast<double>(kFirstDecodeStepTime.count());
+  double took =
+      std::chrono::duration<double, std::milli>(step.now_ - call.sent_at_)
+          .count();
+  if (lost) {
+    took = expected + static_cast<double>(settings->handle_.count());
+  }
+  RecordDelay(sender->transfer_delay_, expected, took, step.now_);
+  call.expected_transfer_ms_ = 0;
+}
+
 // Sends the request to its decode engine, with the prefill result if it has
 // one.
 void SendDecode(Step& step, ActiveCall& call) {
@@ -42,8 +83,12 @@
   }
   const bool direct = call.handle_.empty();
   const std::uint32_t prompt = call.call_.shape_.prompt_tokens_;
-  double expected = kTransferMs + kPrefillOverheadMs;
-  if (direct) {
+  double expected = kPrefillOverheadMs;
+  call.expected_transfer_ms_ = 0;
+  if (!direct) {
+    call.expected_transfer_ms_ = ExpectedTransferMs(step, call, *server);
+    expected += call.expected_transfer_ms_;
+  } else {
     ++step.dispatcher_.counters_.prefills_direct_;
     expected =
         kDirectPrefillFactor * EstimatePrefillMs(*server, prompt, step.now_);
@@ -190,7 +235,8 @@
   const bool unqueued = call.prefill_was_unqueued_;
   ReleaseAttempt(step, call);
   if (server != nullptr && !event.refused_ && event.sent_) {
-    RecordPrefillDelay(*server, call.expected_prefill_ms_, took, step.now_);
+    RecordDelay(server->prefill_delay_, call.expected_prefill_ms_, took,
+                step.now_);
   }
   if (event.ok_) {
     if (server != nullptr) {
@@ -232,6 +278,7 @@
     RecordResponse(*server);
   }
   ReleasePrefill(server, call);
+  RecordTransfer(step, call, false);
   if (!call.answer_begun_) {
     call.begun_at_ = step.now_;
   }
@@ -264,6 +311,9 @@
   ReleaseDecode(step, call);
   call.avoid_.push_back(name);
   if (event.outcome_ == AttemptOutcome::kRefused) {
+    if (!event.misdirected_) {
+      RecordTransfer(step, call, true);
+    }
     if (server != nullptr) {
       RecordRefusedAttempt(step, call, *server, event.misdirected_);
     }
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -151,14 +151,6 @@
   return kDirectPrefillFactor * EstimatePrefillMs(server, tokens, now);
 }
 
-// Returns the delay caused by other entries' prefills, which fades once their
-// queue is no longer observed.
-double PrefillDelayMs(const ServerState& server, TimePoint now) {
-  return server.prefill_delay_ms_ *
-         std::exp2(-Ms(now - server.prefill_delay_at_) /
-                   Ms(kPrefillDelayHalfLife));
-}
-
 // Returns the next pseudo-random number in [0, 1) and advances `draw`.
 double NextRandom(std::uint64_t& draw) {
   draw = draw * 6364136223846793005ULL + 1442695040888963407ULL;
@@ -166,6 +158,13 @@
   return static_cast<double>(draw >> 11) * kScale;
 }
 
+// Returns whether a prefill result lapses before it has reached its decode
+// engine.
+bool OutlastsHandle(const core::PoolSettings* settings, double transfer_ms) {
+  return settings != nullptr && settings->handle_.count() > 0 &&
+         transfer_ms > static_cast<double>(settings->handle_.count());
+}
+
 struct Choice {
   const ServerState* server_ = nullptr;
   double cost_ = std::numeric_limits<double>::max();
@@ -207,17 +206,23 @@
                           ? server.prefill_tokens_per_ms_
                           : kDefaultPrefillTokensPerMs;
   return kPrefillOverheadMs + (server.prefill_tokens_ + tokens) / rate +
-         PrefillDelayMs(server, now);
+         CurrentDelayMs(server.prefill_delay_, now);
 }
 
-void RecordPrefillDelay(ServerState& server,
-                        double expected_ms,
-                        double took_ms,
-                        TimePoint now) {
-  const double known = PrefillDelayMs(server, now);
-  const double delay = std::max(0.0, known + took_ms - expected_ms);
-  server.prefill_delay_ms_ = known + kPrefillDelayWeight * (delay - known);
-  server.prefill_delay_at_ = now;
+double TransferMs(const core::PoolSettings* settings,
+                  std::uint32_t tokens,
+                  bool across_domains) {
+  if (settings == nullptr || settings->link_mbps_ == 0) {
+    return kTransferOverheadMs;
+  }
+  constexpr double kBitsPerByte = 8;
+  constexpr double kBitsPerMegabit = 1e6;
+  constexpr double kMsPerSecond = 1000;
+  const double seconds = static_cast<double>(tokens) * settings->token_bytes_ *
+                         kBitsPerByte /
+                         (kBitsPerMegabit * settings->link_mbps_);
+  return kTransferOverheadMs +
+         kMsPerSecond * seconds * (across_domains ? kRemoteTransferFactor : 1);
 }
 
 std::string PlacePlain(const ServerPool& pool,
@@ -263,13 +268,21 @@
       pool, request, core::ServerRole::kPrefill, kPrefillJitterMs, now,
       [&](const ServerState& server) {
         return CommonCost(server, request, kRemotePrefillPenaltyMs, now) +
-               EstimatePrefillMs(server, request.prompt_tokens_, now);
+               EstimatePrefillMs(server, request.prompt_tokens_, now) +
+               CurrentDelayMs(server.transfer_delay_, now);
       });
   if (prefill.server_ == nullptr) {
     return direct;
   }
-  const double split_ms = prefill.cost_ + decode.expected_ms_ + kTransferMs;
-  if (direct.expected_ms_ + kDirectPrefillPenaltyMs < split_ms) {
+  const ServerState& target = pool.servers_.at(decode.decode_);
+  const double transfer_ms =
+      TransferMs(request.pool_settings_, request.prompt_tokens_,
+                 prefill.server_->info_.domain_ != target.info_.domain_);
+  const double split_ms = prefill.cost_ + decode.expected_ms_ + transfer_ms;
+  const bool lapses = OutlastsHandle(
+      request.pool_settings_,
+      transfer_ms + CurrentDelayMs(prefill.server_->transfer_delay_, now));
+  if (lapses || direct.expected_ms_ + kDirectPrefillPenaltyMs < split_ms) {
     return direct;
   }
   return {prefill.server_->info_.name_, decode.decode_, split_ms, decode.full_};
--- a/packages/dispatch/src/server_pool.cc
+++ b/packages/dispatch/src/server_pool.cc
@@ -1,6 +1,7 @@
 #include "siskindrum/dispatch/server_pool.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 #include "siskindrum/dispatch/limits.h"
@@ -104,6 +105,22 @@
   }
 }
 
+double CurrentDelayMs(const MeasuredDelay& delay, TimePoint now) {
+  const std::chrono::duration<double> age = now - delay.measured_at_;
+  const std::chrono::duration<double> half_life = kDelayHalfLife;
+  return delay.ms_ * std::exp2(-age / half_life);
+}
+
+void RecordDelay(MeasuredDelay& delay,
+                 double expected_ms,
+                 double took_ms,
+                 TimePoint now) {
+  const double known = CurrentDelayMs(delay, now);
+  const double sample = std::max(0.0, known + took_ms - expected_ms);
+  delay.ms_ = known + kDelayWeight * (sample - known);
+  delay.measured_at_ = now;
+}
+
 void RecordCallStart(ServerState& server, TimePoint now) {
   if (server.calls_ == 0) {
     server.silent_since_ = now;
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -35,8 +35,9 @@
   if (target.count() == 0 || call.answer_begun_) {
     return true;
   }
-  const EnginePlacement plan = PlaceEngines(
-      step.dispatcher_.pool_, MakePlacementRequest(step, call), step.now_);
+  const PlacementRequest request = MakePlacementRequest(step, call);
+  const EnginePlacement plan =
+      PlaceEngines(step.dispatcher_.pool_, request, step.now_);
   const ServerState* prefill =
       FindServer(step.dispatcher_.pool_, plan.prefill_);
   const double prefill_ms =
@@ -44,8 +45,13 @@
           ? kDirectPrefillFactor * kPrefillOverheadMs
           : EstimatePrefillMs(*prefill, call.call_.shape_.prompt_tokens_,
                               step.now_);
+  const double transfer_ms =
+      prefill == nullptr
+          ? 0
+          : TransferMs(request.pool_settings_, request.prompt_tokens_, false) +
+                CurrentDelayMs(prefill->transfer_delay_, step.now_);
   const Milliseconds needed =
-      Milliseconds(static_cast<std::int64_t>(prefill_ms + kTransferMs)) +
+      Milliseconds(static_cast<std::int64_t>(prefill_ms + transfer_ms)) +
       kFirstDecodeStepTime;
   return step.now_ + needed < call.arrived_at_ + target;
 }
--- a/packages/rules/src/rules.cc
+++ b/packages/rules/src/rules.cc
@@ -353,7 +353,7 @@
 }
 
 // Reads: pool NAME slots=N memory=TOKENS connections=N event=TOKENS
-// hold=DURATION
+// token_bytes=BYTES link=MBPS hold=DURATION handle=DURATION
 void ParsePoolLine(Parser& parser, const Line& line) {
   core::PoolSettings facts;
   facts.line_ = line.number_;
@@ -367,21 +367,26 @@
     AddError(parser, line, words[1].column_, "the pool stands twice");
   }
   for (auto word = words.begin() + 2; word != words.end(); ++word) {
-    if (word->key_ == "hold" && word->comparison_ == "=" &&
-        ParseDuration(word->value_, &facts.hold_)) {
+    core::Milliseconds* time = word->key_ == "hold"     ? &facts.hold_
+                               : word->key_ == "handle" ? &facts.handle_
+                                                        : nullptr;
+    if (time != nullptr && word->comparison_ == "=" &&
+        ParseDuration(word->value_, time)) {
       continue;
     }
     std::uint32_t* field = word->key_ == "slots"         ? &facts.slots_
                            : word->key_ == "memory"      ? &facts.memory_tokens_
                            : word->key_ == "connections" ? &facts.connections_
                            : word->key_ == "event"       ? &facts.event_tokens_
+                           : word->key_ == "token_bytes" ? &facts.token_bytes_
+                           : word->key_ == "link"        ? &facts.link_mbps_
                                                          : nullptr;
     if (field == nullptr || word->comparison_ != "=" ||
         !ParseCount(word->value_, kMaxTokens, field)) {
       AddError(
           parser, line, word->column_,
-          "expected slots=N, memory=TOKENS, connections=N, event=TOKENS or "
-          "hold=DURATION");
+          "expected slots=N, memory=TOKENS, connections=N, event=TOKENS, "
+          "token_bytes=BYTES, link=MBPS, hold=DURATION or handle=DURATION");
     }
   }
   parser.parsed_.rules_.pools_.push_back(std::move(facts));
