Reservations: two standard deviations above the expected length, so that few answers outgrow theirs

Hypothesis: an answer that outgrows its reservation is preempted at once where memory is reserved to the full; its prompt is read again, its caller sees a pause, and answers beside it wait. Change: 2 deviations. Test: of answers whose lengths scatter by 0.5, 129 of 2000 outgrew theirs, now under 60.

--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -111,7 +111,7 @@
 // deviations. An answer that outgrows its reservation may be preempted and
 // prefilled again; unused reserved memory is unavailable to others until the
 // answer ends.
-inline constexpr double kReservedLengthDeviations = 1.5;
+inline constexpr double kReservedLengthDeviations = 2.0;
 // Weight kept by earlier answer lengths when a new one is recorded.
 inline constexpr double kLengthDecay = 0.99;
 // Prior of the length estimate, centred on the caller's expected length: its
