Transfers: the test of a lapsing result fails without its guard

Cause: with results kept for 500 ms and links of 10 Gbit/s the direct prefill was cheaper anyway, so the mutant that drops the guard stayed green. Now 100 ms and 50 Gbit/s: the apart prefill is cheaper, and would lapse. Checked: dispatch_test passes; the mutant turns red (played by hand).

--- a/packages/dispatch/test/transfer_test.cc
+++ b/packages/dispatch/test/transfer_test.cc
@@ -14,7 +14,7 @@
     std::string rules = kRules;
     const std::string pool = "hold=2000ms";
     rules.replace(rules.find(pool), pool.size(),
-                  pool + " token_bytes=160000 handle=500ms link=" + mbps);
+                  pool + " token_bytes=160000 handle=100ms link=" + mbps);
     Configure(++revision_, rules);
   }
   // Sends a request up to its prefill or direct decode.
@@ -68,8 +68,8 @@
   SetLinks("8800000");
   const RequestId fast = Reserved();
   BOOST_TEST((Last(fast).stage_ == Stage::kPrefill));
-  // 800 MB at 1.25 GB/s take 640 ms; the result is kept for 500 ms.
-  SetLinks("10000");
+  // 800 MB at 6.25 GB/s take 128 ms; the result is kept for 100 ms.
+  SetLinks("50000");
   const RequestId slow = Reserved();
   BOOST_TEST((Last(slow).stage_ == Stage::kDecode));
   BOOST_TEST(Last(slow).handle_.empty());
