--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -131,6 +131,16 @@
 // Thread-safe: no.
 void RecordFailure(ServerState& server, TimePoint now);
 
+// Returns a duration in milliseconds. Thread-safe: yes.
+double ToMs(core::Nanoseconds duration);
+
+// Returns what is left of `value`, measured at `measured_at`, when it halves
+// with each `half_life`. Thread-safe: yes.
+double Fade(double value,
+            TimePoint measured_at,
+            core::Nanoseconds half_life,
+            TimePoint now);
+
 // Returns the exponential moving average after `sample`. A mean of zero stands
 // for no samples yet and yields `sample`.
 // Thread-safe: yes.
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-Milliseconds ToMs(double ms) {
+Milliseconds ToMilliseconds(double ms) {
   return Milliseconds(static_cast<std::int64_t>(ms));
 }
 
@@ -21,8 +21,8 @@
   call.counted_prefill_ = tokens;
   server.prefill_tokens_ += tokens;
   StartAttempt start = BeginAttempt(step, call, Stage::kPrefill, server);
-  start.first_byte_timeout_ =
-      std::max(kMinPrefillTimeout, ToMs(kPrefillTimeoutFactor * expected));
+  start.first_byte_timeout_ = std::max(
+      kMinPrefillTimeout, ToMilliseconds(kPrefillTimeoutFactor * expected));
   LogAttempt(step, call, start, expected);
   step.actions_.emplace_back(std::move(start));
 }
@@ -55,14 +55,10 @@
       call.expected_transfer_ms_ == 0) {
     return;
   }
-  const double expected = call.expected_transfer_ms_ +
-                          static_cast<double>(kFirstDecodeStepTime.count());
-  double took =
-      std::chrono::duration<double, std::milli>(step.now_ - call.sent_at_)
-          .count();
-  if (lost) {
-    took = expected + static_cast<double>(settings->handle_.count());
-  }
+  const double expected =
+      call.expected_transfer_ms_ + ToMs(kFirstDecodeStepTime);
+  const double took = lost ? expected + ToMs(settings->handle_)
+                           : ToMs(step.now_ - call.sent_at_);
   RecordDelay(sender->transfer_delay_, expected, took, step.now_);
   call.expected_transfer_ms_ = 0;
 }
@@ -85,15 +81,15 @@
   const std::uint32_t prompt = call.call_.shape_.prompt_tokens_;
   double expected = kPrefillOverheadMs;
   call.expected_transfer_ms_ = 0;
-  if (!direct) {
-    call.expected_transfer_ms_ = ExpectedTransferMs(step, call, *server);
-    expected += call.expected_transfer_ms_;
-  } else {
+  if (direct) {
     ++step.dispatcher_.counters_.prefills_direct_;
     expected =
         kDirectPrefillFactor * EstimatePrefillMs(*server, prompt, step.now_);
     call.counted_prefill_ = prompt;
     server->prefill_tokens_ += prompt;
+  } else {
+    call.expected_transfer_ms_ = ExpectedTransferMs(step, call, *server);
+    expected += call.expected_transfer_ms_;
   }
   StartAttempt start = BeginAttempt(step, call, Stage::kDecode, *server);
   start.source_address_ = call.handle_address_;
@@ -108,7 +104,8 @@
   const bool can_retry =
       IsRepeatable(call) && call.sends_ < call.rule_->outcome_.retries_;
   if (can_retry) {
-    start.first_byte_timeout_ = kFirstEventTimeout + ToMs(2 * expected);
+    start.first_byte_timeout_ =
+        kFirstEventTimeout + ToMilliseconds(2 * expected);
     start.event_timeout_ = kNextEventTimeout;
   }
   call.hold_.clear();
@@ -228,9 +225,7 @@
 void OnPrefillDone(Step& step, ActiveCall& call, const PrefillDone& event) {
   const std::string name = call.server_;
   ServerState* server = FindServer(step.dispatcher_.pool_, name);
-  const double took =
-      std::chrono::duration<double, std::milli>(step.now_ - call.sent_at_)
-          .count();
+  const double took = ToMs(step.now_ - call.sent_at_);
   const std::uint32_t tokens = call.counted_prefill_;
   const bool unqueued = call.prefill_was_unqueued_;
   ReleaseAttempt(step, call);
@@ -293,7 +288,7 @@
   if (event.last_event_.has_value()) {
     call.last_event_ = event.last_event_;
   }
-  call.longest_gap_ = std::max(call.longest_gap_, event.longest_gap_);
+  call.longest_gap_ = event.longest_gap_;
   const bool is_error = event.outcome_ == AttemptOutcome::kServerError;
   if (server != nullptr &&
       (event.outcome_ == AttemptOutcome::kDelivered || is_error)) {
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -35,10 +35,6 @@
 constexpr std::uint32_t kDefaultPlainSlots = 6;
 constexpr std::uint32_t kDefaultEngineSlots = 20;
 
-double Ms(core::Nanoseconds duration) {
-  return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 bool IsAvoided(const PlacementRequest& request, const std::string& name) {
   return std::find(request.avoid_.begin(), request.avoid_.end(), name) !=
          request.avoid_.end();
@@ -57,7 +53,7 @@
     cost += kUnlistedCost;
   }
   if (server.suspended_until_ > now) {
-    cost += kSuspendedCost + Ms(server.suspended_until_ - now);
+    cost += kSuspendedCost + ToMs(server.suspended_until_ - now);
   }
   if (IsAvoided(request, server.info_.name_)) {
     cost += kAvoidedCost;
@@ -83,8 +79,7 @@
 double SlownessMs(const ServerState& server, double fastest, TimePoint now) {
   const double excess = server.mean_ms_ - kSlowFactor * fastest;
   return excess <= 0 ? 0
-                     : excess * std::exp2(-Ms(now - server.measured_at_) /
-                                          Ms(kSlowHalfLife));
+                     : Fade(excess, server.measured_at_, kSlowHalfLife, now);
 }
 
 double PlainCost(const ServerState& server,
@@ -105,7 +100,7 @@
   // A server that leaves its calls unanswered for longer than twice the mean
   // may be dead.
   if (server.calls_ > 0) {
-    cost += std::max(0.0, Ms(now - server.silent_since_) - 2 * mean);
+    cost += std::max(0.0, ToMs(now - server.silent_since_) - 2 * mean);
   }
   return cost;
 }
@@ -279,9 +274,9 @@
       TransferMs(request.pool_settings_, request.prompt_tokens_,
                  prefill.server_->info_.domain_ != target.info_.domain_);
   const double split_ms = prefill.cost_ + decode.expected_ms_ + transfer_ms;
-  const bool lapses = OutlastsHandle(
-      request.pool_settings_,
-      transfer_ms + CurrentDelayMs(prefill.server_->transfer_delay_, now));
+  const double delay_ms = CurrentDelayMs(prefill.server_->transfer_delay_, now);
+  const bool lapses =
+      OutlastsHandle(request.pool_settings_, transfer_ms + delay_ms);
   if (lapses || direct.expected_ms_ + kDirectPrefillPenaltyMs < split_ms) {
     return direct;
   }
--- a/packages/dispatch/src/plain_call.cc
+++ b/packages/dispatch/src/plain_call.cc
@@ -34,10 +34,8 @@
   if (event.outcome_ == AttemptOutcome::kDelivered || is_error) {
     if (server != nullptr) {
       RecordAnswer(*server, is_error, step.now_);
-      const std::chrono::duration<double, std::milli> took =
-          step.now_ - call.sent_at_;
-      server->mean_ms_ =
-          Smooth(server->mean_ms_, took.count(), kPlainTimeWeight);
+      server->mean_ms_ = Smooth(
+          server->mean_ms_, ToMs(step.now_ - call.sent_at_), kPlainTimeWeight);
       server->measured_at_ = step.now_;
     }
     call.run_state_ = RunState::kRan;
--- a/packages/dispatch/src/server_pool.cc
+++ b/packages/dispatch/src/server_pool.cc
@@ -106,9 +106,7 @@
 }
 
 double CurrentDelayMs(const MeasuredDelay& delay, TimePoint now) {
-  const std::chrono::duration<double> age = now - delay.measured_at_;
-  const std::chrono::duration<double> half_life = kDelayHalfLife;
-  return delay.ms_ * std::exp2(-age / half_life);
+  return Fade(delay.ms_, delay.measured_at_, kDelayHalfLife, now);
 }
 
 void RecordDelay(MeasuredDelay& delay,
@@ -170,6 +168,17 @@
   server.suspended_until_ = now + std::min(pause, kMaxSuspension);
 }
 
+double ToMs(core::Nanoseconds duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+double Fade(double value,
+            TimePoint measured_at,
+            core::Nanoseconds half_life,
+            TimePoint now) {
+  return value * std::exp2(-ToMs(now - measured_at) / ToMs(half_life));
+}
+
 double Smooth(double mean, double sample, double weight) {
   return mean == 0 ? sample : mean + weight * (sample - mean);
 }
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -61,9 +61,7 @@
   if (call.answer_begun_ || mean == step.dispatcher_.mean_token_ms_.end()) {
     return true;
   }
-  const double left_ms =
-      std::chrono::duration<double, std::milli>(call.deadline_ - step.now_)
-          .count();
+  const double left_ms = ToMs(call.deadline_ - step.now_);
   return mean->second * call.call_.answer_tokens_ <= kAnswerTimeSlack * left_ms;
 }
 
@@ -72,9 +70,7 @@
     return;
   }
   const double ms =
-      std::chrono::duration<double, std::milli>(step.now_ - call.begun_at_)
-          .count() /
-      call.call_.answer_tokens_;
+      ToMs(step.now_ - call.begun_at_) / call.call_.answer_tokens_;
   double& mean = step.dispatcher_.mean_token_ms_[call.pool_];
   mean = Smooth(mean, ms, kTokenTimeWeight);
 }
