Measured delay: a test that fails without it

Prefill_WhenOtherEntriesFillTheQueue would pass without the delay, since a slow prefill also lowers the measured speed. The new case sets the speed first and compares timeouts before and after the delay has faded; a mutant drops the delay. The earlier case stays as it was.

--- a/packages/dispatch/test/engine_call_test.cc
+++ b/packages/dispatch/test/engine_call_test.cc
@@ -242,6 +242,25 @@
              static_cast<double>(first.count()));
 }
 
+BOOST_AUTO_TEST_CASE(Prefill_WhenItsEngineWasDelayed_TimesOutLaterForAWhile) {
+  Leave(Engine("p2", core::ServerRole::kPrefill));
+  const auto prefill_timeout = [this](Milliseconds took) {
+    const RequestId id = Arrive("/stream/1");
+    Reserve(id, true);
+    BOOST_TEST(Last(id).server_ == "p1");
+    const Milliseconds timeout = Last(id).first_byte_timeout_;
+    Pass(took);
+    Prefill(id, true);
+    return timeout;
+  };
+  prefill_timeout(Milliseconds(100));
+  prefill_timeout(Milliseconds(320));
+  const Milliseconds delayed = prefill_timeout(Milliseconds(100));
+  Pass(Milliseconds(10000));
+  const Milliseconds later = prefill_timeout(Milliseconds(100));
+  BOOST_TEST(delayed.count() > later.count() + 100);
+}
+
 BOOST_AUTO_TEST_CASE(Answer_WhenItsAttemptIsOver_IsIgnored) {
   const RequestId id = StartAnswer("/resume/1");
   const std::uint32_t old_attempt = Last(id).attempt_;
