--- a/packages/entry/test/site.h
+++ b/packages/entry/test/site.h
@@ -83,6 +83,9 @@
  private:
   void Spawn(const std::string& name, std::vector<std::string> command);
   std::string InstanceList() const;
+  // Prints the logs of all processes, also of killed ones, if the test case has
+  // failed so far.
+  void PrintLogsOfFailure() const;
 
   int base_;
   int entries_;
--- a/packages/entry/test/site_test.cc
+++ b/packages/entry/test/site_test.cc
@@ -3,6 +3,8 @@
 #define BOOST_TEST_MODULE entry
 #include <boost/test/unit_test.hpp>
 
+#include <boost/test/results_collector.hpp>
+
 #include "site.h"
 
 #include <arpa/inet.h>
@@ -150,9 +152,26 @@
     kill(pid, SIGKILL);
     waitpid(pid, nullptr, 0);
   }
+  PrintLogsOfFailure();
   std::filesystem::remove_all(directory_);
 }
 
+void Site::PrintLogsOfFailure() const {
+  namespace test = boost::unit_test;
+  const auto& result = test::results_collector.results(
+      test::framework::current_test_case().p_id);
+  if (result.p_assertions_failed == 0U) {
+    return;
+  }
+  for (const auto& file : std::filesystem::directory_iterator(directory_)) {
+    if (file.path().extension() == ".log") {
+      const std::string name = file.path().stem();
+      std::fprintf(stderr, "log of %s:\n%s\n", name.c_str(),
+                   LogOf(name).c_str());
+    }
+  }
+}
+
 void Site::Spawn(const std::string& name, std::vector<std::string> command) {
   command[0] = std::string(SISKINDRUM_BINARY_DIR) + "/" + command[0];
   std::vector<char*> arguments;
