Logs: the shared parts of a prompt, and the last event of a failed attempt

Of a prompt only the last part was read. Change: all parts are read; request_done and attempt_failed say the shared ones, attempt_failed also the last event.

--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "dispatcher_p.h"
 
 namespace siskindrum::dispatch {
@@ -54,6 +55,8 @@
   if (call.call_.prompt_ != 0) {
     log.fields_.push_back(
         {"prompt", absl::StrCat(absl::Hex(call.call_.prompt_))});
+    log.fields_.push_back(
+        {"shared_parts", FormatParts(call.call_.shared_parts_)});
     log.fields_.push_back(
         {"prompt_tokens", absl::StrCat(call.call_.shape_.prompt_tokens_)});
     log.fields_.push_back(
@@ -132,6 +135,12 @@
       std::chrono::duration_cast<Milliseconds>(duration).count());
 }
 
+std::string FormatParts(const std::vector<std::uint64_t>& parts) {
+  return absl::StrJoin(parts, ",", [](std::string* out, std::uint64_t part) {
+    absl::StrAppend(out, absl::Hex(part));
+  });
+}
+
 bool IsRepeatable(const ActiveCall& call) {
   const core::RuleOutcome& outcome = call.rule_->outcome_;
   return outcome.kind_ == core::BackendKind::kPlain
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -109,6 +109,7 @@
                       {"server", call.server_},
                       {"outcome", outcome},
                       {"ms", FormatMs(step.now_ - call.sent_at_)},
+                      {"shared_parts", FormatParts(call.call_.shared_parts_)},
                       {"detail", detail}}});
 }
 
@@ -156,7 +157,9 @@
   if (event.outcome_ != AttemptOutcome::kDelivered) {
     LogAttemptFailed(step, *call, ToString(event.outcome_),
                      absl::StrCat(core::ToString(event.run_state_), " status ",
-                                  event.status_, " ", event.detail_));
+                                  event.status_, " after event ",
+                                  event.last_event_.value_or(0), " ",
+                                  event.detail_));
   }
   if (call->stage_ == Stage::kPlain) {
     OnPlainDone(step, *call, event);
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -126,6 +126,8 @@
                    const std::string& source);
 
 std::string FormatMs(core::Nanoseconds duration);
+// Formats prompt parts as hexadecimal numbers with commas.
+std::string FormatParts(const std::vector<std::uint64_t>& parts);
 
 }  // namespace siskindrum::dispatch
 
