Quarantine of prompt parts that crash engines

Cause: a request whose engine ends is continued at the next engine, by its caller's repeat too, and no entry knew what the requests had in common. Class: a retry that repeats the cause of the failure. Change: an entry suspects the shared parts of each request that waited for its first event when its engine crashed, less the parts with which an answer was written in the last 30 s. A set of parts that two crashes have in common is quarantined: requests with all of them are refused at once, those in progress too, before any further send. Answers acquit their parts at once. Entries tell each other at once and with their gossip. A quarantine lasts 15 s doubled with each crash; after it one request at a time is sent on trial.

--- a/packages/core/include/siskindrum/core/peer_message.h
+++ b/packages/core/include/siskindrum/core/peer_message.h
@@ -138,6 +138,38 @@
   std::vector<ServerUse> servers_;
 };
 
+// Identities of the parts of a prompt, in ascending order.
+using PromptParts = std::vector<std::uint64_t>;
+
+// An engine crashed when it was about to begin a request with these parts.
+// Parts that are known to be harmless are left out.
+struct CrashSuspect {
+  std::string server_;
+  Milliseconds age_{0};  // Since the crash.
+  PromptParts parts_;
+};
+
+// A part with which an answer has been written without harm.
+struct HarmlessPart {
+  std::uint64_t part_ = 0;
+  Milliseconds age_{0};  // Since the latest such answer.
+};
+
+// Requests with all of these parts crash their engine and are not sent.
+struct QuarantinedParts {
+  PromptParts parts_;
+  std::uint32_t crashes_ = 0;
+  Milliseconds age_{0};  // Since the last crash.
+};
+
+// What the sender knows of prompt parts that crash engines, or what it has just
+// learned. Adds to what the receiver knows.
+struct QuarantineReport {
+  std::vector<CrashSuspect> suspects_;
+  std::vector<HarmlessPart> harmless_;
+  std::vector<QuarantinedParts> quarantined_;
+};
+
 using PeerBody = std::variant<Gossip,
                               ConfigurationRequest,
                               ConfigurationBody,
@@ -154,7 +186,8 @@
                               CallAnswer,
                               SeatHandover,
                               SeatHandoverRequest,
-                              EngineUseReport>;
+                              EngineUseReport,
+                              QuarantineReport>;
 
 struct PeerMessage {
   std::string from_;
--- a/packages/core/include/siskindrum/core/verdict.h
+++ b/packages/core/include/siskindrum/core/verdict.h
@@ -36,7 +36,8 @@
   kKeyAnswerDropped,
   kSendTooOld,
   kRetriesExhausted,
-  kTooLarge,  // Exceeds the memory of every engine.
+  kTooLarge,     // Exceeds the memory of every engine.
+  kQuarantined,  // Parts of its prompt crash engines.
   kCount
 };
 
--- a/packages/core/src/router.cc
+++ b/packages/core/src/router.cc
@@ -38,7 +38,8 @@
           [&](const SeatHandoverRequest& m) {
             OnSeatHandoverRequest(context, from, m);
           },
-          [](const EngineUseReport&) {},  // Unused: homes count slots.
+          [](const EngineUseReport&) {},   // Unused: homes count slots.
+          [](const QuarantineReport&) {},  // Unused: it knows no parts.
       },
       message.body_);
 }
--- a/packages/core/src/verdict.cc
+++ b/packages/core/src/verdict.cc
@@ -36,6 +36,7 @@
       "send_too_old",
       "retries_exhausted",
       "too_large",
+      "quarantined",
   };
   static_assert(std::size(kNames) == static_cast<std::size_t>(Reason::kCount));
   return kNames[static_cast<int>(reason)];
--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -12,8 +12,10 @@
 #include "siskindrum/core/router.h"
 #include "siskindrum/dispatch/answer_length.h"
 #include "siskindrum/dispatch/event.h"
+#include "siskindrum/dispatch/limits.h"
 #include "siskindrum/dispatch/peers.h"
 #include "siskindrum/dispatch/placement.h"
+#include "siskindrum/dispatch/quarantine.h"
 #include "siskindrum/dispatch/repeat_budget.h"
 #include "siskindrum/dispatch/server_pool.h"
 #include "siskindrum/dispatch/use_view.h"
@@ -55,6 +57,8 @@
   TimePoint reserved_at_{};  // First granted reservation; epoch: none.
   bool has_server_error_ = false;
   std::vector<std::string> avoid_;
+  bool parts_harmless_ = false;  // Its answer proved that.
+  Milliseconds retry_after_{0};  // Advice with a refusal; zero: by its reason.
 
   // Chosen decode engine.
   std::string decode_server_;
@@ -74,6 +78,14 @@
   Milliseconds longest_gap_{0};  // Between two events of the answer.
 };
 
+// What peers are still to be told of the quarantine, and how many messages may
+// be sent.
+struct QuarantineNews {
+  core::QuarantineReport report_;
+  double messages_ = kNewsBurst;
+  TimePoint counted_at_{};
+};
+
 struct DispatchCounters {
   std::uint64_t arrived_ = 0;
   std::uint64_t delivered_ = 0;
@@ -93,6 +105,9 @@
   std::uint64_t reserves_refused_ = 0;
   std::uint64_t waits_ = 0;
   std::uint64_t orders_ = 0;
+  std::uint64_t suspicions_ = 0;   // Own and reported by peers.
+  std::uint64_t quarantines_ = 0;  // Imposed or renewed.
+  std::uint64_t quarantined_ = 0;  // Refused requests.
 };
 
 struct DispatcherOptions {
@@ -121,6 +136,9 @@
   RepeatBudget budget_;
   Peers peers_;
   PeerUsage use_;
+  Quarantine quarantine_;
+  QuarantineNews quarantine_news_;
+  double release_draw_ = 0;  // In [0, 1); of this entry's release delay.
   // Addresses of engines that retained a prompt from before this process
   // started, by prompt identity.
   std::unordered_map<std::uint64_t, std::string> retained_prompts_;
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -40,8 +40,8 @@
   Milliseconds time_left_{0};        // Until the caller's deadline; zero: none.
   std::uint32_t answer_tokens_ = 0;  // Expected; zero: unknown.
   std::uint64_t prompt_ = 0;         // Identity of the prompt; zero: unknown.
-  // Identities of the parts of the prompt that other requests may share.
-  std::vector<std::uint64_t> shared_parts_;
+  // Parts of the prompt that other requests may share.
+  core::PromptParts shared_parts_;
   // The caller resumes after this event.
   std::optional<std::uint64_t> last_event_;
 };
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -169,6 +169,43 @@
 // Entries of the same failure domain that get a report in one round.
 inline constexpr std::size_t kUsageFanOut = 16;
 
+// Crashes after which the parts of a waiting request are quarantined, if it was
+// the same set of parts each time, or only a common part of different sets.
+inline constexpr std::uint32_t kMinCrashes = 2;
+inline constexpr std::uint32_t kMinCrashesOfCommonParts = 3;
+// Two reports of one server's crash differ by less; an engine takes longer to
+// start again.
+inline constexpr Milliseconds kSameCrashTime{1000};
+// A crash is evidence for this long.
+inline constexpr Milliseconds kSuspicionLifetime{60000};
+// An answer acquits its parts of crashes up to this much later.
+inline constexpr Milliseconds kHarmlessLifetime{30000};
+// An answer that was written for this long proves its parts harmless.
+inline constexpr Milliseconds kHarmlessWritingTime{500};
+// A lost connection counts as a crash if others to the same server were lost
+// within this time, or if the answer's head had arrived.
+inline constexpr Milliseconds kCrashConfirmTime{250};
+// A quarantine lasts this long after its last crash, doubled for each crash, up
+// to the maximum.
+inline constexpr Milliseconds kBaseQuarantineTerm{15000};
+inline constexpr Milliseconds kMaxQuarantineTerm{3600000};
+// After the end of a quarantine, one request in this time is sent on trial.
+inline constexpr Milliseconds kTrialTime{10000};
+// The ends of a quarantine at different entries are this far apart on average,
+// longer than the result of a trial takes to reach the others.
+inline constexpr Milliseconds kReleaseSpacing{2000};
+inline constexpr Milliseconds kQuarantineExpiryInterval{1000};
+inline constexpr std::size_t kMaxSuspicions = 64;
+inline constexpr std::size_t kMaxQuarantinedSets = 32;
+inline constexpr std::size_t kMaxHarmlessParts = 8192;
+// Rows of each kind in one report to a peer.
+inline constexpr std::size_t kMaxReportRows = 8;
+// Entries that get news of crashes at once, and the mean rate and largest burst
+// of such messages.
+inline constexpr std::size_t kNewsFanOut = 6;
+inline constexpr double kNewsMessagesPerSecond = 6;
+inline constexpr double kNewsBurst = 60;
+
 inline constexpr Milliseconds kTickInterval{20};
 inline constexpr std::size_t kMaxDecisionRecords = 2000;
 // Candidate servers listed in a decision record.
--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -50,8 +50,9 @@
   std::uint32_t peer_held_tokens_ = 0;  // By other entries, as reported.
   std::uint32_t failures_ = 0;          // Consecutive.
   TimePoint suspended_until_{};
-  TimePoint full_until_{};         // After it refused a reservation as full.
-  TimePoint role_change_until_{};  // It is changing from prefill to decode.
+  TimePoint full_until_{};          // After it refused a reservation as full.
+  TimePoint role_change_until_{};   // It is changing from prefill to decode.
+  TimePoint connection_lost_at_{};  // During an attempt; epoch: never.
   // Last answer or, if later, end of an idle period.
   TimePoint silent_since_{};
   double error_share_ = 0;   // Moving average of the share of errors.
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -266,7 +266,9 @@
       outcome = "cut";
       ++dispatcher.counters_.cut_;
     } else if (call.run_state_ == RunState::kNotRun) {
-      refuse.verdict_.retry_after_ = AddJitter(step, RetryAfterFor(reason));
+      refuse.verdict_.retry_after_ = AddJitter(
+          step, call.retry_after_.count() > 0 ? call.retry_after_
+                                              : RetryAfterFor(reason));
       ++dispatcher.counters_.refused_not_run_;
     } else {
       outcome = "failed";
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -40,7 +40,7 @@
   AddDecision(step.dispatcher_, call);
   if (outcome.kind_ == core::BackendKind::kPlain) {
     SendPlain(step, call);
-  } else {
+  } else if (!RefuseNewQuarantined(step, call)) {
     UseRetainedPrompt(step, call);
     AssignDecodeEngine(step, call);
   }
@@ -155,11 +155,11 @@
     return;
   }
   if (event.outcome_ != AttemptOutcome::kDelivered) {
-    LogAttemptFailed(step, *call, ToString(event.outcome_),
-                     absl::StrCat(core::ToString(event.run_state_), " status ",
-                                  event.status_, " after event ",
-                                  event.last_event_.value_or(0), " ",
-                                  event.detail_));
+    LogAttemptFailed(
+        step, *call, ToString(event.outcome_),
+        absl::StrCat(core::ToString(event.run_state_), " status ",
+                     event.status_, " after event ",
+                     event.last_event_.value_or(0), " ", event.detail_));
   }
   if (call->stage_ == Stage::kPlain) {
     OnPlainDone(step, *call, event);
@@ -274,6 +274,7 @@
     }
     FailCall(step, call, core::Reason::kDeadline, "");
   }
+  UpdateQuarantine(step);
   QueryRetainedPrompts(step);
   RetryWaiting(step);
   GossipWithPeers(step);
@@ -326,6 +327,8 @@
   Dispatcher dispatcher;
   dispatcher.options_ = options;
   dispatcher.random_.seed(options.seed_);
+  dispatcher.release_draw_ =
+      std::uniform_real_distribution<double>(0, 1)(dispatcher.random_);
   dispatcher.peers_.seeds_ = options.seeds_;
   core::MemberRow& self = dispatcher.peers_.membership_.self_;
   self.name_ = options.name_;
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -108,8 +108,34 @@
 // their target, by priority, then the others in arrival order.
 void RetryWaiting(Step& step);
 
+// quarantined_calls.cc: requests whose prompt may crash engines.
+
+// Refuses a new request whose prompt parts are quarantined. Returns true if so;
+// `call` is then destroyed.
+bool RefuseNewQuarantined(Step& step, ActiveCall& call);
+// The same before each later stage of a request.
+bool RefuseQuarantined(Step& step, ActiveCall& call);
+// Records that the engine crashed before it wrote an event of this attempt, if
+// that is what `event` means. Call before the attempt's result is stored in
+// `call`.
+void RecordCrashSuspect(Step& step,
+                        const ActiveCall& call,
+                        const AttemptDone& event);
+// Records that an answer of the request was written.
+void RecordHarmlessCall(Step& step, ActiveCall& call);
+void OnQuarantineReport(Step& step,
+                        const std::string& from,
+                        const core::QuarantineReport& report);
+// Records answers that have been written for long enough, sends news to peers
+// and drops what is too old.
+void UpdateQuarantine(Step& step);
+
 // peers.cc: messages between entries.
 
+// Sends the report to random peers. Returns how many.
+std::size_t SendQuarantineReport(Step& step,
+                                 const core::QuarantineReport& report);
+
 void OnPeerMessage(Step& step, const PeerMessageReceived& event);
 // Sends gossip to some peers once per round, and requests newer versions from a
 // peer that has them.
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -72,6 +72,9 @@
     AssignDecodeEngine(step, call);
     return;
   }
+  if (RefuseQuarantined(step, call)) {
+    return;
+  }
   std::string denied;
   if (!AllowAttempt(step, call, &denied)) {
     FailCall(step, call, core::Reason::kRetriesExhausted, denied);
@@ -117,6 +120,9 @@
 
 // Starts the stage that follows the choice of a decode engine.
 void SendPrefillOrDecode(Step& step, ActiveCall& call) {
+  if (RefuseQuarantined(step, call)) {
+    return;
+  }
   if (!call.handle_.empty() || call.direct_) {
     SendDecode(step, call);
     return;
@@ -166,6 +172,9 @@
 }  // namespace
 
 void AssignDecodeEngine(Step& step, ActiveCall& call) {
+  if (RefuseQuarantined(step, call)) {
+    return;
+  }
   const PlacementRequest request = MakePlacementRequest(step, call);
   const EnginePlacement plan =
       PlaceDecode(step.dispatcher_.pool_, request, call.direct_, step.now_);
@@ -285,6 +294,10 @@
   Dispatcher& dispatcher = step.dispatcher_;
   const std::string name = call.server_;
   ServerState* server = FindServer(dispatcher.pool_, name);
+  RecordCrashSuspect(step, call, event);
+  if (server != nullptr && event.reason_ == core::Reason::kConnectionLost) {
+    server->connection_lost_at_ = step.now_;
+  }
   if (event.last_event_.has_value()) {
     call.last_event_ = event.last_event_;
   }
@@ -298,6 +311,7 @@
     call.run_state_ = RunState::kRan;
     RecordTokenTime(step, call);
     RecordDeliveredLength(step, call);
+    RecordHarmlessCall(step, call);
     ++dispatcher.counters_.delivered_;
     EndCall(step, call, "delivered");
     return;
--- a/packages/dispatch/src/peers.cc
+++ b/packages/dispatch/src/peers.cc
@@ -68,6 +68,24 @@
                                            name, step.now_)});
 }
 
+// Delays the ends of quarantines by this entry's part of the fleet.
+void UpdateReleaseDelay(Dispatcher& dispatcher) {
+  const auto entries = static_cast<double>(KnownEntryCount(dispatcher.peers_));
+  dispatcher.quarantine_.release_delay_ =
+      std::chrono::duration_cast<core::Nanoseconds>(dispatcher.release_draw_ *
+                                                    entries * kReleaseSpacing);
+}
+
+// Tells a peer all that matters of the quarantine, so that it knows also what
+// it missed.
+void SendQuarantine(Step& step, const std::string& address) {
+  core::QuarantineReport report =
+      MakeReport(step.dispatcher_.quarantine_, step.now_);
+  if (!report.suspects_.empty() || !report.quarantined_.empty()) {
+    SendToPeer(step, address, std::move(report));
+  }
+}
+
 void SendGossipRound(Step& step) {
   Dispatcher& dispatcher = step.dispatcher_;
   Peers& peers = dispatcher.peers_;
@@ -78,6 +96,11 @@
   for (const std::string& name : targets) {
     SendGossip(step, name, peers.membership_.members_.at(name).row_.address_);
   }
+  if (!targets.empty()) {
+    SendQuarantine(
+        step, peers.membership_.members_.at(targets.front()).row_.address_);
+  }
+  UpdateReleaseDelay(dispatcher);
   // An entry without rules or a server list gossips to all its seeds; others
   // try one per round.
   const std::vector<std::string> seeds = UnresolvedSeeds(peers);
@@ -199,6 +222,7 @@
   if (is_new || (sender.revision_ == 0 && OwnRevision(dispatcher) != 0)) {
     UpdateOwnRow(step);
     SendGossip(step, from, sender.address_);
+    SendQuarantine(step, sender.address_);
   }
   RequestNewerData(step);
 }
@@ -298,6 +322,23 @@
   }
 }
 
+std::size_t SendQuarantineReport(Step& step,
+                                 const core::QuarantineReport& report) {
+  const core::Membership& membership = step.dispatcher_.peers_.membership_;
+  std::vector<std::string> addresses;
+  for (const auto& [name, member] : membership.members_) {
+    if (core::IsHeard(membership, member, step.now_)) {
+      addresses.push_back(member.row_.address_);
+    }
+  }
+  std::shuffle(addresses.begin(), addresses.end(), step.dispatcher_.random_);
+  addresses.resize(std::min(addresses.size(), kNewsFanOut));
+  for (const std::string& address : addresses) {
+    SendToPeer(step, address, report);
+  }
+  return addresses.size();
+}
+
 std::size_t KnownEntryCount(const Peers& peers) {
   return core::CountEntries(peers.membership_);
 }
@@ -325,6 +366,9 @@
                  [&](const core::EngineUseReport& body) {
                    OnUsageReport(step, message, body);
                  },
+                 [&](const core::QuarantineReport& body) {
+                   OnQuarantineReport(step, message.from_, body);
+                 },
                  [&](const auto&) {
                    step.actions_.emplace_back(core::LogEvent{
                        "peer_message_ignored", {{"from", message.from_}}});
--- a/packages/dispatch/test/dispatcher_fixture.h
+++ b/packages/dispatch/test/dispatcher_fixture.h
@@ -104,12 +104,14 @@
 
   RequestId Arrive(const std::string& path,
                    std::uint32_t prompt = 5000,
-                   std::uint32_t answer = 700) {
+                   std::uint32_t answer = 700,
+                   const core::PromptParts& shared_parts = {}) {
     CallArrived arrived;
     arrived.request_ = {1, ++requests_};
     arrived.call_.shape_.path_ = path;
     arrived.call_.shape_.prompt_tokens_ = prompt;
     arrived.call_.answer_tokens_ = answer;
+    arrived.call_.shared_parts_ = shared_parts;
     arrived.call_.label_ = "r" + std::to_string(requests_);
     arrived.call_.time_left_ = Milliseconds(14000);
     arrived.arrived_at_ = now_;
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -65,6 +65,12 @@
 void Take(const Json& json, SeatRecord& row);
 Json Put(const ServerUse& row);
 void Take(const Json& json, ServerUse& row);
+Json Put(const CrashSuspect& row);
+void Take(const Json& json, CrashSuspect& row);
+Json Put(const HarmlessPart& row);
+void Take(const Json& json, HarmlessPart& row);
+Json Put(const QuarantinedParts& row);
+void Take(const Json& json, QuarantinedParts& row);
 
 // Every struct is written as an array of its fields in order of declaration.
 
@@ -432,6 +438,42 @@
   TakeRows(json.at(1), m.servers_);
 }
 
+Json Put(const CrashSuspect& row) {
+  return Json::array({row.server_, row.age_.count(), row.parts_});
+}
+void Take(const Json& json, CrashSuspect& row) {
+  row.server_ = json.at(0).get<std::string>();
+  row.age_ = Milliseconds(json.at(1).get<std::int64_t>());
+  row.parts_ = json.at(2).get<PromptParts>();
+}
+
+Json Put(const HarmlessPart& row) {
+  return Json::array({row.part_, row.age_.count()});
+}
+void Take(const Json& json, HarmlessPart& row) {
+  row.part_ = json.at(0).get<std::uint64_t>();
+  row.age_ = Milliseconds(json.at(1).get<std::int64_t>());
+}
+
+Json Put(const QuarantinedParts& row) {
+  return Json::array({row.parts_, row.crashes_, row.age_.count()});
+}
+void Take(const Json& json, QuarantinedParts& row) {
+  row.parts_ = json.at(0).get<PromptParts>();
+  row.crashes_ = json.at(1).get<std::uint32_t>();
+  row.age_ = Milliseconds(json.at(2).get<std::int64_t>());
+}
+
+Json Put(const QuarantineReport& m) {
+  return Json::array(
+      {PutRows(m.suspects_), PutRows(m.harmless_), PutRows(m.quarantined_)});
+}
+void Take(const Json& json, QuarantineReport& m) {
+  TakeRows(json.at(0), m.suspects_);
+  TakeRows(json.at(1), m.harmless_);
+  TakeRows(json.at(2), m.quarantined_);
+}
+
 template <std::size_t Index = 0>
 PeerBody TakeBody(std::size_t kind, const Json& json) {
   if constexpr (Index < std::variant_size_v<PeerBody>) {
--- a/packages/peer/test/peer_test.cc
+++ b/packages/peer/test/peer_test.cc
@@ -76,7 +76,10 @@
                        {WallTime(Milliseconds(1)), WallTime(Milliseconds(2))},
                        {{"k", CallState::kAnswered, {200, "t", "b"}, true}}},
           SeatHandoverRequest{"seat"},
-          EngineUseReport{8, {{"d1", 9000}, {"d2", 400}}}};
+          EngineUseReport{8, {{"d1", 9000}, {"d2", 400}}},
+          QuarantineReport{{{"d1", Milliseconds(40), {1, UINT64_MAX}}},
+                           {{3, Milliseconds(50)}},
+                           {{{4, 5}, 2, Milliseconds(60)}}}};
 }
 
 BOOST_AUTO_TEST_SUITE(Peer)
