Answers: only an event stream continues a stream that has begun

What callers saw: a stream began and broke off; the server that was to resume it answered with an error, with another type of body or with none. The error's text followed the events, and the stream ended as if it were complete. Cause: a later attempt's answer counted as part of the stream as soon as the caller had begun to receive one, whatever its status and type. Change: a successful answer continues a stream only if both are event streams; anything else fails that attempt, which is resumed elsewhere where the rule allows it and else cut off without the last chunk.

--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -155,7 +155,8 @@
   const bool trusted = start_.stage_ == Stage::kPrefill
                            ? true
                            : fields.match_ == AnswerMatch::kThisRequest &&
-                                 fields.authentic_ && !encoded;
+                                 fields.authentic_ && !encoded &&
+                                 ContinuesAnswer(head);
   if (IsSuccess(head) && !trusted) {
     return http::AnswerDecision::kFail;
   }
@@ -167,6 +168,10 @@
   return http::AnswerDecision::kAccept;
 }
 
+bool Exchange::ContinuesAnswer(const http::Head& head) const {
+  return !answer_begun_ || (is_event_stream_ && IsEventStream(head));
+}
+
 void Exchange::OnBody(std::uint32_t attempt, std::string_view data) {
   if (attempt != start_.attempt_ || done_ || !attempt_open_) {
     return;
@@ -303,7 +308,7 @@
            "");
     return;
   }
-  if (IsStreaming() || answer_begun_) {
+  if (IsStreaming() || (answer_begun_ && IsSuccess(*answer_))) {
     if (!events_.partial_.empty()) {
       Report(AttemptOutcome::kFailed, RunState::kMayHaveRun, Reason::kBadAnswer,
              "the stream ended in the middle of an event");
@@ -333,6 +338,11 @@
            "");
     return;
   }
+  if (answer_begun_) {
+    Report(AttemptOutcome::kFailed, RunState::kRan, Reason::kBadAnswer,
+           "the answer does not continue the stream that has begun");
+    return;
+  }
   done_ = true;
   RecordTiming(start_.stage_ == Stage::kPlain ? telemetry::Timing::kPlainCall
                                               : telemetry::Timing::kRequest);
--- /dev/null
+++ b/packages/gateway/test/broken_answer_test.cc
@@ -0,0 +1,93 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "absl/strings/match.h"
+#include "gateway_fixture.h"
+#include "siskindrum/http/message.h"
+
+namespace siskindrum::gateway {
+namespace {
+
+// Servers whose answers break off, and servers that take over from them.
+struct BrokenAnswerFixture : GatewayFixture {
+  static test::ScriptedServer::Script Sends(const std::string& bytes) {
+    return [bytes](test::Peer& peer, int) {
+      peer.ReadUntil("\r\n\r\n");
+      peer.Send(bytes);
+    };
+  }
+  // Begins an answer with `bytes` and breaks off. `other` is added once this
+  // server has the request: the dispatcher may choose either.
+  test::ScriptedServer::Script SendsAndBreaksOff(
+      const std::string& bytes,
+      const test::ScriptedServer& other) {
+    return [this, bytes, &other](test::Peer& peer, int) {
+      peer.ReadUntil("\r\n\r\n");
+      AddServer("d2", "engines", core::ServerRole::kDecode, other.Address());
+      peer.Send(bytes);
+      std::this_thread::sleep_for(core::Milliseconds(50));
+      peer.Reset();
+    };
+  }
+  static std::string BeginOfStream() {
+    return kStreamHead + http::FormatChunk(Events(1, 3));
+  }
+};
+
+// Answers that cannot continue a stream that has begun.
+constexpr const char* kForeignAnswers[] = {
+    "HTTP/1.1 500 Oops\r\nId: 7\r\nMark: m\r\nContent-Length: 4\r\n\r\noops",
+    "HTTP/1.1 503 Oops\r\nId: 7\r\nMark: m\r\nContent-Length: 4\r\n\r\noops",
+    "HTTP/1.1 404 Oops\r\nId: 7\r\nMark: m\r\nContent-Length: 4\r\n\r\noops",
+    "HTTP/1.1 302 Oops\r\nId: 7\r\nMark: m\r\nContent-Length: 4\r\n\r\noops",
+    "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\nContent-Type: text/plain\r\n"
+    "Content-Length: 4\r\n\r\noops",
+    "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 204 No Content\r\nId: 7\r\nMark: m\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Type: text/event-stream\r\n"
+    "Content-Length: 4\r\n\r\noops",
+    "HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\noops",
+};
+
+BOOST_FIXTURE_TEST_SUITE(BrokenAnswers, BrokenAnswerFixture)
+
+BOOST_DATA_TEST_CASE(Stream_WhenTheNextServerFails_IsCutOff,
+                     boost::unit_test::data::make(kForeignAnswers),
+                     foreign) {
+  test::ScriptedServer other(Sends(foreign));
+  test::ScriptedServer first(SendsAndBreaksOff(BeginOfStream(), other));
+  AddServer("d1", "engines", core::ServerRole::kDecode, first.Address());
+  const std::string answer = SendRequest("/resume");
+  BOOST_TEST_INFO(answer);
+  BOOST_TEST(answer.ends_with(http::FormatChunk(Events(1, 3))));
+}
+
+BOOST_DATA_TEST_CASE(Stream_WhenTheNextServerFails_IsResumedAtAThird,
+                     boost::unit_test::data::make(kForeignAnswers),
+                     foreign) {
+  std::string third_request;
+  test::ScriptedServer third([&third_request](test::Peer& peer, int) {
+    third_request = peer.ReadUntil("\r\n\r\n");
+    peer.Send(kStreamHead + http::FormatChunk(Events(4, 6)) +
+              std::string(http::kLastChunk));
+  });
+  test::ScriptedServer other([&](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    AddServer("d3", "engines", core::ServerRole::kDecode, third.Address());
+    peer.Send(foreign);
+  });
+  test::ScriptedServer first(SendsAndBreaksOff(BeginOfStream(), other));
+  AddServer("d1", "engines", core::ServerRole::kDecode, first.Address());
+  const std::string answer = SendRequest("/resume-twice");
+  BOOST_TEST_INFO(answer);
+  BOOST_TEST(answer.ends_with(http::FormatChunk(Events(1, 3)) +
+                              http::FormatChunk(Events(4, 6)) +
+                              std::string(http::kLastChunk)));
+  BOOST_TEST(absl::StrContains(third_request, "After: 3"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace siskindrum::gateway
--- a/packages/gateway/test/gateway_fixture.h
+++ b/packages/gateway/test/gateway_fixture.h
@@ -87,6 +87,8 @@
     "timeout=5s # asked by Ann\n"
     "when path=/read* then pool=plain plain retries=1 timeout=5s "
     "# asked by Bo\n"
+    "when path=/resume-twice* then pool=engines resume=allowed retries=2 "
+    "timeout=5s # asked by Eve\n"
     "when path=/resume* then pool=engines resume=allowed retries=1 "
     "timeout=5s # asked by Cy\n"
     "when path=/stream* then pool=engines resume=never retries=0 "
