Answers: a stored server error is not written into a stream

What callers saw: the whole head of an error answer in the middle of a stream. Cause: the dispatcher may decide to deliver a server's error (at the deadline) while the event that a later attempt has begun to stream is still on its way to it. The exchange wrote the stored answer all the same. Change: once an answer has begun, the connection is cut off instead, as it is for a refusal.

--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -408,6 +408,10 @@
   done_ = true;
   attempt_open_ = false;
   call_.Cancel();
+  if (answer_begun_) {
+    caller_->Abort();
+    return;
+  }
   caller_->Respond(stored_error_->head_, stored_error_->body_);
 }
 
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -49,7 +49,8 @@
   // Answers the caller with a refusal, or closes the connection when an answer
   // has begun.
   void Refuse(const core::Verdict& verdict);
-  // Answers the caller with the server error that was stored.
+  // Answers the caller with the server error that was stored, or closes the
+  // connection when an answer has begun.
   void DeliverStoredError();
   // Cancels the attempt after the caller has disconnected.
   void Cancel();
--- /dev/null
+++ b/packages/gateway/test/exchange_test.cc
@@ -0,0 +1,126 @@
+#include <boost/test/unit_test.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include "absl/strings/match.h"
+#include "exchange_p.h"
+#include "gateway_fixture.h"
+#include "siskindrum/http/clock.h"
+
+namespace siskindrum::gateway {
+namespace {
+
+// One exchange on the test's own thread, between a caller and scripted servers.
+// The test takes the dispatcher's place.
+struct ExchangeFixture {
+  ExchangeFixture() {
+    handlers_.on_request_ =
+        [this](const std::shared_ptr<http::CallerConnection>& caller,
+               http::CallerRequest request) {
+          exchange_ = std::make_shared<Exchange>(core::RequestId{}, "7", caller,
+                                                 std::move(request), shared_);
+        };
+    handlers_.on_disconnect_ = [](http::CallerConnection&) {};
+    handlers_.on_writable_ = [](http::CallerConnection&) {};
+    handlers_.on_closed_ = [](http::CallerConnection&) {};
+    boost::asio::ip::tcp::acceptor acceptor(
+        context_, {boost::asio::ip::address_v4::loopback(), 0});
+    peer_ = std::make_unique<test::Peer>(
+        test::Peer::Connect(acceptor.local_endpoint().port()));
+    caller_ = std::make_shared<http::CallerConnection>(acceptor.accept(),
+                                                       limits_, handlers_);
+    caller_->Start();
+    peer_->Send(
+        "POST /resume HTTP/1.1\r\nHost: h\r\nId: 7\r\n"
+        "Content-Length: 0\r\n\r\n");
+    RunUntil([this] { return exchange_ != nullptr; });
+  }
+  template <class Condition>
+  void RunUntil(Condition condition) {
+    const core::TimePoint limit =
+        http::MonotonicNow() + core::Milliseconds(test::kWaitMs);
+    while (!condition() && http::MonotonicNow() < limit) {
+      context_.restart();
+      context_.run_for(core::Milliseconds(5));
+    }
+  }
+  // Starts the next attempt and waits for an event of the given type.
+  template <class Event>
+  Event Attempt(const test::ScriptedServer& server, dispatch::Stage stage) {
+    events_.clear();
+    dispatch::StartAttempt start;
+    start.attempt_ = ++attempts_;
+    start.stage_ = stage;
+    start.address_ = server.Address();
+    start.decided_at_ = http::MonotonicNow();
+    start.deadline_ = start.decided_at_ + core::Milliseconds(test::kWaitMs);
+    exchange_->Start(start);
+    RunUntil([this] { return Find<Event>() != nullptr; });
+    BOOST_REQUIRE(Find<Event>() != nullptr);
+    return *Find<Event>();
+  }
+  template <class Event>
+  const Event* Find() const {
+    for (const dispatch::Event& event : events_) {
+      if (const auto* found = std::get_if<Event>(&event)) {
+        return found;
+      }
+    }
+    return nullptr;
+  }
+  // Ends the exchange's side of the connection and returns what the caller got.
+  std::string CallerText() {
+    context_.restart();
+    context_.run_for(core::Milliseconds(50));
+    caller_->Abort();
+    return peer_->ReadAll();
+  }
+
+  boost::asio::io_context context_{1};
+  Dialect dialect_ = TestDialect();
+  http::BackendPool pool_{context_};
+  telemetry::Metrics metrics_;
+  std::vector<dispatch::Event> events_;
+  ExchangeContext shared_{
+      dialect_, pool_, metrics_,
+      [this](dispatch::Event event) { events_.push_back(std::move(event)); }};
+  http::CallerLimits limits_;
+  http::CallerHandlers handlers_;
+  std::unique_ptr<test::Peer> peer_;
+  std::shared_ptr<http::CallerConnection> caller_;
+  std::shared_ptr<Exchange> exchange_;
+  std::uint32_t attempts_ = 0;
+};
+
+// Script of a server that keeps its connection open after `bytes`.
+test::ScriptedServer::Script Sends(const std::string& bytes) {
+  return [bytes](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send(bytes);
+    peer.ReadAll();
+  };
+}
+
+BOOST_FIXTURE_TEST_SUITE(Exchanges, ExchangeFixture)
+
+// The dispatcher may decide on the error before it has learned of the stream.
+BOOST_AUTO_TEST_CASE(StoredError_WhenAStreamHasBegun_IsNotWrittenIntoIt) {
+  test::ScriptedServer failing(
+      Sends("HTTP/1.1 500 Oops\r\nId: 7\r\nMark: m\r\nContent-Length: 4\r\n"
+            "\r\noops"));
+  test::ScriptedServer streaming(
+      Sends(kStreamHead + http::FormatChunk(Events(1, 3))));
+  Attempt<dispatch::AttemptDone>(failing, dispatch::Stage::kDecode);
+  Attempt<dispatch::AnswerBegan>(streaming, dispatch::Stage::kDecode);
+  exchange_->DeliverStoredError();
+  const std::string text = CallerText();
+  BOOST_TEST_INFO(text);
+  BOOST_TEST(!absl::StrContains(text, "oops"));
+  BOOST_TEST(exchange_->IsDone());
+  BOOST_TEST(peer_->WasReset());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace siskindrum::gateway
