Answers: one without event ids is not repeated after it broke off

What callers saw: the beginning of a stream twice, where its events bear no ids; a body that is no event stream was asked for once more in vain. Cause: the dispatcher resumed every broken answer of a route that may resume, but without the id of the last event the next server starts again. Evidence: on the code before, AnswerWithoutEventIds_WhenItBreaksOff_IsNotRepeated got the event twice and the last chunk, and the other server one request. Change: the exchange reports whether another attempt can complete the answer without repeating a part; if not, the answer is cut off, and no timeout between events ends it sooner.

--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -108,6 +108,8 @@
   // Last event delivered to the caller.
   std::optional<std::uint64_t> last_event_;
   bool misdirected_ = false;  // As in PrefillDone.
+  // Another attempt can complete the answer without repeating any part of it.
+  bool can_resume_ = true;
   // Longest time between two events of the whole answer so far, including
   // earlier attempts.
   Milliseconds longest_gap_{0};
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -330,7 +330,7 @@
   } else {
     ++call.sends_;
     call.sent_before_ = true;
-    if (IsRepeatable(call)) {
+    if (IsRepeatable(call) && event.can_resume_) {
       dispatcher.counters_.resumed_ += call.answer_begun_ ? 1 : 0;
       RetryWithDirectPrefill(step, call);
       return;
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -172,6 +172,11 @@
   return !answer_begun_ || (is_event_stream_ && IsEventStream(head));
 }
 
+bool Exchange::CanResume() const {
+  return !answer_begun_ ||
+         (is_event_stream_ && events_.last_event_.has_value());
+}
+
 void Exchange::OnBody(std::uint32_t attempt, std::string_view data) {
   if (attempt != start_.attempt_ || done_ || !attempt_open_) {
     return;
@@ -366,6 +371,7 @@
   done.longest_gap_ =
       std::chrono::duration_cast<core::Milliseconds>(longest_gap_);
   done.misdirected_ = answer_fields_.misdirected_;
+  done.can_resume_ = CanResume();
   context_.post_(std::move(done));
 }
 
@@ -427,7 +433,7 @@
   }
   const core::Milliseconds limit =
       answer_begun_ ? start_.event_timeout_ : start_.first_byte_timeout_;
-  if (limit.count() == 0 || now - last_progress_at_ < limit) {
+  if (limit.count() == 0 || !CanResume() || now - last_progress_at_ < limit) {
     return;
   }
   FailAttempt(Reason::kDeadline, "timeout: no data from the server");
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -68,6 +68,9 @@
   // Returns whether a successful answer with this head may follow what the
   // caller has already received.
   bool ContinuesAnswer(const http::Head& head) const;
+  // Returns whether another attempt can complete the answer without repeating
+  // what the caller has already received.
+  bool CanResume() const;
   void OnBody(std::uint32_t attempt, std::string_view data);
   void OnEnd(std::uint32_t attempt, const http::CallResult& end);
   void OnReserveEnd(const http::CallResult& end);
--- a/packages/gateway/test/broken_answer_test.cc
+++ b/packages/gateway/test/broken_answer_test.cc
@@ -2,6 +2,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
+
 #include "absl/strings/match.h"
 #include "gateway_fixture.h"
 #include "siskindrum/http/message.h"
@@ -87,6 +89,32 @@
   BOOST_TEST(absl::StrContains(third_request, "After: 3"));
 }
 
+// Beginnings of answers of which no server can send just the rest.
+const std::string kUnresumableBeginnings[] = {
+    "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\nContent-Type: text/plain\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n" +
+        http::FormatChunk("some"),
+    kStreamHead + http::FormatChunk("data: some\n\n"),
+};
+
+BOOST_DATA_TEST_CASE(AnswerWithoutEventIds_WhenItBreaksOff_IsNotRepeated,
+                     boost::unit_test::data::make(kUnresumableBeginnings),
+                     beginning) {
+  std::atomic<int> requests{0};
+  test::ScriptedServer other([&](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    ++requests;
+    peer.Send(beginning + std::string(http::kLastChunk));
+  });
+  test::ScriptedServer first(SendsAndBreaksOff(beginning, other));
+  AddServer("d1", "engines", core::ServerRole::kDecode, first.Address());
+  const std::string answer = SendRequest("/resume");
+  BOOST_TEST_INFO(answer);
+  const std::string body = beginning.substr(beginning.find("\r\n\r\n"));
+  BOOST_TEST(answer.ends_with(body));
+  BOOST_TEST(requests == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
