Answers: a refusal counts only if it names its request

What callers saw: "not run, try again" for requests that a server had run or was running, or a second run of a request that may run once, after a server wrote an earlier refusal once more on a kept connection. Cause: an answer without a request ID that says "not run" was taken for the answer to the current request; the answer to a reservation was taken whatever request it named. Change: every answer to a caller's request must bear its ID. One without is skipped on a reused connection, where it may be the answer to an earlier call, and fails the attempt on a new one; the request then counts as one that may have run. An answer that bears an ID is none to a reservation.

--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -143,21 +143,20 @@
     return http::AnswerDecision::kFail;
   }
   const AnswerFields fields = context_.dialect_.read_answer_(head, label_);
-  if (start_.stage_ == Stage::kReserve) {
-    answer_ = head;
-    answer_fields_ = fields;
-    return http::AnswerDecision::kAccept;
-  }
-  if (fields.match_ == AnswerMatch::kOtherRequest) {
-    return http::AnswerDecision::kSkip;
+  // A reservation request bears no ID, so neither does its answer.
+  const AnswerMatch expected = start_.stage_ == Stage::kReserve
+                                   ? AnswerMatch::kUnknown
+                                   : AnswerMatch::kThisRequest;
+  if (fields.match_ != expected) {
+    const bool is_stale =
+        fields.match_ != AnswerMatch::kUnknown || call_.ReusesConnection();
+    return is_stale ? http::AnswerDecision::kSkip : http::AnswerDecision::kFail;
   }
   const bool encoded = http::FindField(head, "Content-Encoding") != nullptr;
-  const bool trusted = start_.stage_ == Stage::kPrefill
-                           ? true
-                           : fields.match_ == AnswerMatch::kThisRequest &&
-                                 fields.authentic_ && !encoded &&
-                                 ContinuesAnswer(head);
-  if (IsSuccess(head) && !trusted) {
+  const bool for_caller =
+      start_.stage_ == Stage::kPlain || start_.stage_ == Stage::kDecode;
+  const bool trusted = fields.authentic_ && !encoded && ContinuesAnswer(head);
+  if (for_caller && IsSuccess(head) && !trusted) {
     return http::AnswerDecision::kFail;
   }
   if (!answer_begun_) {
--- a/packages/gateway/test/exchange_test.cc
+++ b/packages/gateway/test/exchange_test.cc
@@ -120,6 +120,25 @@
   BOOST_TEST(peer_->WasReset());
 }
 
+BOOST_AUTO_TEST_CASE(Reservation_WhenAnotherRequestsRefusalComesFirst_IsTaken) {
+  test::ScriptedServer server(
+      Sends("HTTP/1.1 503 Busy\r\nId: 6\r\nNot-Run: 1\r\n"
+            "Content-Length: 0\r\n\r\n"
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1"));
+  const auto done =
+      Attempt<dispatch::ReserveDone>(server, dispatch::Stage::kReserve);
+  BOOST_TEST(done.ok_);
+  BOOST_TEST(done.hold_ == "h1");
+}
+
+BOOST_AUTO_TEST_CASE(Prefill_WhenItsAnswerNamesNoRequest_Fails) {
+  test::ScriptedServer server(
+      Sends("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nk1"));
+  const auto done =
+      Attempt<dispatch::PrefillDone>(server, dispatch::Stage::kPrefill);
+  BOOST_TEST(!done.ok_);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/gateway/test/gateway_fixture.h
+++ b/packages/gateway/test/gateway_fixture.h
@@ -57,6 +57,14 @@
       [](std::string_view body) -> tl::expected<std::string, std::string> {
     return std::string(body);
   };
+  dialect.make_reserve_request_ = [](const std::string& server, std::uint32_t,
+                                     core::Milliseconds) {
+    ControlRequest request;
+    request.head_.method_ = "POST";
+    request.head_.target_ = "/reserve/" + server;
+    return request;
+  };
+  dialect.read_reservation_ = dialect.read_prefill_;
   dialect.make_refusal_ = [](const core::Verdict& verdict, const std::string&) {
     http::Head head;
     head.status_ = verdict.run_state_ == core::RunState::kNotRun ? 503 : 502;
@@ -85,6 +93,8 @@
 inline constexpr char kRules[] =
     "when path=/once* then pool=plain plain repeat=never retries=0 "
     "timeout=5s # asked by Ann\n"
+    "when path=/order* then pool=plain plain repeat=never retries=1 "
+    "timeout=5s # asked by Flo\n"
     "when path=/read* then pool=plain plain retries=1 timeout=5s "
     "# asked by Bo\n"
     "when path=/resume-twice* then pool=engines resume=allowed retries=2 "
@@ -131,11 +141,12 @@
     gateway_->Post(dispatch::ListSeen{{{info}, {}, false}});
   }
   std::string SendRequest(const std::string& path,
-                          const std::string& body = "") const {
+                          const std::string& body = "",
+                          int id = 7) const {
     test::Peer peer = test::Peer::Connect(port_);
-    peer.Send(absl::StrCat("POST ", path, " HTTP/1.1\r\nHost: h\r\nId: 7\r\n",
-                           "Connection: close\r\nContent-Length: ", body.size(),
-                           "\r\n\r\n", body));
+    peer.Send(absl::StrCat("POST ", path, " HTTP/1.1\r\nHost: h\r\nId: ", id,
+                           "\r\n", "Connection: close\r\nContent-Length: ",
+                           body.size(), "\r\n\r\n", body));
     return peer.ReadAll();
   }
 
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -96,7 +96,9 @@
 BOOST_AUTO_TEST_CASE(Refusal_WhenTheServerConfirmsNotRun_IsReportedAsNotRun) {
   test::ScriptedServer server([](test::Peer& peer, int) {
     peer.ReadUntil("\r\n\r\n");
-    peer.Send("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    peer.Send(
+        "HTTP/1.1 503 Busy\r\nId: 7\r\nNot-Run: 1\r\nContent-Length: "
+        "0\r\n\r\n");
   });
   AddServer("s", "plain", core::ServerRole::kPlain, server.Address());
   BOOST_TEST(SendRequest("/once").starts_with("HTTP/1.1 503 "));
--- a/packages/http/include/siskindrum/http/backend_pool.h
+++ b/packages/http/include/siskindrum/http/backend_pool.h
@@ -72,10 +72,13 @@
   // Thread-safe: no.
   void Pause();
   void Resume();
+  // Returns whether earlier calls used the connection, whose answers may still
+  // arrive. Thread-safe: no.
+  bool ReusesConnection() const { return call_ > 1; }
 
  private:
   std::weak_ptr<BackendConnection> connection_;
-  std::uint64_t call_ = 0;  // Detects a connection reused by another call.
+  std::uint64_t call_ = 0;  // Number of the call on its connection, from 1.
 };
 
 struct PoolCounters {
