Answers: a repeat to the same server uses a new connection

Cause: the second attempt at the same server went over the connection kept from the first, where both answers bear the same ID. Evidence: on the code before, EarlierRefusal_WhenTheSameRequestIsSentAgain_IsNotTaken got 503 while the server ran the request. Change: a request never goes over a kept connection to an address that it was already sent to.

--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -113,6 +113,8 @@
   call.bytes_ = RequestBytes(start);
   call.head_only_ =
       start.stage_ != Stage::kReserve && request_.head_.method_ == "HEAD";
+  call.use_new_connection_ =
+      start.stage_ != Stage::kReserve && SentBefore(start.address_);
   call.write_deadline_ =
       std::min(start.decided_at_ + dispatch::kMaxDecisionAge +
                    dispatch::kServerConnectTimeout,
@@ -130,6 +132,13 @@
     self->OnEnd(attempt, end);
   };
   call_ = context_.pool_.Send(std::move(call));
+  if (start.stage_ != Stage::kReserve) {
+    sent_to_.push_back(start.address_);
+  }
+}
+
+bool Exchange::SentBefore(const std::string& address) const {
+  return std::find(sent_to_.begin(), sent_to_.end(), address) != sent_to_.end();
 }
 
 bool Exchange::IsStreaming() const {
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "siskindrum/dispatch/event.h"
 #include "siskindrum/gateway/dialect.h"
@@ -97,6 +98,9 @@
                      bool sent = true);
   // Records the time since the request arrived.
   void RecordTiming(telemetry::Timing timing) const;
+  // Returns whether an earlier attempt sent the request to this address. A
+  // connection kept since then could still bring the answer to that attempt.
+  bool SentBefore(const std::string& address) const;
   std::string RequestBytes(const dispatch::StartAttempt& start) const;
   bool IsStreaming() const;
 
@@ -106,6 +110,7 @@
   http::CallerRequest request_;
   ExchangeContext& context_;
   dispatch::StartAttempt start_;
+  std::vector<std::string> sent_to_;  // Addresses of all attempts.
   bool attempt_open_ = false;
   http::CallHandle call_;
   std::optional<http::Head> answer_;  // Answer head of the current attempt.
--- a/packages/gateway/test/stale_answer_test.cc
+++ b/packages/gateway/test/stale_answer_test.cc
@@ -58,6 +58,28 @@
   BOOST_TEST(SendRequest("/once").ends_with("\r\n\r\ndone"));
 }
 
+BOOST_AUTO_TEST_CASE(EarlierRefusal_WhenTheSameRequestIsSentAgain_IsNotTaken) {
+  std::atomic<int> runs{0};
+  test::ScriptedServer server([&](test::Peer& peer, int connection) {
+    const std::string refusal =
+        "HTTP/1.1 503 Busy\r\nId: 7\r\nNot-Run: 1\r\n"
+        "Content-Length: 0\r\n\r\n";
+    peer.ReadUntil("\r\n\r\n");
+    if (connection == 0) {
+      peer.Send(refusal);
+      if (peer.ReadUntil("\r\n\r\n").empty()) {
+        return;
+      }
+      peer.Send(refusal);
+    }
+    ++runs;
+    peer.Send(Answer("", "done"));
+  });
+  AddServer("s", "plain", core::ServerRole::kPlain, server.Address());
+  BOOST_TEST(SendRequest("/order").ends_with("\r\n\r\ndone"));
+  BOOST_TEST(runs == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/http/include/siskindrum/http/backend_pool.h
+++ b/packages/http/include/siskindrum/http/backend_pool.h
@@ -50,6 +50,8 @@
   std::string address_;     // "ip:port".
   std::string bytes_;       // The complete serialized request.
   bool head_only_ = false;  // The answer has no body, as for HEAD.
+  // Never reuse an idle connection.
+  bool use_new_connection_ = false;
   // A request that is not yet being written at this time fails with kExpired.
   core::TimePoint write_deadline_ = core::TimePoint::max();
   core::Milliseconds connect_timeout_{300};
--- a/packages/http/src/backend_pool.cc
+++ b/packages/http/src/backend_pool.cc
@@ -122,9 +122,11 @@
 
 CallHandle BackendPool::Send(BackendCall call) {
   State& state = *state_;
-  if (ConnectionPtr idle = state.TakeIdle(call)) {
-    ++state.counters_.reused_;
-    return {idle, idle->CallNumber()};
+  if (!call.use_new_connection_) {
+    if (ConnectionPtr idle = state.TakeIdle(call)) {
+      ++state.counters_.reused_;
+      return {idle, idle->CallNumber()};
+    }
   }
   ++state.counters_.opened_;
   const std::string address = call.address_;
