Control requests: answers to callers' requests are skipped

Evidence: on the code before, List_WhenAnotherRequestsAnswerComesFirst_IsTaken got no list of cached prompts. Open: a refusal without an ID, as control requests get, can still be taken for the answer to a later control request on the same connection. Measured: gateway_test without errors.

--- a/packages/gateway/src/control_client.cc
+++ b/packages/gateway/src/control_client.cc
@@ -29,6 +29,15 @@
   std::string body_;
 };
 
+// Control requests bear no ID, so an answer with one belongs to a caller's
+// request that used the connection before.
+http::AnswerDecision DecideOnAnswer(const Dialect& dialect,
+                                    const http::Head& head) {
+  return dialect.read_answer_(head, "").match_ == AnswerMatch::kUnknown
+             ? http::AnswerDecision::kAccept
+             : http::AnswerDecision::kSkip;
+}
+
 }  // namespace
 
 ControlClient::ControlClient(ControlClientContext context)
@@ -60,9 +69,9 @@
       MakeCall(list.address_,
                context_.dialect_.make_list_prompts_request_(list.server_));
   const auto answer = std::make_shared<BufferedAnswer>();
-  call.on_head_ = [answer](const http::Head& head) {
+  call.on_head_ = [this, answer](const http::Head& head) {
     answer->status_ = head.status_;
-    return http::AnswerDecision::kAccept;
+    return DecideOnAnswer(context_.dialect_, head);
   };
   call.on_body_ = [answer](std::string_view data) {
     if (answer->body_.size() < kMaxListBytes) {
@@ -91,8 +100,8 @@
                                        const std::string& failure_event) {
   const std::string target = request.head_.target_;
   http::BackendCall call = MakeCall(address, std::move(request));
-  call.on_head_ = [](const http::Head&) {
-    return http::AnswerDecision::kAccept;
+  call.on_head_ = [this](const http::Head& head) {
+    return DecideOnAnswer(context_.dialect_, head);
   };
   call.on_body_ = [](std::string_view) {};
   call.on_end_ = [this, address, target,
