Streams: an event ends at an empty line, whatever ends its lines

What callers saw: nothing of a stream whose lines end in LF and CRLF in turn (the attempt failed as cut off within an event), and a whole stream cut off that ends in one empty line more. Cause: the splitter knew an empty line only as two LF or two CRLF in a row. Evidence: on the code before, ExtractEvents_WhenLineEndsAreMixed_FindsTheEndInAnyRead and ExtractEvents_WhenAnEmptyLineFollowsAnEvent_KeepsNothing failed. Change: the splitter looks at lines; each ends in LF or CRLF. Lines that end in CR alone are still not known. Measured: gateway_test without errors; the first test cuts each event at every byte.

--- a/packages/gateway/src/event_splitter.cc
+++ b/packages/gateway/src/event_splitter.cc
@@ -9,17 +9,19 @@
 namespace {
 
 // Length of the first complete event with its terminating empty line; zero:
-// none.
+// none. Each line ends in LF or CRLF.
 std::size_t EventLength(std::string_view text) {
-  const std::size_t lf = text.find("\n\n");
-  const std::size_t crlf = text.find("\r\n\r\n");
-  if (lf == std::string_view::npos && crlf == std::string_view::npos) {
-    return 0;
-  }
-  if (crlf == std::string_view::npos || lf < crlf) {
-    return lf + 2;
+  std::size_t begin = 0;
+  std::size_t end = text.find('\n');
+  while (end != std::string_view::npos) {
+    const std::string_view line = text.substr(begin, end - begin);
+    if (line.empty() || line == "\r") {
+      return end + 1;
+    }
+    begin = end + 1;
+    end = text.find('\n', begin);
   }
-  return crlf + 4;
+  return 0;
 }
 
 std::optional<std::uint64_t> EventId(std::string_view event) {
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -388,6 +388,28 @@
   BOOST_TEST(ExtractEvents(splitter_, Events(3, 6)) == Events(5, 6));
 }
 
+BOOST_AUTO_TEST_CASE(ExtractEvents_WhenLineEndsAreMixed_FindsTheEndInAnyRead) {
+  const std::string events[] = {
+      "id: 1\ndata: x\n\n",       "id: 1\ndata: x\n\r\n",
+      "id: 1\ndata: x\r\n\n",     "id: 1\ndata: x\r\n\r\n",
+      "id: 1\r\ndata: x\r\n\r\n", "id: 1\r\ndata: x\n\n",
+  };
+  for (const std::string& event : events) {
+    for (std::size_t cut = 0; cut < event.size(); ++cut) {
+      EventSplitter splitter;
+      BOOST_TEST(ExtractEvents(splitter, event.substr(0, cut)).empty());
+      BOOST_TEST(ExtractEvents(splitter, event.substr(cut)) == event);
+      BOOST_TEST(splitter.partial_.empty());
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ExtractEvents_WhenAnEmptyLineFollowsAnEvent_KeepsNothing) {
+  BOOST_TEST(ExtractEvents(splitter_, Events(1, 1) + "\n") ==
+             Events(1, 1) + "\n");
+  BOOST_TEST(splitter_.partial_.empty());
+}
+
 BOOST_AUTO_TEST_CASE(ExtractEvents_WhenLinesEndInCrLf_FindsTheEnd) {
   BOOST_TEST(ExtractEvents(splitter_, "id: 9\r\ndata: x\r\n\r\n").size() ==
              18U);
