Answers: one that may have no body is not framed as if it had

What callers saw: chunks, or a lone last chunk, behind the head of a streamed answer to HEAD or with status 204, read as the beginning of the next answer on that connection. Cause: every streamed answer to an HTTP/1.1 caller was sent in chunks. Evidence: on the code before, StreamedAnswer_WhenItMayHaveNoBody_IsOnlyAHead got the chunks in front of the next answer. Change: answers to HEAD and answers with status 204 or 304 consist of a head without framing fields.

--- a/packages/http/include/siskindrum/http/caller_connection.h
+++ b/packages/http/include/siskindrum/http/caller_connection.h
@@ -67,7 +67,8 @@
 
   // Starts a streamed answer of unknown length. Requires: as for Respond.
   void RespondHead(Head head);
-  // Writes part of a streamed body. Requires: RespondHead was called.
+  // Writes part of a streamed body; nothing when the answer may have no body.
+  // Requires: RespondHead was called.
   void RespondData(std::string_view data);
   // Completes a streamed answer. Requires: RespondHead was called.
   void RespondEnd();
@@ -117,6 +118,7 @@
   bool read_ended_ = false;
   bool parsing_ = false;
   bool answer_begun_ = false;
+  bool allows_body_ = true;  // Of the streamed answer.
   bool chunked_ = false;
   bool close_after_answer_ = false;
   bool draining_ = false;
--- a/packages/http/include/siskindrum/http/message.h
+++ b/packages/http/include/siskindrum/http/message.h
@@ -50,6 +50,10 @@
 // Thread-safe: yes.
 bool AllowsKeepAlive(const Head& head);
 
+// Returns false when HTTP allows no body in an answer of that status to a
+// request of that method. Thread-safe: yes.
+bool AllowsBody(std::string_view method, int status);
+
 // Returns the standard reason phrase of a status. Thread-safe: yes.
 std::string_view ReasonPhrase(int status);
 
--- a/packages/http/src/caller_connection.cc
+++ b/packages/http/src/caller_connection.cc
@@ -179,13 +179,16 @@
   }
   answer_begun_ = true;
   RemoveConnectionFields(head);
-  head.fields_.push_back({"Content-Length", std::to_string(body.size())});
+  const bool allows_body = AllowsBody(request_.head_.method_, head.status_);
+  if (allows_body) {
+    head.fields_.push_back({"Content-Length", std::to_string(body.size())});
+  }
   if (!KeepsOpen()) {
     close_after_answer_ = true;
     head.fields_.push_back({"Connection", "close"});
   }
   std::string text = FormatResponseHead(head);
-  if (request_.head_.method_ != "HEAD") {
+  if (allows_body) {
     text.append(body);
   }
   Write(std::move(text));
@@ -198,11 +201,12 @@
   }
   answer_begun_ = true;
   RemoveConnectionFields(head);
-  chunked_ = request_.head_.version_ >= 11;
+  allows_body_ = AllowsBody(request_.head_.method_, head.status_);
+  chunked_ = allows_body_ && request_.head_.version_ >= 11;
   if (chunked_) {
     head.fields_.push_back({"Transfer-Encoding", "chunked"});
   }
-  if (!KeepsOpen() || !chunked_) {
+  if (!KeepsOpen() || (allows_body_ && !chunked_)) {
     close_after_answer_ = true;
     head.fields_.push_back({"Connection", "close"});
   }
@@ -210,7 +214,7 @@
 }
 
 void CallerConnection::RespondData(std::string_view data) {
-  if (state_ != State::kInRequest || data.empty()) {
+  if (state_ != State::kInRequest || data.empty() || !allows_body_) {
     return;
   }
   Write(chunked_ ? FormatChunk(data) : std::string(data));
--- a/packages/http/src/message.cc
+++ b/packages/http/src/message.cc
@@ -101,6 +101,12 @@
   return head.version_ >= 11 || HasListToken(head, "Connection", "keep-alive");
 }
 
+bool AllowsBody(std::string_view method, int status) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return method != "HEAD" && status != kNoContent && status != kNotModified;
+}
+
 std::string_view ReasonPhrase(int status) {
   switch (status) {
     case 200:
--- a/packages/http/test/caller_connection_test.cc
+++ b/packages/http/test/caller_connection_test.cc
@@ -58,6 +58,13 @@
       caller->RespondData("one");
       return;
     }
+    if (request.head_.target_ == "/empty") {
+      head.status_ = request.head_.method_ == "HEAD" ? 200 : 204;
+      caller->RespondHead(head);
+      caller->RespondData("one");
+      caller->RespondEnd();
+      return;
+    }
     if (request.head_.target_ == "/stream") {
       caller->RespondHead(head);
       caller->RespondData("one");
@@ -137,6 +144,22 @@
   BOOST_TEST(requests_ == 0);
 }
 
+BOOST_AUTO_TEST_CASE(StreamedAnswer_WhenItMayHaveNoBody_IsOnlyAHead) {
+  for (const char* method : {"HEAD", "GET"}) {
+    test::Peer peer = Connect();
+    peer.Send(std::string(method) +
+              " /empty HTTP/1.1\r\nHost: h\r\n\r\n"
+              "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+              "Content-Length: 4\r\n\r\nnext");
+    const std::string answers = peer.ReadAll();
+    BOOST_TEST_INFO(answers);
+    const std::size_t end = answers.find("\r\n\r\n");
+    BOOST_TEST(answers.substr(0, end).find("Encoding") == std::string::npos);
+    BOOST_TEST(answers.substr(end + 4).starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(answers.ends_with("\r\n\r\nnext"));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Connection_WhenIdleForTooLong_IsClosedWithoutAnAnswer) {
   test::Peer peer = Connect();
   BOOST_TEST(peer.ReadAll().empty());
