Streams: one without framing that ends before its first event is not whole

What callers saw: a successful stream, whole by its framing, without an event, when a server closed the connection behind the head of an answer that has neither a length nor chunks. Cause: the end of the connection completed such an answer at any boundary of events, the one before the first included. Evidence: on the code before, UnframedStream_WhenItEndsBeforeAnyEvent_IsNotWhole got 200. Change: an attempt whose event stream ends with its connection and brought no event has failed: it is repeated elsewhere where the rule allows it. A stream with framing and no event is whole as before. The other new tests of answers without framing (whole when the connection is closed, lost when it is reset, resumed or cut off when it ends within an event, a reset for HTTP/1.0 callers) passed on the code before too.

--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -106,6 +106,7 @@
     events_.last_event_ = start.resume_after_;
   }
   paused_ = false;
+  attempt_has_events_ = false;
   started_at_ = http::MonotonicNow();
   last_progress_at_ = started_at_;
   http::BackendCall call;
@@ -243,6 +244,7 @@
     longest_gap_ = std::max(longest_gap_, last_progress_at_ - last_event_at_);
   }
   last_event_at_ = last_progress_at_;
+  attempt_has_events_ = true;
   caller_->RespondData(whole);
   ApplyBackpressure();
 }
@@ -327,6 +329,12 @@
              "the stream ended in the middle of an event");
       return;
     }
+    if (IsStreaming() && is_event_stream_ && end.ended_by_close_ &&
+        !attempt_has_events_) {
+      Report(AttemptOutcome::kFailed, RunState::kMayHaveRun, Reason::kBadAnswer,
+             "the stream ended before its first event");
+      return;
+    }
     if (!answer_begun_) {
       BeginAnswer();
     }
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -120,6 +120,7 @@
   std::optional<StoredAnswer> stored_error_;
   bool answer_begun_ = false;
   bool is_event_stream_ = false;
+  bool attempt_has_events_ = false;  // Of the current attempt, for the caller.
   bool paused_ = false;
   bool done_ = false;
   core::TimePoint started_at_{};        // Start of the current attempt.
--- a/packages/gateway/test/broken_answer_test.cc
+++ b/packages/gateway/test/broken_answer_test.cc
@@ -115,6 +115,98 @@
   BOOST_TEST(requests == 0);
 }
 
+// Heads of answers that end with their connection.
+constexpr char kUnframedHead[] = "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\n\r\n";
+constexpr char kUnframedStreamHead[] =
+    "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\n"
+    "Content-Type: text/event-stream\r\n\r\n";
+
+BOOST_AUTO_TEST_CASE(UnframedAnswer_WhenItsConnectionIsClosed_IsWhole) {
+  test::ScriptedServer server(Sends(std::string(kUnframedHead) + "whole"));
+  AddServer("s", "plain", core::ServerRole::kPlain, server.Address());
+  const std::string answer = SendRequest("/once");
+  BOOST_TEST(absl::StrContains(answer, "Content-Length: 5\r\n"));
+  BOOST_TEST(answer.ends_with("\r\n\r\nwhole"));
+}
+
+BOOST_AUTO_TEST_CASE(UnframedAnswer_WhenItsConnectionIsReset_IsLost) {
+  test::ScriptedServer server([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send(std::string(kUnframedHead) + "part");
+    std::this_thread::sleep_for(core::Milliseconds(50));
+    peer.Reset();
+  });
+  AddServer("s", "plain", core::ServerRole::kPlain, server.Address());
+  BOOST_TEST(SendRequest("/once").starts_with("HTTP/1.1 502 "));
+}
+
+BOOST_AUTO_TEST_CASE(UnframedStream_WhenItEndsBetweenEvents_IsWhole) {
+  test::ScriptedServer server(Sends(kUnframedStreamHead + Events(1, 3)));
+  AddServer("d", "engines", core::ServerRole::kDecode, server.Address());
+  const std::string answer = SendRequest("/stream");
+  BOOST_TEST(absl::StrContains(answer, "id: 3\ndata: x\n\n"));
+  BOOST_TEST(answer.ends_with(http::kLastChunk));
+}
+
+BOOST_AUTO_TEST_CASE(UnframedStream_WhenItEndsWithinAnEvent_IsCutOff) {
+  test::ScriptedServer server(
+      Sends(kUnframedStreamHead + Events(1, 3) + "id: 4\nda"));
+  AddServer("d", "engines", core::ServerRole::kDecode, server.Address());
+  const std::string answer = SendRequest("/stream");
+  BOOST_TEST(absl::StrContains(answer, "id: 3\ndata: x\n\n"));
+  BOOST_TEST(!answer.ends_with(http::kLastChunk));
+  BOOST_TEST(!absl::StrContains(answer, "id: 4"));
+}
+
+BOOST_AUTO_TEST_CASE(UnframedStream_WhenItEndsWithinAnEvent_IsResumed) {
+  test::ScriptedServer other(Sends(kUnframedStreamHead + Events(4, 6)));
+  test::ScriptedServer first([&](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    AddServer("d2", "engines", core::ServerRole::kDecode, other.Address());
+    peer.Send(kUnframedStreamHead + Events(1, 3) + "id: 4\nda");
+  });
+  AddServer("d1", "engines", core::ServerRole::kDecode, first.Address());
+  const std::string answer = SendRequest("/resume");
+  BOOST_TEST_INFO(answer);
+  BOOST_TEST(answer.ends_with(http::FormatChunk(Events(1, 3)) +
+                              http::FormatChunk(Events(4, 6)) +
+                              std::string(http::kLastChunk)));
+}
+
+BOOST_AUTO_TEST_CASE(UnframedStream_WhenItEndsBeforeAnyEvent_IsNotWhole) {
+  test::ScriptedServer server(Sends(kUnframedStreamHead));
+  AddServer("d", "engines", core::ServerRole::kDecode, server.Address());
+  BOOST_TEST(SendRequest("/stream").starts_with("HTTP/1.1 502 "));
+}
+
+BOOST_AUTO_TEST_CASE(FramedStream_WhenItHasNoEvents_IsWhole) {
+  test::ScriptedServer server(
+      Sends(kStreamHead + std::string(http::kLastChunk)));
+  AddServer("d", "engines", core::ServerRole::kDecode, server.Address());
+  const std::string answer = SendRequest("/stream");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(answer.ends_with("\r\n\r\n" + std::string(http::kLastChunk)));
+}
+
+// A caller that knows no chunks sees only by the connection's end whether the
+// stream is whole.
+BOOST_AUTO_TEST_CASE(Http10Caller_WhenAStreamBreaksOff_SeesAReset) {
+  for (const char* rest : {"", "id: 4\nda"}) {
+    test::ScriptedServer server(
+        Sends(kUnframedStreamHead + Events(1, 3) + rest));
+    const std::string name = absl::StrCat("d", server.Port());
+    AddServer(name, "engines", core::ServerRole::kDecode, server.Address());
+    test::Peer peer = test::Peer::Connect(port_);
+    peer.Send("POST /stream HTTP/1.0\r\nId: 7\r\nContent-Length: 0\r\n\r\n");
+    const std::string answer = peer.ReadAll();
+    BOOST_TEST_INFO(answer);
+    const bool is_whole = std::string_view(rest).empty();
+    BOOST_TEST(peer.WasReset() == !is_whole);
+    BOOST_TEST(answer.ends_with("\r\n\r\n" + Events(1, 3)));
+    gateway_->Post(dispatch::ListSeen{{{}, {name}, false}});
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/http/include/siskindrum/http/backend_pool.h
+++ b/packages/http/include/siskindrum/http/backend_pool.h
@@ -34,6 +34,8 @@
   CallFailure failure_ = CallFailure::kNone;
   bool sent_ = false;  // Writing was started.
   std::string detail_;
+  // The answer had neither a length nor chunks.
+  bool ended_by_close_ = false;
 };
 
 // Returned by `on_head_`: what to do with an answer, by its head.
--- a/packages/http/src/backend_connection.cc
+++ b/packages/http/src/backend_connection.cc
@@ -251,9 +251,9 @@
 void BackendConnection::FinishAnswer() {
   const Head& head = parser_->GetHead();
   const core::Milliseconds keep_alive = KeepAliveTime();
+  const bool ended_by_close = parser_->EndsWithConnection();
   const bool reusable = AllowsKeepAlive(head) && written_ && pending_.empty() &&
-                        !parser_->EndsWithConnection() &&
-                        keep_alive.count() > 0;
+                        !ended_by_close && keep_alive.count() > 0;
   const auto on_end = std::move(call_.on_end_);
   call_ = BackendCall();
   const auto self = shared_from_this();
@@ -264,7 +264,7 @@
   } else {
     Close();
   }
-  on_end({CallFailure::kNone, true, ""});
+  on_end({CallFailure::kNone, true, "", ended_by_close});
 }
 
 void BackendConnection::End(CallFailure failure, const std::string& detail) {
@@ -275,7 +275,7 @@
   const bool sent = sent_;
   call_ = BackendCall();
   Close();
-  on_end({failure, sent, detail});
+  on_end({failure, sent, detail, false});
 }
 
 void BackendConnection::Cancel(std::uint64_t call) {
