Tests: an answer cut at any byte is never delivered as whole

Reported elsewhere: a server stopped within the head of its answer and closed, and callers got a 200 with an empty or short body. They cut heads, bodies and chunks at every byte in the parser, heads at every byte on a kept connection, and eight answers at the gateway, plain and streamed, and a large answer that is passed on in chunks.

--- a/packages/gateway/test/broken_answer_test.cc
+++ b/packages/gateway/test/broken_answer_test.cc
@@ -115,6 +115,53 @@
   BOOST_TEST(requests == 0);
 }
 
+// Answers that end before they are complete.
+constexpr const char* kCutAnswers[] = {
+    "HTTP/1.1 200",
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\n",
+    "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\nContent-Length: 0\r\n",
+    "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\nContent-Length: 4\r\n\r\nsom",
+    "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\nTransfer-Encoding: chunked\r\n"
+    "\r\n4",
+    "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\nTransfer-Encoding: chunked\r\n"
+    "\r\n4\r\nsome\r\n",
+    "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\nTransfer-Encoding: chunked\r\n"
+    "\r\n4\r\nsome\r\n0\r\n",
+};
+
+BOOST_DATA_TEST_CASE(PlainAnswer_WhenItIsCut_IsNotDeliveredAsWhole,
+                     boost::unit_test::data::make(kCutAnswers),
+                     cut) {
+  test::ScriptedServer server(Sends(cut));
+  AddServer("s", "plain", core::ServerRole::kPlain, server.Address());
+  BOOST_TEST(SendRequest("/once").starts_with("HTTP/1.1 502 "));
+}
+
+BOOST_DATA_TEST_CASE(StreamedAnswer_WhenItIsCut_IsNotDeliveredAsWhole,
+                     boost::unit_test::data::make(kCutAnswers),
+                     cut) {
+  test::ScriptedServer server(Sends(cut));
+  AddServer("d", "engines", core::ServerRole::kDecode, server.Address());
+  const std::string answer = SendRequest("/stream");
+  BOOST_TEST_INFO(answer);
+  const bool is_cut_off =
+      absl::StrContains(answer, "Transfer-Encoding: chunked") &&
+      !answer.ends_with(http::kLastChunk);
+  BOOST_TEST((is_cut_off || answer.starts_with("HTTP/1.1 502 ")));
+}
+
+BOOST_AUTO_TEST_CASE(LargeAnswer_WhenItIsCut_EndsWithoutTheLastChunk) {
+  test::ScriptedServer server(
+      Sends("HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\n"
+            "Content-Length: 500000\r\n\r\n" +
+            std::string(499999, 'x')));
+  AddServer("s", "plain", core::ServerRole::kPlain, server.Address());
+  const std::string answer = SendRequest("/once");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(!answer.ends_with(http::kLastChunk));
+}
+
 // Heads of answers that end with their connection.
 constexpr char kUnframedHead[] = "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\n\r\n";
 constexpr char kUnframedStreamHead[] =
--- a/packages/http/test/backend_pool_test.cc
+++ b/packages/http/test/backend_pool_test.cc
@@ -120,6 +120,26 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(Send_WhenAKeptConnectionEndsWithinTheHead_Fails) {
+  const std::string whole =
+      "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+    test::ScriptedServer server([&](test::Peer& peer, int) {
+      peer.ReadUntil("\r\n\r\n");
+      peer.Send(whole);
+      peer.ReadUntil("\r\n\r\n");
+      peer.Send(whole.substr(0, cut));
+    });
+    BOOST_TEST((Run(server.Address()).end_->failure_ == CallFailure::kNone));
+    const Outcome outcome = Run(server.Address());
+    BOOST_TEST_INFO(whole.substr(0, cut));
+    BOOST_TEST((outcome.end_->failure_ == CallFailure::kConnectionLost));
+    BOOST_TEST(outcome.end_->sent_);
+    BOOST_TEST(outcome.status_ == 0);
+  }
+  BOOST_TEST(pool_.Counters().reused_ == whole.size());
+}
+
 BOOST_AUTO_TEST_CASE(Send_WhenTheConnectionEndDelimitsTheBody_Succeeds) {
   test::ScriptedServer server([](test::Peer& peer, int) {
     peer.ReadUntil("\r\n\r\n");
--- a/packages/http/test/parser_test.cc
+++ b/packages/http/test/parser_test.cc
@@ -112,6 +112,44 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(FeedEof_WhenAnAnswerIsCutAtAnyByte_DoesNotCompleteIt) {
+  const std::string answers[] = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\ntwelve bytes",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "4\r\nsome\r\n10;x=y\r\n0123456789abcdef\r\n0\r\n\r\n",
+      "HTTP/1.1 204 No Content\r\n\r\n",
+      // Only the heads of these: the end of the connection ends their bodies.
+      "HTTP/1.1 200 OK\r\nServer: s\r\n\r\n",
+      "HTTP/1.0 200 OK\r\n\r\n",
+  };
+  for (const std::string& answer : answers) {
+    for (std::size_t cut = 0; cut <= answer.size(); ++cut) {
+      const auto parser = Response(answer.substr(0, cut));
+      parser->FeedEof();
+      BOOST_TEST_INFO(answer.substr(0, cut));
+      const bool complete = cut == answer.size();
+      BOOST_TEST(parser->IsDone() == complete);
+      BOOST_TEST((parser->Error() == ParseError::kIncomplete) == !complete);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Answer_WhenItMayHaveNoBody_IsCompleteAfterItsHead) {
+  for (const char* status : {"204 No Content", "304 Not Modified"}) {
+    const auto parser =
+        Response(std::string("HTTP/1.1 ") + status + "\r\n\r\nmore");
+    BOOST_TEST(parser->IsDone());
+    BOOST_TEST(!parser->EndsWithConnection());
+    BOOST_TEST(body_.empty());
+  }
+  const auto head = Make(MessageParser::Kind::kResponse);
+  head->ExpectNoBody();
+  head->Feed("HTTP/1.1 200 OK\r\n\r\n");
+  BOOST_TEST(head->IsDone());
+  BOOST_TEST(!head->EndsWithConnection());
+}
+
 BOOST_AUTO_TEST_CASE(Feed_WhenNoBodyLimitIsSet_AcceptsALargeAnswer) {
   limits_.body_bytes_ = 0;
   const auto parser = Response("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n" +
