--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -106,6 +106,7 @@
     events_.last_event_ = start.resume_after_;
   }
   paused_ = false;
+  attempt_has_events_ = false;
   started_at_ = http::MonotonicNow();
   last_progress_at_ = started_at_;
   http::BackendCall call;
@@ -113,6 +114,8 @@
   call.bytes_ = RequestBytes(start);
   call.head_only_ =
       start.stage_ != Stage::kReserve && request_.head_.method_ == "HEAD";
+  call.use_new_connection_ =
+      start.stage_ != Stage::kReserve && SentBefore(start.address_);
   call.write_deadline_ =
       std::min(start.decided_at_ + dispatch::kMaxDecisionAge +
                    dispatch::kServerConnectTimeout,
@@ -130,6 +133,13 @@
     self->OnEnd(attempt, end);
   };
   call_ = context_.pool_.Send(std::move(call));
+  if (start.stage_ != Stage::kReserve) {
+    sent_to_.push_back(start.address_);
+  }
+}
+
+bool Exchange::SentBefore(const std::string& address) const {
+  return std::find(sent_to_.begin(), sent_to_.end(), address) != sent_to_.end();
 }
 
 bool Exchange::IsStreaming() const {
@@ -143,20 +153,20 @@
     return http::AnswerDecision::kFail;
   }
   const AnswerFields fields = context_.dialect_.read_answer_(head, label_);
-  if (start_.stage_ == Stage::kReserve) {
-    answer_ = head;
-    answer_fields_ = fields;
-    return http::AnswerDecision::kAccept;
-  }
-  if (fields.match_ == AnswerMatch::kOtherRequest) {
-    return http::AnswerDecision::kSkip;
+  // A reservation request bears no ID, so neither does its answer.
+  const AnswerMatch expected = start_.stage_ == Stage::kReserve
+                                   ? AnswerMatch::kUnknown
+                                   : AnswerMatch::kThisRequest;
+  if (fields.match_ != expected) {
+    const bool is_stale =
+        fields.match_ != AnswerMatch::kUnknown || call_.ReusesConnection();
+    return is_stale ? http::AnswerDecision::kSkip : http::AnswerDecision::kFail;
   }
   const bool encoded = http::FindField(head, "Content-Encoding") != nullptr;
-  const bool trusted = start_.stage_ == Stage::kPrefill
-                           ? true
-                           : fields.match_ == AnswerMatch::kThisRequest &&
-                                 fields.authentic_ && !encoded;
-  if (IsSuccess(head) && !trusted) {
+  const bool for_caller =
+      start_.stage_ == Stage::kPlain || start_.stage_ == Stage::kDecode;
+  const bool trusted = fields.authentic_ && !encoded && ContinuesAnswer(head);
+  if (for_caller && IsSuccess(head) && !trusted) {
     return http::AnswerDecision::kFail;
   }
   if (!answer_begun_) {
@@ -167,6 +177,15 @@
   return http::AnswerDecision::kAccept;
 }
 
+bool Exchange::ContinuesAnswer(const http::Head& head) const {
+  return !answer_begun_ || (is_event_stream_ && IsEventStream(head));
+}
+
+bool Exchange::CanResume() const {
+  return !answer_begun_ ||
+         (is_event_stream_ && events_.last_event_.has_value());
+}
+
 void Exchange::OnBody(std::uint32_t attempt, std::string_view data) {
   if (attempt != start_.attempt_ || done_ || !attempt_open_) {
     return;
@@ -225,6 +244,7 @@
     longest_gap_ = std::max(longest_gap_, last_progress_at_ - last_event_at_);
   }
   last_event_at_ = last_progress_at_;
+  attempt_has_events_ = true;
   caller_->RespondData(whole);
   ApplyBackpressure();
 }
@@ -303,12 +323,18 @@
            "");
     return;
   }
-  if (IsStreaming() || answer_begun_) {
+  if (IsStreaming() || (answer_begun_ && IsSuccess(*answer_))) {
     if (!events_.partial_.empty()) {
       Report(AttemptOutcome::kFailed, RunState::kMayHaveRun, Reason::kBadAnswer,
              "the stream ended in the middle of an event");
       return;
     }
+    if (IsStreaming() && is_event_stream_ && end.ended_by_close_ &&
+        !attempt_has_events_) {
+      Report(AttemptOutcome::kFailed, RunState::kMayHaveRun, Reason::kBadAnswer,
+             "the stream ended before its first event");
+      return;
+    }
     if (!answer_begun_) {
       BeginAnswer();
     }
@@ -333,6 +359,11 @@
            "");
     return;
   }
+  if (answer_begun_) {
+    Report(AttemptOutcome::kFailed, RunState::kRan, Reason::kBadAnswer,
+           "the answer does not continue the stream that has begun");
+    return;
+  }
   done_ = true;
   RecordTiming(start_.stage_ == Stage::kPlain ? telemetry::Timing::kPlainCall
                                               : telemetry::Timing::kRequest);
@@ -356,6 +387,7 @@
   done.longest_gap_ =
       std::chrono::duration_cast<core::Milliseconds>(longest_gap_);
   done.misdirected_ = answer_fields_.misdirected_;
+  done.can_resume_ = CanResume();
   context_.post_(std::move(done));
 }
 
@@ -398,6 +430,10 @@
   done_ = true;
   attempt_open_ = false;
   call_.Cancel();
+  if (answer_begun_) {
+    caller_->Abort();
+    return;
+  }
   caller_->Respond(stored_error_->head_, stored_error_->body_);
 }
 
@@ -413,7 +449,7 @@
   }
   const core::Milliseconds limit =
       answer_begun_ ? start_.event_timeout_ : start_.first_byte_timeout_;
-  if (limit.count() == 0 || now - last_progress_at_ < limit) {
+  if (limit.count() == 0 || !CanResume() || now - last_progress_at_ < limit) {
     return;
   }
   FailAttempt(Reason::kDeadline, "timeout: no data from the server");
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "siskindrum/dispatch/event.h"
 #include "siskindrum/gateway/dialect.h"
@@ -49,7 +50,8 @@
   // Answers the caller with a refusal, or closes the connection when an answer
   // has begun.
   void Refuse(const core::Verdict& verdict);
-  // Answers the caller with the server error that was stored.
+  // Answers the caller with the server error that was stored, or closes the
+  // connection when an answer has begun.
   void DeliverStoredError();
   // Cancels the attempt after the caller has disconnected.
   void Cancel();
@@ -64,6 +66,12 @@
 
  private:
   http::AnswerDecision OnHead(std::uint32_t attempt, const http::Head& head);
+  // Returns whether a successful answer with this head may follow what the
+  // caller has already received.
+  bool ContinuesAnswer(const http::Head& head) const;
+  // Returns whether another attempt can complete the answer without repeating
+  // what the caller has already received.
+  bool CanResume() const;
   void OnBody(std::uint32_t attempt, std::string_view data);
   void OnEnd(std::uint32_t attempt, const http::CallResult& end);
   void OnReserveEnd(const http::CallResult& end);
@@ -90,6 +98,9 @@
                      bool sent = true);
   // Records the time since the request arrived.
   void RecordTiming(telemetry::Timing timing) const;
+  // Returns whether an earlier attempt sent the request to this address. A
+  // connection kept since then could still bring the answer to that attempt.
+  bool SentBefore(const std::string& address) const;
   std::string RequestBytes(const dispatch::StartAttempt& start) const;
   bool IsStreaming() const;
 
@@ -99,6 +110,7 @@
   http::CallerRequest request_;
   ExchangeContext& context_;
   dispatch::StartAttempt start_;
+  std::vector<std::string> sent_to_;  // Addresses of all attempts.
   bool attempt_open_ = false;
   http::CallHandle call_;
   std::optional<http::Head> answer_;  // Answer head of the current attempt.
@@ -108,6 +120,7 @@
   std::optional<StoredAnswer> stored_error_;
   bool answer_begun_ = false;
   bool is_event_stream_ = false;
+  bool attempt_has_events_ = false;  // Of the current attempt, for the caller.
   bool paused_ = false;
   bool done_ = false;
   core::TimePoint started_at_{};        // Start of the current attempt.
--- a/packages/http/include/siskindrum/http/backend_pool.h
+++ b/packages/http/include/siskindrum/http/backend_pool.h
@@ -34,6 +34,8 @@
   CallFailure failure_ = CallFailure::kNone;
   bool sent_ = false;  // Writing was started.
   std::string detail_;
+  // The answer had neither a length nor chunks.
+  bool ended_by_close_ = false;
 };
 
 // Returned by `on_head_`: what to do with an answer, by its head.
@@ -50,6 +52,8 @@
   std::string address_;     // "ip:port".
   std::string bytes_;       // The complete serialized request.
   bool head_only_ = false;  // The answer has no body, as for HEAD.
+  // Never reuse an idle connection.
+  bool use_new_connection_ = false;
   // A request that is not yet being written at this time fails with kExpired.
   core::TimePoint write_deadline_ = core::TimePoint::max();
   core::Milliseconds connect_timeout_{300};
@@ -72,10 +76,13 @@
   // Thread-safe: no.
   void Pause();
   void Resume();
+  // Returns whether earlier calls used the connection, whose answers may still
+  // arrive. Thread-safe: no.
+  bool ReusesConnection() const { return call_ > 1; }
 
  private:
   std::weak_ptr<BackendConnection> connection_;
-  std::uint64_t call_ = 0;  // Detects a connection reused by another call.
+  std::uint64_t call_ = 0;  // Number of the call on its connection, from 1.
 };
 
 struct PoolCounters {
