Server-Leaving: a server that announces its shutdown in an answer gets no new work

What callers saw: nothing yet; the rule is new. An entry read a server's shutdown only from the list, so it went on sending to a server that had said in its answers that it leaves: while the store is away, when the server is listed as ready again by a stale page, or when it is removed from the pool (after 5 s) and listed again.

Cause: the head of an answer was read for the attempt alone.

Change: the gateway reports what the head of any answer says about its server as an event of its own, before the outcome: calls, reservations, prefills, streams in progress and the entry's own requests (release, free, prompt list, order). The pool keeps it by server name and start (`born`, now in ServerInfo and in lists told by peers; an earlier version tells none), apart from the listing, for ten minutes and at most 4096 servers. AcceptsNewWork asks it, so that placement of every stage, waiting and resumed requests and role changes leave such a server out; a reservation granted together with the announcement is released and made elsewhere. Only a newer start of the server ends it. An answer 421 comes from another server than the one meant and is not taken.

Tests: AcceptsNewWork takes the pool and PrefillEnginesToConvert the time, so four existing calls in tests are changed alike; the checks are the same.

--- a/packages/core/include/siskindrum/core/fleet.h
+++ b/packages/core/include/siskindrum/core/fleet.h
@@ -28,6 +28,8 @@
   ServerRole role_ = ServerRole::kMixed;
   bool leaving_ = false;
   std::uint32_t slots_ = 0;  // Zero: unknown.
+  // Increases with each start of the server; zero: unknown.
+  Incarnation incarnation_ = 0;
 
   bool operator==(const ServerInfo&) const = default;
 };
--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -93,6 +93,8 @@
   std::uint64_t reserves_refused_ = 0;
   std::uint64_t waits_ = 0;
   std::uint64_t orders_ = 0;
+  // Server processes that announced their shutdown in an answer.
+  std::uint64_t leaving_announced_ = 0;
 };
 
 struct DispatcherOptions {
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -133,6 +133,14 @@
   std::vector<std::uint64_t> prompts_;
 };
 
+// What a server said about itself in the head of an answer. Comes before the
+// outcome of the attempt or of the entry's own request that was answered.
+struct ServerNoticeReceived {
+  std::string server_;
+  core::Incarnation incarnation_ = 0;  // Of the process that was asked.
+  bool leaving_ = false;               // It announced its shutdown.
+};
+
 // Settings that can be reloaded while the process runs.
 struct SettingsRead {
   std::vector<std::string> seeds_;  // Addresses of other entries.
@@ -152,6 +160,7 @@
                            ConfigurationRead,
                            PeerMessageReceived,
                            RetainedPromptsListed,
+                           ServerNoticeReceived,
                            SettingsRead,
                            DrainBegan,
                            Ticked>;
@@ -166,6 +175,7 @@
   Stage stage_ = Stage::kPlain;
   std::string server_;
   std::string address_;
+  core::Incarnation incarnation_ = 0;  // Of the server, as listed.
   TimePoint decided_at_{};
   TimePoint deadline_{};  // Passed to the server as the remaining time.
   // Until the first relevant byte; zero: no limit.
@@ -198,24 +208,30 @@
 struct FreeHandle {
   std::string address_;
   std::string handle_;
+  std::string server_;
+  core::Incarnation incarnation_ = 0;
 };
 
 // Releases a reservation that will not be used.
 struct ReleaseReservation {
   std::string address_;
   std::string hold_;
+  std::string server_;
+  core::Incarnation incarnation_ = 0;
 };
 
 // Changes the role of a prefill engine to decode.
 struct SwitchToDecode {
   std::string server_;
   std::string address_;
+  core::Incarnation incarnation_ = 0;
 };
 
 // Queries an engine for its retained prompts. A missing answer counts as none.
 struct ListRetainedPrompts {
   std::string server_;
   std::string address_;
+  core::Incarnation incarnation_ = 0;
 };
 
 // Sends a message to another entry, without guarantee of delivery.
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -18,6 +18,11 @@
 inline constexpr Milliseconds kUnlistedServerGrace{1500};
 // An unlisted server without calls is removed from the pool after this time.
 inline constexpr Milliseconds kUnlistedServerRetention{5000};
+// How long a server process that announced its shutdown in an answer gets no
+// new work. Longer than any server takes to leave.
+inline constexpr Milliseconds kLeavingNoticeLifetime{600000};
+// Servers whose notices are kept at a time.
+inline constexpr std::size_t kMaxServerNotices = 4096;
 
 // Suspension of a server after a failure. Doubles with each consecutive failure
 // up to the maximum.
--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -8,6 +8,7 @@
 
 #include "siskindrum/core/fleet.h"
 #include "siskindrum/core/types.h"
+#include "siskindrum/dispatch/server_notices.h"
 
 namespace siskindrum::dispatch {
 
@@ -68,6 +69,7 @@
 // All known servers by name.
 struct ServerPool {
   std::map<std::string, ServerState> servers_;
+  ServerNotices notices_;
 };
 
 // Changes of the server list since it was last read.
@@ -99,8 +101,11 @@
 
 // Returns true when new work may be sent to the server. An unlisted server
 // accepts work for kUnlistedServerGrace; placement chooses it only when no
-// other server is left. Thread-safe: no.
-bool AcceptsNewWork(const ServerState& server, TimePoint now);
+// other server is left. A process that announced its shutdown in an answer
+// accepts none, whatever the list says. Thread-safe: no.
+bool AcceptsNewWork(const ServerPool& pool,
+                    const ServerState& server,
+                    TimePoint now);
 
 // Record the start or the end of a call sent to the server. Thread-safe: no.
 void RecordCallStart(ServerState& server, TimePoint now);
--- a/packages/dispatch/include/siskindrum/dispatch/stage_plan.h
+++ b/packages/dispatch/include/siskindrum/dispatch/stage_plan.h
@@ -13,7 +13,8 @@
 // a prefill engine for a tenth of a second, so decode memory runs out while
 // prefill engines are idle. Decode engines can take over prefills, but prefill
 // engines cannot decode. Thread-safe: no.
-std::vector<std::string> PrefillEnginesToConvert(const ServerPool& pool);
+std::vector<std::string> PrefillEnginesToConvert(const ServerPool& pool,
+                                                 TimePoint now);
 
 }  // namespace siskindrum::dispatch
 
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -118,7 +118,9 @@
              server.calls_, " calls, ", server.held_tokens_, " tokens held, ",
              server.prefill_tokens_, " tokens to prefill, domain ",
              server.info_.domain_,
-             AcceptsNewWork(server, step.now_) ? "" : ", leaving",
+             AcceptsNewWork(step.dispatcher_.pool_, server, step.now_)
+                 ? ""
+                 : ", leaving",
              server.suspended_until_ > step.now_ ? ", suspended" : "",
              server.full_until_ > step.now_ ? ", full" : "",
              server.role_change_until_ > step.now_ ? ", changing role" : "")});
@@ -216,7 +218,8 @@
     server->full_until_ = {};
     if (!call.hold_.empty()) {
       step.actions_.emplace_back(
-          ReleaseReservation{server->info_.address_, call.hold_});
+          ReleaseReservation{server->info_.address_, call.hold_,
+                             server->info_.name_, server->info_.incarnation_});
     }
   }
   call.counted_decode_ = 0;
@@ -229,7 +232,11 @@
     return;
   }
   ++step.dispatcher_.counters_.handles_freed_;
-  step.actions_.emplace_back(FreeHandle{call.handle_address_, call.handle_});
+  const ServerState* server =
+      FindServer(step.dispatcher_.pool_, call.prefill_server_);
+  step.actions_.emplace_back(
+      FreeHandle{call.handle_address_, call.handle_, call.prefill_server_,
+                 server == nullptr ? 0 : server->info_.incarnation_});
   call.handle_.clear();
 }
 
@@ -346,6 +353,7 @@
   start.stage_ = stage;
   start.server_ = server.info_.name_;
   start.address_ = server.info_.address_;
+  start.incarnation_ = server.info_.incarnation_;
   start.decided_at_ = step.now_;
   start.deadline_ = call.deadline_;
   return start;
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -208,6 +208,25 @@
   }
 }
 
+void OnServerNotice(Step& step, const ServerNoticeReceived& event) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  if (!event.leaving_ ||
+      !RecordLeaving(dispatcher.pool_.notices_, event.server_,
+                     event.incarnation_, step.now_)) {
+    return;
+  }
+  ++dispatcher.counters_.leaving_announced_;
+  const ServerState* server = FindServer(dispatcher.pool_, event.server_);
+  step.actions_.emplace_back(core::LogEvent{
+      "server_said_leaving",
+      {{"server", event.server_},
+       {"incarnation", std::to_string(event.incarnation_)},
+       {"listed",
+        std::to_string(server == nullptr ? 0 : server->info_.incarnation_)},
+       {"pool", server == nullptr ? "" : server->info_.service_},
+       {"calls", std::to_string(server == nullptr ? 0 : server->calls_)}}});
+}
+
 void OnConfiguration(Step& step, const ConfigurationRead& event) {
   Dispatcher& dispatcher = step.dispatcher_;
   const core::OfferOutcome offer = core::OfferConfiguration(
@@ -237,12 +256,14 @@
   if (step.now_ - dispatcher.started_at_ > kRoleChangeWindow) {
     return;
   }
-  for (const std::string& name : PrefillEnginesToConvert(dispatcher.pool_)) {
+  for (const std::string& name :
+       PrefillEnginesToConvert(dispatcher.pool_, step.now_)) {
     ++dispatcher.counters_.orders_;
     ServerState* server = FindServer(dispatcher.pool_, name);
     server->role_change_until_ = step.now_ + kRoleChangeTimeout;
     dispatcher.peers_.next_round_at_ = step.now_;
-    step.actions_.emplace_back(SwitchToDecode{name, server->info_.address_});
+    step.actions_.emplace_back(SwitchToDecode{name, server->info_.address_,
+                                              server->info_.incarnation_});
     step.actions_.emplace_back(core::LogEvent{
         "engine_turned",
         {{"server", name},
@@ -276,6 +297,7 @@
   GossipWithPeers(step);
   SendUsage(step);
   RemoveUnlistedServers(dispatcher.pool_, step.now_);
+  RemoveExpiredNotices(dispatcher.pool_.notices_, step.now_);
 }
 
 }  // namespace
@@ -357,6 +379,7 @@
           [&](const PeerMessageReceived& e) { OnPeerMessage(step, e); },
           [&](const ConfigurationRead& e) { OnConfiguration(step, e); },
           [&](const RetainedPromptsListed& e) { OnRetainedPrompts(step, e); },
+          [&](const ServerNoticeReceived& e) { OnServerNotice(step, e); },
           [&](const SettingsRead& e) {
             dispatcher.peers_.seeds_ = e.seeds_;
             dispatcher.options_.repeats_ = e.repeats_;
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -67,7 +67,8 @@
 // one.
 void SendDecode(Step& step, ActiveCall& call) {
   ServerState* server = FindServer(step.dispatcher_.pool_, call.decode_server_);
-  if (server == nullptr || !AcceptsNewWork(*server, step.now_)) {
+  if (server == nullptr ||
+      !AcceptsNewWork(step.dispatcher_.pool_, *server, step.now_)) {
     ReleaseDecode(step, call);
     AssignDecodeEngine(step, call);
     return;
@@ -201,6 +202,12 @@
       RecordResponse(*server);
     }
     call.hold_ = event.hold_;
+    if (server != nullptr &&
+        !AcceptsNewWork(step.dispatcher_.pool_, *server, step.now_)) {
+      ReleaseDecode(step, call);
+      AssignDecodeEngine(step, call);
+      return;
+    }
     if (call.reserved_at_ == TimePoint{}) {
       call.reserved_at_ = step.now_;
     }
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -181,7 +181,7 @@
     const bool changing_role =
         role == core::ServerRole::kPrefill && server.role_change_until_ > now;
     if (!fits || changing_role || server.info_.service_ != request.pool_ ||
-        !AcceptsNewWork(server, now)) {
+        !AcceptsNewWork(pool, server, now)) {
       continue;
     }
     const double total = cost(server) + jitter_ms * NextRandom(draw);
--- a/packages/dispatch/src/server_pool.cc
+++ b/packages/dispatch/src/server_pool.cc
@@ -91,8 +91,11 @@
   return found == pool.servers_.end() ? nullptr : &found->second;
 }
 
-bool AcceptsNewWork(const ServerState& server, TimePoint now) {
-  if (server.misdirected_) {
+bool AcceptsNewWork(const ServerPool& pool,
+                    const ServerState& server,
+                    TimePoint now) {
+  if (server.misdirected_ ||
+      HasAnnouncedLeaving(pool.notices_, server.info_, now)) {
     return false;
   }
   switch (server.listing_) {
--- a/packages/dispatch/src/stage_plan.cc
+++ b/packages/dispatch/src/stage_plan.cc
@@ -33,11 +33,13 @@
 
 }  // namespace
 
-std::vector<std::string> PrefillEnginesToConvert(const ServerPool& pool) {
+std::vector<std::string> PrefillEnginesToConvert(const ServerPool& pool,
+                                                 TimePoint now) {
   std::map<std::string, PoolEngines> pools;
   for (const auto& [name, server] : pool.servers_) {
     const core::ServerInfo& info = server.info_;
     if (server.listing_ != Listing::kListed ||
+        !AcceptsNewWork(pool, server, now) ||
         (info.role_ != core::ServerRole::kPrefill &&
          info.role_ != core::ServerRole::kDecode)) {
       continue;
--- a/packages/dispatch/test/engine_call_test.cc
+++ b/packages/dispatch/test/engine_call_test.cc
@@ -190,7 +190,8 @@
     BOOST_TEST(Last(Arrive("/stream/1")).server_ != gone);
   }
   List({Engine(gone, core::ServerRole::kDecode)}, false);
-  BOOST_TEST(AcceptsNewWork(*FindServer(dispatcher_.pool_, gone), now_));
+  BOOST_TEST(AcceptsNewWork(dispatcher_.pool_,
+                            *FindServer(dispatcher_.pool_, gone), now_));
 }
 
 BOOST_AUTO_TEST_CASE(Prefills_WhenManyTimeOut_StayWithinTheRepeatBudget) {
--- a/packages/dispatch/test/peers_test.cc
+++ b/packages/dispatch/test/peers_test.cc
@@ -149,8 +149,10 @@
   Pass(Milliseconds(3500));
   BOOST_TEST(At("east:2").configuration_.current_->revision_ == 7U);
   Dispatcher& second = At("east:2");
-  BOOST_TEST(!AcceptsNewWork(*FindServer(second.pool_, "s1"), now_));
-  BOOST_TEST(AcceptsNewWork(*FindServer(second.pool_, "s2"), now_));
+  BOOST_TEST(
+      !AcceptsNewWork(second.pool_, *FindServer(second.pool_, "s1"), now_));
+  BOOST_TEST(
+      AcceptsNewWork(second.pool_, *FindServer(second.pool_, "s2"), now_));
 }
 
 BOOST_AUTO_TEST_CASE(List_WhenAnOlderOneComesLate_ChangesNothing) {
--- a/packages/dispatch/test/stage_plan_test.cc
+++ b/packages/dispatch/test/stage_plan_test.cc
@@ -20,6 +20,7 @@
   }
 
   ServerPool pool_;
+  TimePoint now_{std::chrono::hours(1)};
 };
 
 BOOST_FIXTURE_TEST_SUITE(StagePlan, StagePlanFixture)
@@ -30,7 +31,7 @@
     Add(domain, core::ServerRole::kPrefill, 1);
     Add(domain, core::ServerRole::kDecode, 2);
   }
-  BOOST_TEST(PrefillEnginesToConvert(pool_).size() == 1U);
+  BOOST_TEST(PrefillEnginesToConvert(pool_, now_).size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(
@@ -38,7 +39,7 @@
   Add("a", core::ServerRole::kPrefill, 3);
   Add("b", core::ServerRole::kPrefill, 1);
   Add("b", core::ServerRole::kDecode, 5);
-  const std::vector<std::string> convert = PrefillEnginesToConvert(pool_);
+  const std::vector<std::string> convert = PrefillEnginesToConvert(pool_, now_);
   BOOST_REQUIRE(convert.size() == 2U);
   BOOST_TEST(convert[0].starts_with("a-"));
   BOOST_TEST(convert[1].starts_with("a-"));
@@ -47,13 +48,13 @@
 BOOST_AUTO_TEST_CASE(PrefillEnginesToConvert_WhenThePoolIsSmall_ConvertsNone) {
   Add("a", core::ServerRole::kPrefill, 3);
   Add("a", core::ServerRole::kDecode, 2);
-  BOOST_TEST(PrefillEnginesToConvert(pool_).empty());
+  BOOST_TEST(PrefillEnginesToConvert(pool_, now_).empty());
 }
 
 BOOST_AUTO_TEST_CASE(PrefillEnginesToConvert_WhenOnlyOnePrefills_KeepsIt) {
   Add("a", core::ServerRole::kPrefill, 1);
   Add("a", core::ServerRole::kDecode, 6);
-  BOOST_TEST(PrefillEnginesToConvert(pool_).empty());
+  BOOST_TEST(PrefillEnginesToConvert(pool_, now_).empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/gateway/include/siskindrum/gateway/dialect.h
+++ b/packages/gateway/include/siskindrum/gateway/dialect.h
@@ -52,6 +52,7 @@
   bool authentic_ = false;  // The answer has the server's signature.
   // The server states that the request was meant for another server.
   bool misdirected_ = false;
+  bool leaving_ = false;  // The server announces its shutdown.
 };
 
 // Functions that translate between the gateway's structures and the HTTP
--- a/packages/gateway/src/control_client.cc
+++ b/packages/gateway/src/control_client.cc
@@ -35,13 +35,13 @@
     : context_(std::move(context)) {}
 
 void ControlClient::Send(const dispatch::FreeHandle& free) {
-  SendIgnoringAnswer(free.address_,
+  SendIgnoringAnswer({free.server_, free.address_, free.incarnation_},
                      context_.dialect_.make_free_handle_request_(free.handle_),
                      "handle_not_freed");
 }
 
 void ControlClient::Send(const dispatch::ReleaseReservation& release) {
-  SendIgnoringAnswer(release.address_,
+  SendIgnoringAnswer({release.server_, release.address_, release.incarnation_},
                      context_.dialect_.make_release_request_(release.hold_),
                      "hold_not_dropped");
 }
@@ -49,7 +49,7 @@
 void ControlClient::Send(const dispatch::SwitchToDecode& order) {
   // Only one process sends orders, and each order once, so a counter within the
   // process is a valid fencing number.
-  SendIgnoringAnswer(order.address_,
+  SendIgnoringAnswer({order.server_, order.address_, order.incarnation_},
                      context_.dialect_.make_decode_order_(
                          order.server_, context_.name_, ++last_fencing_number_),
                      "order_not_given");
@@ -60,7 +60,8 @@
       MakeCall(list.address_,
                context_.dialect_.make_list_prompts_request_(list.server_));
   const auto answer = std::make_shared<BufferedAnswer>();
-  call.on_head_ = [answer](const http::Head& head) {
+  call.on_head_ = [this, list, answer](const http::Head& head) {
+    PostNotice({list.server_, list.address_, list.incarnation_}, head);
     answer->status_ = head.status_;
     return http::AnswerDecision::kAccept;
   };
@@ -86,22 +87,30 @@
   context_.pool_.Send(std::move(call));
 }
 
-void ControlClient::SendIgnoringAnswer(const std::string& address,
+void ControlClient::PostNotice(const Target& target, const http::Head& head) {
+  const auto notice = ReadNotice(context_.dialect_.read_answer_(head, ""),
+                                 target.server_, target.incarnation_);
+  if (notice.has_value()) {
+    context_.post_(*notice);
+  }
+}
+
+void ControlClient::SendIgnoringAnswer(const Target& target,
                                        ControlRequest request,
                                        const std::string& failure_event) {
-  const std::string target = request.head_.target_;
-  http::BackendCall call = MakeCall(address, std::move(request));
-  call.on_head_ = [](const http::Head&) {
+  const std::string path = request.head_.target_;
+  http::BackendCall call = MakeCall(target.address_, std::move(request));
+  call.on_head_ = [this, target](const http::Head& head) {
+    PostNotice(target, head);
     return http::AnswerDecision::kAccept;
   };
   call.on_body_ = [](std::string_view) {};
-  call.on_end_ = [this, address, target,
+  call.on_end_ = [this, address = target.address_, path,
                   failure_event](const http::CallResult& end) {
     if (end.failure_ != http::CallFailure::kNone) {
-      context_.log_({failure_event,
-                     {{"address", address},
-                      {"target", target},
-                      {"detail", end.detail_}}});
+      context_.log_(
+          {failure_event,
+           {{"address", address}, {"target", path}, {"detail", end.detail_}}});
     }
   };
   context_.pool_.Send(std::move(call));
--- a/packages/gateway/src/control_client_p.h
+++ b/packages/gateway/src/control_client_p.h
@@ -25,7 +25,8 @@
  public:
   explicit ControlClient(ControlClientContext context);
 
-  // Answers to these are ignored; a call that fails is logged.
+  // Of the answers to these only the server's notices are used; a call that
+  // fails is logged.
   void Send(const dispatch::FreeHandle& free);
   void Send(const dispatch::ReleaseReservation& release);
   void Send(const dispatch::SwitchToDecode& order);
@@ -33,7 +34,15 @@
   void Send(const dispatch::ListRetainedPrompts& list);
 
  private:
-  void SendIgnoringAnswer(const std::string& address,
+  // The server process that a request is meant for.
+  struct Target {
+    std::string server_;
+    std::string address_;
+    core::Incarnation incarnation_ = 0;
+  };
+
+  void PostNotice(const Target& target, const http::Head& head);
+  void SendIgnoringAnswer(const Target& target,
                           ControlRequest request,
                           const std::string& failure_event);
 
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -56,6 +56,16 @@
       request_(std::move(request)),
       context_(context) {}
 
+std::optional<dispatch::ServerNoticeReceived> ReadNotice(
+    const AnswerFields& fields,
+    const std::string& server,
+    core::Incarnation incarnation) {
+  if (fields.misdirected_ || !fields.leaving_) {
+    return std::nullopt;
+  }
+  return dispatch::ServerNoticeReceived{server, incarnation, true};
+}
+
 std::string FormatControlRequest(ControlRequest request) {
   if (!request.body_.empty()) {
     request.head_.fields_.push_back(
@@ -143,6 +153,10 @@
     return http::AnswerDecision::kFail;
   }
   const AnswerFields fields = context_.dialect_.read_answer_(head, label_);
+  const auto notice = ReadNotice(fields, start_.server_, start_.incarnation_);
+  if (notice.has_value()) {
+    context_.post_(*notice);
+  }
   if (start_.stage_ == Stage::kReserve) {
     answer_ = head;
     answer_fields_ = fields;
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -24,6 +24,14 @@
 // Serializes a control request. Thread-safe: yes.
 std::string FormatControlRequest(ControlRequest request);
 
+// Returns what the server said about itself, if anything. An answer to a
+// request that was meant for another server says nothing about `server`.
+// Thread-safe: yes.
+std::optional<dispatch::ServerNoticeReceived> ReadNotice(
+    const AnswerFields& fields,
+    const std::string& server,
+    core::Incarnation incarnation);
+
 // Dependencies shared by all exchanges.
 struct ExchangeContext {
   const Dialect& dialect_;
--- a/packages/gateway/src/operators.cc
+++ b/packages/gateway/src/operators.cc
@@ -26,7 +26,8 @@
   }
 }
 
-nlohmann::json DumpServer(const dispatch::ServerState& server,
+nlohmann::json DumpServer(const dispatch::ServerPool& pool,
+                          const dispatch::ServerState& server,
                           core::TimePoint now) {
   return {{"address", server.info_.address_},
           {"pool", server.info_.service_},
@@ -34,6 +35,8 @@
           {"role", core::ToString(server.info_.role_)},
           {"listing", ToString(server.listing_)},
           {"listing_age_ms", AgeMs(now, server.changed_at_)},
+          {"said_leaving",
+           dispatch::HasAnnouncedLeaving(pool.notices_, server.info_, now)},
           {"calls", server.calls_},
           {"prefill_tokens", server.prefill_tokens_},
           {"held_tokens", server.held_tokens_},
@@ -82,6 +85,7 @@
       {"reserves_refused_total", counters.reserves_refused_},
       {"waits_total", counters.waits_},
       {"orders_total", counters.orders_},
+      {"leaving_announced_total", counters.leaving_announced_},
       {"connections_opened_total", pool.opened_},
       {"connections_reused_total", pool.reused_},
       {"foreign_answers_total", pool.mismatched_answers_},
@@ -112,7 +116,7 @@
                              {"heard_ms", AgeMs(now, member.advanced_at_)}};
   }
   for (const auto& [name, server] : dispatcher.pool_.servers_) {
-    dump["servers"][name] = DumpServer(server, now);
+    dump["servers"][name] = DumpServer(dispatcher.pool_, server, now);
   }
   for (const auto& [id, call] : dispatcher.calls_) {
     dump["requests"].push_back(DumpCall(call, now));
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -57,6 +57,7 @@
     }
     fields.not_run_ = http::FindField(head, "Not-Run") != nullptr;
     fields.authentic_ = http::FindField(head, "Mark") != nullptr;
+    fields.leaving_ = http::FindField(head, "Leaving") != nullptr;
     return fields;
   };
   dialect.read_prefill_ =
@@ -125,8 +126,10 @@
   void AddServer(const std::string& name,
                  const std::string& pool,
                  core::ServerRole role,
-                 const std::string& address) {
+                 const std::string& address,
+                 bool leaving = false) {
     core::ServerInfo info;
+    info.leaving_ = leaving;
     info.name_ = name;
     info.address_ = address;
     info.service_ = pool;
@@ -142,6 +145,21 @@
                            "\r\n\r\n", body));
     return peer.ReadAll();
   }
+  // Reads an operators' page until it contains the text; false on timeout.
+  bool AwaitOperatorText(const std::string& target,
+                         const std::string& text) const {
+    const core::TimePoint limit =
+        http::MonotonicNow() + core::Milliseconds(test::kWaitMs);
+    while (http::MonotonicNow() < limit) {
+      test::Peer peer = test::Peer::Connect(operators_port_);
+      peer.Send(absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: h\r\n",
+                             "Connection: close\r\n\r\n"));
+      if (absl::StrContains(peer.ReadAll(), text)) {
+        return true;
+      }
+    }
+    return false;
+  }
 
   std::uint16_t port_ = 0;
   std::uint16_t operators_port_ = 0;
@@ -248,6 +266,77 @@
   BOOST_TEST(SendRequest("/once").starts_with("HTTP/1.1 503 "));
 }
 
+BOOST_AUTO_TEST_CASE(Server_WhenAnAnswerSaysThatItLeaves_GetsNoMoreCalls) {
+  std::atomic<int> requests{0};
+  test::ScriptedServer server([&requests](test::Peer& peer, int) {
+    if (!peer.ReadUntil("\r\n\r\n").empty()) {
+      ++requests;
+      peer.Send(Answer("Leaving: 1\r\n", "done"));
+    }
+  });
+  AddServer("s", "plain", core::ServerRole::kPlain, server.Address());
+  BOOST_TEST(SendRequest("/once").ends_with("done"));
+  AddServer("s", "plain", core::ServerRole::kPlain, server.Address());
+  BOOST_TEST(SendRequest("/once").starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(requests == 1);
+}
+
+BOOST_AUTO_TEST_CASE(Server_WhenAStreamInProgressSaysLeaving_GetsNoMoreCalls) {
+  std::atomic<int> requests{0};
+  std::promise<void> end;
+  std::shared_future<void> ended = end.get_future().share();
+  test::ScriptedServer engine([&requests, ended](test::Peer& peer, int) {
+    if (!peer.ReadUntil("\r\n\r\n").empty()) {
+      ++requests;
+      std::string head = kStreamHead;
+      head.insert(head.find("\r\n") + 2, "Leaving: 1\r\n");
+      peer.Send(head + http::FormatChunk(Events(1, 3)));
+      ended.wait();
+    }
+  });
+  AddServer("d", "engines", core::ServerRole::kDecode, engine.Address());
+  test::Peer caller = test::Peer::Connect(port_);
+  caller.Send(
+      "POST /stream HTTP/1.1\r\nHost: h\r\nId: 7\r\n"
+      "Content-Length: 0\r\n\r\n");
+  BOOST_TEST(absl::StrContains(caller.ReadUntil("id: 3"), "id: 3"));
+  BOOST_TEST(SendRequest("/stream").starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(requests == 1);
+  end.set_value();
+}
+
+// The decode engine leaves during the prefill, so that the gateway frees the
+// result; the prefill engine's answer to that says that it leaves, too.
+BOOST_AUTO_TEST_CASE(Server_WhenAControlAnswerSaysLeaving_GetsNoMorePrefills) {
+  std::atomic<int> prefills{0};
+  test::ScriptedServer decode([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send(Answer("Content-Type: text/event-stream\r\n", Events(1, 3)));
+  });
+  test::ScriptedServer prefill([&](test::Peer& peer, int) {
+    for (;;) {
+      const std::string request = peer.ReadUntil("\r\n\r\n");
+      if (request.empty()) {
+        return;
+      }
+      const bool frees = absl::StartsWith(request, "DELETE /free/kv ");
+      if (!frees) {
+        ++prefills;
+        AddServer("d", "engines", core::ServerRole::kDecode, decode.Address(),
+                  true);
+      }
+      peer.Send(Answer(frees ? "Leaving: 1\r\n" : "", "kv"));
+    }
+  });
+  AddServer("p", "engines", core::ServerRole::kPrefill, prefill.Address());
+  AddServer("d", "engines", core::ServerRole::kDecode, decode.Address());
+  BOOST_TEST(SendRequest("/stream").starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(AwaitOperatorText("/dump", "\"said_leaving\": true"));
+  AddServer("d", "engines", core::ServerRole::kDecode, decode.Address());
+  BOOST_TEST(absl::StrContains(SendRequest("/stream"), "id: 3"));
+  BOOST_TEST(prefills == 1);
+}
+
 BOOST_AUTO_TEST_CASE(RepeatableCall_WhenAnAnswerIsTruncated_IsRetried) {
   test::ScriptedServer server([](test::Peer& peer, int connection) {
     peer.ReadUntil("\r\n\r\n");
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -189,7 +189,7 @@
 
 Json Put(const ServerInfo& info) {
   return Json::array({info.name_, info.address_, info.service_, info.domain_,
-                      PutEnum(info.role_), info.leaving_});
+                      PutEnum(info.role_), info.leaving_, info.incarnation_});
 }
 void Take(const Json& json, ServerInfo& info) {
   info.name_ = json.at(0).get<std::string>();
@@ -198,6 +198,8 @@
   info.domain_ = json.at(3).get<std::string>();
   info.role_ = TakeEnum<ServerRole>(json.at(4));
   info.leaving_ = json.at(5).get<bool>();
+  // An earlier version does not say.
+  info.incarnation_ = json.size() > 6 ? json.at(6).get<std::uint64_t>() : 0;
 }
 
 Json Put(const EntryInfo& info) {
--- a/packages/peer/test/peer_test.cc
+++ b/packages/peer/test/peer_test.cc
@@ -53,7 +53,7 @@
           ConfigurationBody{4, "rules \xfe"},
           ListRequest{5},
           ListBody{6,
-                   {{"s", "a:1", "svc", "dom", ServerRole::kPlain, true}},
+                   {{"s", "a:1", "svc", "dom", ServerRole::kPlain, true, 0, 8}},
                    {{"e", "a:2", "dom", false}}},
           LeaseRequest{"c", need, Milliseconds(70)},
           LeaseQueued{{1, 2}, {"c", 1, 2, 3, 4}},
--- a/tools/words.sh
+++ b/tools/words.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 cd "$root"
-names='[^-]Request-Id|Deadline-Ms|Server-Stamp|Not-Executed|Expect-Instance|Kv-[A-Z]|Token-Count|Prompt-Prefix|Length-Hint|kv-(range|watch|key|handle)|hold-(take|drop)|pathPrefix|targetLatencyMs|maxAttempts|kvHandle|kvCapacityTokens|SISKINDRUM_SETTINGS[^_]|coldRemainingMs'
+names='[^-]Request-Id|Deadline-Ms|Server-(Stamp|Leaving)|Not-Executed|Expect-Instance|Kv-[A-Z]|Token-Count|Prompt-Prefix|Length-Hint|kv-(range|watch|key|handle)|hold-(take|drop)|pathPrefix|targetLatencyMs|maxAttempts|kvHandle|kvCapacityTokens|SISKINDRUM_SETTINGS[^_]|coldRemainingMs'
 if grep -rnE "$names" packages fuzz/*.cc spec tools --include='*' |
   grep -v '^tools/words.sh:'; then
   echo "names of the platform stand outside platform/"
