Retry-After of servers: a server that refuses for a time gets nothing until its end

What callers saw: nothing yet; the rule is new. After a 503 a server was only ranked last for 100 ms (60 ms after a refused reservation), whatever time it stated, so an entry went on sending to a server that wanted nothing from it, most of all when all servers of a pool were busy.

Cause: Retry-After of a server's answer was not read.

AcceptsNewWork is false until then, for calls, reservations (also refused ones), prefills and role changes; releases, frees and prompt lists are not sent either, since the server wants nothing and both expire by themselves. If pauses are all that keeps the pool from work, a stream waits for the earliest end if it can then still meet its target (one in progress: its deadline); all else is refused at once, with the time until that end and up to half of it as advice (ActiveCall::retry_after_). A skipped answer to another request is no notice.

--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -46,7 +46,8 @@
   bool prefill_was_unqueued_ = false;
 
   // Whole request.
-  std::uint32_t sends_ = 0;  // Attempts counted against the rule's retries.
+  Milliseconds retry_after_{0};  // Advice with a refusal; zero: by its reason.
+  std::uint32_t sends_ = 0;      // Attempts counted against the rule's retries.
   int connect_failures_ = 0;
   bool sent_before_ = false;  // Another send counts as a repeat.
   RunState run_state_ = RunState::kNotRun;
@@ -95,6 +96,7 @@
   std::uint64_t orders_ = 0;
   // Server processes that announced their shutdown in an answer.
   std::uint64_t leaving_announced_ = 0;
+  std::uint64_t pauses_asked_ = 0;  // By servers that refused a request.
 };
 
 struct DispatcherOptions {
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -139,6 +139,8 @@
   std::string server_;
   core::Incarnation incarnation_ = 0;  // Of the process that was asked.
   bool leaving_ = false;               // It announced its shutdown.
+  Milliseconds pause_{0};              // It wants no requests for this time.
+  std::string pause_text_;  // The pause in the server's own words, for logs.
 };
 
 // Settings that can be reloaded while the process runs.
--- a/packages/dispatch/include/siskindrum/dispatch/placement.h
+++ b/packages/dispatch/include/siskindrum/dispatch/placement.h
@@ -54,6 +54,14 @@
                             bool direct,
                             TimePoint now);
 
+// Returns the earliest end of a pause among the pool's servers of this role,
+// when only pauses keep them from accepting new work; epoch: there is no such
+// server. Thread-safe: no.
+TimePoint EarliestPauseEnd(const ServerPool& pool,
+                           const std::string& service,
+                           core::ServerRole role,
+                           TimePoint now);
+
 // Estimates the time of a prefill on this server in milliseconds, including the
 // prefills of this entry already queued there and the recent delay caused by
 // those of other entries. Thread-safe: no.
--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -99,10 +99,19 @@
 // Returns the server of that name, or nullptr. Thread-safe: no.
 ServerState* FindServer(ServerPool& pool, const std::string& name);
 
-// Returns true when new work may be sent to the server. An unlisted server
-// accepts work for kUnlistedServerGrace; placement chooses it only when no
-// other server is left. A process that announced its shutdown in an answer
-// accepts none, whatever the list says. Thread-safe: no.
+// Returns true when new work may be sent to the server, apart from a pause that
+// it asked for. An unlisted server accepts work for kUnlistedServerGrace;
+// placement chooses it only when no other server is left. A process that
+// announced its shutdown in an answer accepts none, whatever the list says.
+// Thread-safe: no.
+bool IsInService(const ServerPool& pool,
+                 const ServerState& server,
+                 TimePoint now);
+
+// Returns true while the server wants no requests at all. Thread-safe: no.
+bool IsPaused(const ServerPool& pool, const ServerState& server, TimePoint now);
+
+// Returns true when new work may be sent to the server. Thread-safe: no.
 bool AcceptsNewWork(const ServerPool& pool,
                     const ServerState& server,
                     TimePoint now);
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -118,9 +118,11 @@
              server.calls_, " calls, ", server.held_tokens_, " tokens held, ",
              server.prefill_tokens_, " tokens to prefill, domain ",
              server.info_.domain_,
-             AcceptsNewWork(step.dispatcher_.pool_, server, step.now_)
+             IsInService(step.dispatcher_.pool_, server, step.now_)
                  ? ""
                  : ", leaving",
+             IsPaused(step.dispatcher_.pool_, server, step.now_) ? ", paused"
+                                                                 : "",
              server.suspended_until_ > step.now_ ? ", suspended" : "",
              server.full_until_ > step.now_ ? ", full" : "",
              server.role_change_until_ > step.now_ ? ", changing role" : "")});
@@ -216,7 +218,9 @@
     server->held_tokens_ -=
         std::min(server->held_tokens_, call.counted_decode_);
     server->full_until_ = {};
-    if (!call.hold_.empty()) {
+    // A paused engine wants no release either; the reservation expires soon.
+    if (!call.hold_.empty() &&
+        !IsPaused(step.dispatcher_.pool_, *server, step.now_)) {
       step.actions_.emplace_back(
           ReleaseReservation{server->info_.address_, call.hold_,
                              server->info_.name_, server->info_.incarnation_});
@@ -231,12 +235,15 @@
   if (call.handle_.empty()) {
     return;
   }
-  ++step.dispatcher_.counters_.handles_freed_;
-  const ServerState* server =
-      FindServer(step.dispatcher_.pool_, call.prefill_server_);
-  step.actions_.emplace_back(
-      FreeHandle{call.handle_address_, call.handle_, call.prefill_server_,
-                 server == nullptr ? 0 : server->info_.incarnation_});
+  ServerPool& pool = step.dispatcher_.pool_;
+  const ServerState* server = FindServer(pool, call.prefill_server_);
+  // The result of a paused engine expires by itself.
+  if (server == nullptr || !IsPaused(pool, *server, step.now_)) {
+    ++step.dispatcher_.counters_.handles_freed_;
+    step.actions_.emplace_back(
+        FreeHandle{call.handle_address_, call.handle_, call.prefill_server_,
+                   server == nullptr ? 0 : server->info_.incarnation_});
+  }
   call.handle_.clear();
 }
 
@@ -264,7 +271,10 @@
       outcome = "cut";
       ++dispatcher.counters_.cut_;
     } else if (call.run_state_ == RunState::kNotRun) {
-      refuse.verdict_.retry_after_ = AddJitter(step, RetryAfterFor(reason));
+      refuse.verdict_.retry_after_ =
+          call.retry_after_.count() > 0
+              ? call.retry_after_
+              : AddJitter(step, RetryAfterFor(reason));
       ++dispatcher.counters_.refused_not_run_;
     } else {
       outcome = "failed";
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -208,23 +208,36 @@
   }
 }
 
+// Returns the fields that name the server process and its load.
+std::vector<core::LogField> DescribeProcess(const ServerNoticeReceived& event,
+                                            const ServerState* server) {
+  return {{"server", event.server_},
+          {"incarnation", std::to_string(event.incarnation_)},
+          {"listed",
+           std::to_string(server == nullptr ? 0 : server->info_.incarnation_)},
+          {"pool", server == nullptr ? "" : server->info_.service_},
+          {"calls", std::to_string(server == nullptr ? 0 : server->calls_)}};
+}
+
 void OnServerNotice(Step& step, const ServerNoticeReceived& event) {
   Dispatcher& dispatcher = step.dispatcher_;
-  if (!event.leaving_ ||
-      !RecordLeaving(dispatcher.pool_.notices_, event.server_,
-                     event.incarnation_, step.now_)) {
-    return;
-  }
-  ++dispatcher.counters_.leaving_announced_;
+  ServerNotices& notices = dispatcher.pool_.notices_;
   const ServerState* server = FindServer(dispatcher.pool_, event.server_);
-  step.actions_.emplace_back(core::LogEvent{
-      "server_said_leaving",
-      {{"server", event.server_},
-       {"incarnation", std::to_string(event.incarnation_)},
-       {"listed",
-        std::to_string(server == nullptr ? 0 : server->info_.incarnation_)},
-       {"pool", server == nullptr ? "" : server->info_.service_},
-       {"calls", std::to_string(server == nullptr ? 0 : server->calls_)}}});
+  if (event.leaving_ &&
+      RecordLeaving(notices, event.server_, event.incarnation_, step.now_)) {
+    ++dispatcher.counters_.leaving_announced_;
+    step.actions_.emplace_back(
+        core::LogEvent{"server_said_leaving", DescribeProcess(event, server)});
+  }
+  if (event.pause_.count() > 0) {
+    RecordPause(notices, event.server_, event.incarnation_, event.pause_,
+                step.now_);
+    ++dispatcher.counters_.pauses_asked_;
+    core::LogEvent log{"server_asked_pause", DescribeProcess(event, server)};
+    log.fields_.push_back({"stated", event.pause_text_});
+    log.fields_.push_back({"pause_ms", FormatMs(event.pause_)});
+    step.actions_.push_back(std::move(log));
+  }
 }
 
 void OnConfiguration(Step& step, const ConfigurationRead& event) {
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -108,6 +108,11 @@
 // their target, by priority, then the others in arrival order.
 void RetryWaiting(Step& step);
 
+// Handles a request for which no server of its pool with this role accepts new
+// work. When only pauses are the reason, it waits for the earliest end if that
+// comes in time, else it is refused with that end as retry-after advice.
+void HandleNoServer(Step& step, ActiveCall& call, core::ServerRole role);
+
 // peers.cc: messages between entries.
 
 void OnPeerMessage(Step& step, const PeerMessageReceived& event);
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -172,8 +172,7 @@
       PlaceDecode(step.dispatcher_.pool_, request, call.direct_, step.now_);
   ServerState* server = FindServer(step.dispatcher_.pool_, plan.decode_);
   if (server == nullptr) {
-    FailCall(step, call, core::Reason::kNoServer,
-             absl::StrCat("pool ", call.pool_, " has no usable decode engine"));
+    HandleNoServer(step, call, core::ServerRole::kDecode);
     return;
   }
   const bool denied =
--- a/packages/dispatch/src/kept_prompts.cc
+++ b/packages/dispatch/src/kept_prompts.cc
@@ -20,7 +20,8 @@
   }
   ++dispatcher.retained_prompt_queries_;
   for (const auto& [name, server] : dispatcher.pool_.servers_) {
-    if (server.info_.role_ != core::ServerRole::kPlain) {
+    if (server.info_.role_ != core::ServerRole::kPlain &&
+        !IsPaused(dispatcher.pool_, server, step.now_)) {
       step.actions_.emplace_back(ListRetainedPrompts{
           name, server.info_.address_, server.info_.incarnation_});
     }
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -160,6 +160,12 @@
          transfer_ms > static_cast<double>(settings->handle_.count());
 }
 
+bool FitsRole(const ServerState& server, core::ServerRole role) {
+  return server.info_.role_ == role ||
+         (server.info_.role_ == core::ServerRole::kMixed &&
+          role != core::ServerRole::kPlain);
+}
+
 struct Choice {
   const ServerState* server_ = nullptr;
   double cost_ = std::numeric_limits<double>::max();
@@ -175,12 +181,10 @@
   Choice best;
   std::uint64_t draw = request.draw_;
   for (const auto& [name, server] : pool.servers_) {
-    const bool fits = server.info_.role_ == role ||
-                      (server.info_.role_ == core::ServerRole::kMixed &&
-                       role != core::ServerRole::kPlain);
     const bool changing_role =
         role == core::ServerRole::kPrefill && server.role_change_until_ > now;
-    if (!fits || changing_role || server.info_.service_ != request.pool_ ||
+    if (!FitsRole(server, role) || changing_role ||
+        server.info_.service_ != request.pool_ ||
         !AcceptsNewWork(pool, server, now)) {
       continue;
     }
@@ -194,6 +198,22 @@
 
 }  // namespace
 
+TimePoint EarliestPauseEnd(const ServerPool& pool,
+                           const std::string& service,
+                           core::ServerRole role,
+                           TimePoint now) {
+  TimePoint earliest{};
+  for (const auto& [name, server] : pool.servers_) {
+    if (server.info_.service_ != service || !FitsRole(server, role) ||
+        !IsInService(pool, server, now) || !IsPaused(pool, server, now)) {
+      continue;
+    }
+    const TimePoint end = PausedUntil(pool.notices_, server.info_);
+    earliest = earliest == TimePoint{} ? end : std::min(earliest, end);
+  }
+  return earliest;
+}
+
 double EstimatePrefillMs(const ServerState& server,
                          std::uint32_t tokens,
                          TimePoint now) {
--- a/packages/dispatch/src/plain_call.cc
+++ b/packages/dispatch/src/plain_call.cc
@@ -1,4 +1,3 @@
-#include "absl/strings/str_cat.h"
 #include "dispatcher_p.h"
 
 namespace siskindrum::dispatch {
@@ -8,8 +7,7 @@
       step.dispatcher_.pool_, MakePlacementRequest(step, call), step.now_);
   ServerState* server = FindServer(step.dispatcher_.pool_, name);
   if (server == nullptr) {
-    FailCall(step, call, core::Reason::kNoServer,
-             absl::StrCat("pool ", call.pool_, " has no usable server"));
+    HandleNoServer(step, call, core::ServerRole::kPlain);
     return;
   }
   std::string denied;
--- a/packages/dispatch/src/server_notices.cc
+++ b/packages/dispatch/src/server_notices.cc
@@ -10,7 +10,7 @@
 
 // Returns the end of all that the notice says.
 TimePoint ExpiresAt(const ServerNotice& notice) {
-  return notice.leaving_until_;
+  return std::max(notice.leaving_until_, notice.paused_until_);
 }
 
 // Returns the notice of this process of the server, or nullptr when a notice of
@@ -72,6 +72,24 @@
   return notice != nullptr && now < notice->leaving_until_;
 }
 
+void RecordPause(ServerNotices& notices,
+                 const std::string& name,
+                 core::Incarnation incarnation,
+                 core::Milliseconds pause,
+                 TimePoint now) {
+  ServerNotice* notice = FindOrAdd(notices, name, incarnation);
+  if (notice != nullptr) {
+    notice->paused_until_ = std::max(notice->paused_until_, now + pause);
+    LimitCount(notices);
+  }
+}
+
+TimePoint PausedUntil(const ServerNotices& notices,
+                      const core::ServerInfo& server) {
+  const ServerNotice* notice = FindNotice(notices, server);
+  return notice == nullptr ? TimePoint{} : notice->paused_until_;
+}
+
 void RemoveExpiredNotices(ServerNotices& notices, TimePoint now) {
   std::erase_if(notices.by_name_, [now](const auto& entry) {
     return now >= ExpiresAt(entry.second);
--- a/packages/dispatch/src/server_pool.cc
+++ b/packages/dispatch/src/server_pool.cc
@@ -91,9 +91,9 @@
   return found == pool.servers_.end() ? nullptr : &found->second;
 }
 
-bool AcceptsNewWork(const ServerPool& pool,
-                    const ServerState& server,
-                    TimePoint now) {
+bool IsInService(const ServerPool& pool,
+                 const ServerState& server,
+                 TimePoint now) {
   if (server.misdirected_ ||
       HasAnnouncedLeaving(pool.notices_, server.info_, now)) {
     return false;
@@ -108,6 +108,18 @@
   }
 }
 
+bool IsPaused(const ServerPool& pool,
+              const ServerState& server,
+              TimePoint now) {
+  return now < PausedUntil(pool.notices_, server.info_);
+}
+
+bool AcceptsNewWork(const ServerPool& pool,
+                    const ServerState& server,
+                    TimePoint now) {
+  return IsInService(pool, server, now) && !IsPaused(pool, server, now);
+}
+
 double CurrentDelayMs(const MeasuredDelay& delay, TimePoint now) {
   return Fade(delay.ms_, delay.measured_at_, kDelayHalfLife, now);
 }
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -28,6 +28,40 @@
   return std::min(call.arrived_at_ + kMaxCapacityWait, call.deadline_);
 }
 
+// Adds the request to the queue. Logged and counted once for each request.
+void Enqueue(Step& step, ActiveCall& call) {
+  if (!call.waiting_) {
+    call.waiting_ = true;
+    step.dispatcher_.waiting_.push_back(call.id_);
+  }
+  if (!call.wait_logged_) {
+    call.wait_logged_ = true;
+    ++step.dispatcher_.counters_.waits_;
+    step.actions_.emplace_back(core::LogEvent{
+        "request_waits",
+        {{"request", call.call_.label_},
+         {"pool", call.pool_},
+         {"waiting", std::to_string(step.dispatcher_.waiting_.size())}}});
+  }
+}
+
+// True when a pause that ends then still lets the request be served in time.
+bool CanAwaitPauseEnd(const Step& step, const ActiveCall& call, TimePoint end) {
+  if (call.answer_begun_) {
+    return end < call.deadline_;
+  }
+  const Step then{step.dispatcher_, end, step.actions_};
+  return end < WaitDeadline(call) && CanMeetTarget(then, call);
+}
+
+// Returns the time until `end` with jitter that only adds to it, so that
+// callers neither return early nor all together.
+Milliseconds RetryAfterPause(Step& step, TimePoint end) {
+  const auto left = std::chrono::ceil<Milliseconds>(end - step.now_);
+  std::uniform_int_distribution<std::int64_t> percent(100, 150);
+  return left * percent(step.dispatcher_.random_) / 100;
+}
+
 }  // namespace
 
 bool CanMeetTarget(const Step& step, const ActiveCall& call) {
@@ -75,20 +109,29 @@
   mean = Smooth(mean, ms, kTokenTimeWeight);
 }
 
-void WaitForCapacity(Step& step, ActiveCall& call) {
-  if (!call.waiting_) {
-    call.waiting_ = true;
-    step.dispatcher_.waiting_.push_back(call.id_);
+void HandleNoServer(Step& step, ActiveCall& call, core::ServerRole role) {
+  const TimePoint end =
+      EarliestPauseEnd(step.dispatcher_.pool_, call.pool_, role, step.now_);
+  if (end == TimePoint{}) {
+    FailCall(step, call, core::Reason::kNoServer,
+             absl::StrCat("pool ", call.pool_, " has no usable ",
+                          core::ToString(role), " server"));
+    return;
   }
-  if (!call.wait_logged_) {
-    call.wait_logged_ = true;
-    ++step.dispatcher_.counters_.waits_;
-    step.actions_.emplace_back(core::LogEvent{
-        "request_waits",
-        {{"request", call.call_.label_},
-         {"pool", call.pool_},
-         {"waiting", std::to_string(step.dispatcher_.waiting_.size())}}});
+  const bool queues = role == core::ServerRole::kDecode;
+  if (queues && CanAwaitPauseEnd(step, call, end)) {
+    Enqueue(step, call);
+    return;
   }
+  call.retry_after_ = RetryAfterPause(step, end);
+  FailCall(step, call, core::Reason::kOverloaded,
+           absl::StrCat("all servers of pool ", call.pool_,
+                        " asked for a pause, the first for ",
+                        FormatMs(end - step.now_), " ms more"));
+}
+
+void WaitForCapacity(Step& step, ActiveCall& call) {
+  Enqueue(step, call);
   const bool in_time = CanMeetTarget(step, call);
   if (in_time) {
     step.dispatcher_.shortage_until_ = step.now_ + kShortageTime;
--- a/packages/gateway/include/siskindrum/gateway/dialect.h
+++ b/packages/gateway/include/siskindrum/gateway/dialect.h
@@ -53,6 +53,10 @@
   // The server states that the request was meant for another server.
   bool misdirected_ = false;
   bool leaving_ = false;  // The server announces its shutdown.
+  // How long a server that refuses wants no requests, and its own words for it;
+  // zero: it asks for no pause.
+  core::Milliseconds pause_{0};
+  std::string pause_text_;
 };
 
 // Functions that translate between the gateway's structures and the HTTP
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -60,10 +60,11 @@
     const AnswerFields& fields,
     const std::string& server,
     core::Incarnation incarnation) {
-  if (fields.misdirected_ || !fields.leaving_) {
+  if (fields.misdirected_ || (!fields.leaving_ && fields.pause_.count() == 0)) {
     return std::nullopt;
   }
-  return dispatch::ServerNoticeReceived{server, incarnation, true};
+  return dispatch::ServerNoticeReceived{server, incarnation, fields.leaving_,
+                                        fields.pause_, fields.pause_text_};
 }
 
 std::string FormatControlRequest(ControlRequest request) {
@@ -153,6 +154,11 @@
     return http::AnswerDecision::kFail;
   }
   const AnswerFields fields = context_.dialect_.read_answer_(head, label_);
+  const bool is_skipped = start_.stage_ != Stage::kReserve &&
+                          fields.match_ == AnswerMatch::kOtherRequest;
+  if (is_skipped) {
+    return http::AnswerDecision::kSkip;
+  }
   const auto notice = ReadNotice(fields, start_.server_, start_.incarnation_);
   if (notice.has_value()) {
     context_.post_(*notice);
@@ -162,9 +168,6 @@
     answer_fields_ = fields;
     return http::AnswerDecision::kAccept;
   }
-  if (fields.match_ == AnswerMatch::kOtherRequest) {
-    return http::AnswerDecision::kSkip;
-  }
   const bool encoded = http::FindField(head, "Content-Encoding") != nullptr;
   const bool trusted = start_.stage_ == Stage::kPrefill
                            ? true
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -58,6 +58,9 @@
     fields.not_run_ = http::FindField(head, "Not-Run") != nullptr;
     fields.authentic_ = http::FindField(head, "Mark") != nullptr;
     fields.leaving_ = http::FindField(head, "Leaving") != nullptr;
+    if (http::FindField(head, "Pause") != nullptr) {
+      fields.pause_ = core::Milliseconds(1500);
+    }
     return fields;
   };
   dialect.read_prefill_ =
@@ -337,6 +340,27 @@
   BOOST_TEST(prefills == 1);
 }
 
+BOOST_AUTO_TEST_CASE(Server_WhenItRefusesWithAPause_GetsNothingUntilItsEnd) {
+  std::atomic<int> requests{0};
+  test::ScriptedServer server([&requests](test::Peer& peer, int) {
+    while (!peer.ReadUntil("\r\n\r\n").empty()) {
+      peer.Send(++requests > 1
+                    ? Answer("", "done")
+                    : "HTTP/1.1 503 Busy\r\nId: 7\r\nNot-Run: 1\r\nPause: 1\r\n"
+                      "Content-Length: 0\r\n\r\n");
+    }
+  });
+  AddServer("s", "plain", core::ServerRole::kPlain, server.Address());
+  const core::TimePoint start = http::MonotonicNow();
+  BOOST_TEST(SendRequest("/once").starts_with("HTTP/1.1 503 "));
+  while (requests == 1 &&
+         http::MonotonicNow() < start + core::Milliseconds(test::kWaitMs)) {
+    SendRequest("/once");
+  }
+  BOOST_TEST((http::MonotonicNow() - start >= core::Milliseconds(1500)));
+  BOOST_TEST(requests == 2);
+}
+
 BOOST_AUTO_TEST_CASE(RepeatableCall_WhenAnAnswerIsTruncated_IsRetried) {
   test::ScriptedServer server([](test::Peer& peer, int connection) {
     peer.ReadUntil("\r\n\r\n");
