--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -1,15 +1,22 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "dispatcher_p.h"
 
 namespace siskindrum::dispatch {
 
 namespace {
 
+// Lowest percentage of retry-after advice that jitter leaves.
+constexpr std::int64_t kNeverEarlier = 100;
+constexpr std::int64_t kAround = 75;
+
 // Adds jitter, so that callers refused together do not return together.
-Milliseconds AddJitter(Step& step, Milliseconds retry_after) {
-  std::uniform_int_distribution<std::int64_t> part(75, 150);
+Milliseconds AddJitter(Step& step,
+                       Milliseconds retry_after,
+                       std::int64_t min_percent) {
+  std::uniform_int_distribution<std::int64_t> part(min_percent, 150);
   return Milliseconds(retry_after.count() * part(step.dispatcher_.random_) /
                       100);
 }
@@ -54,6 +61,8 @@
   if (call.call_.prompt_ != 0) {
     log.fields_.push_back(
         {"prompt", absl::StrCat(absl::Hex(call.call_.prompt_))});
+    log.fields_.push_back(
+        {"shared_parts", FormatParts(call.call_.shared_parts_)});
     log.fields_.push_back(
         {"prompt_tokens", absl::StrCat(call.call_.shape_.prompt_tokens_)});
     log.fields_.push_back(
@@ -136,6 +145,12 @@
       std::chrono::duration_cast<Milliseconds>(duration).count());
 }
 
+std::string FormatParts(const std::vector<std::uint64_t>& parts) {
+  return absl::StrJoin(parts, ",", [](std::string* out, std::uint64_t part) {
+    absl::StrAppend(out, absl::Hex(part));
+  });
+}
+
 bool IsRepeatable(const ActiveCall& call) {
   const core::RuleOutcome& outcome = call.rule_->outcome_;
   return outcome.kind_ == core::BackendKind::kPlain
@@ -273,8 +288,8 @@
     } else if (call.run_state_ == RunState::kNotRun) {
       refuse.verdict_.retry_after_ =
           call.retry_after_.count() > 0
-              ? call.retry_after_
-              : AddJitter(step, RetryAfterFor(reason));
+              ? AddJitter(step, call.retry_after_, kNeverEarlier)
+              : AddJitter(step, RetryAfterFor(reason), kAround);
       ++dispatcher.counters_.refused_not_run_;
     } else {
       outcome = "failed";
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -54,14 +54,6 @@
   return end < WaitDeadline(call) && CanMeetTarget(then, call);
 }
 
-// Returns the time until `end` with jitter that only adds to it, so that
-// callers neither return early nor all together.
-Milliseconds RetryAfterPause(Step& step, TimePoint end) {
-  const auto left = std::chrono::ceil<Milliseconds>(end - step.now_);
-  std::uniform_int_distribution<std::int64_t> percent(100, 150);
-  return left * percent(step.dispatcher_.random_) / 100;
-}
-
 }  // namespace
 
 bool CanMeetTarget(const Step& step, const ActiveCall& call) {
@@ -123,7 +115,7 @@
     Enqueue(step, call);
     return;
   }
-  call.retry_after_ = RetryAfterPause(step, end);
+  call.retry_after_ = std::chrono::ceil<Milliseconds>(end - step.now_);
   FailCall(step, call, core::Reason::kOverloaded,
            absl::StrCat("all servers of pool ", call.pool_,
                         " asked for a pause, the first for ",
