--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -105,9 +105,12 @@
   std::uint64_t reserves_refused_ = 0;
   std::uint64_t waits_ = 0;
   std::uint64_t orders_ = 0;
-  std::uint64_t suspicions_ = 0;   // Own and reported by peers.
-  std::uint64_t quarantines_ = 0;  // Imposed or renewed.
-  std::uint64_t quarantined_ = 0;  // Refused requests.
+  // Server processes that announced their shutdown in an answer.
+  std::uint64_t leaving_announced_ = 0;
+  std::uint64_t pauses_asked_ = 0;  // By servers that refused a request.
+  std::uint64_t suspicions_ = 0;    // Own and reported by peers.
+  std::uint64_t quarantines_ = 0;   // Imposed or renewed.
+  std::uint64_t quarantined_ = 0;   // Refused requests.
 };
 
 struct DispatcherOptions {
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -8,9 +8,15 @@
 
 namespace {
 
+// Lowest percentage of retry-after advice that jitter leaves.
+constexpr std::int64_t kNeverEarlier = 100;
+constexpr std::int64_t kAround = 75;
+
 // Adds jitter, so that callers refused together do not return together.
-Milliseconds AddJitter(Step& step, Milliseconds retry_after) {
-  std::uniform_int_distribution<std::int64_t> part(75, 150);
+Milliseconds AddJitter(Step& step,
+                       Milliseconds retry_after,
+                       std::int64_t min_percent) {
+  std::uniform_int_distribution<std::int64_t> part(min_percent, 150);
   return Milliseconds(retry_after.count() * part(step.dispatcher_.random_) /
                       100);
 }
@@ -121,7 +127,11 @@
              server.calls_, " calls, ", server.held_tokens_, " tokens held, ",
              server.prefill_tokens_, " tokens to prefill, domain ",
              server.info_.domain_,
-             AcceptsNewWork(server, step.now_) ? "" : ", leaving",
+             IsInService(step.dispatcher_.pool_, server, step.now_)
+                 ? ""
+                 : ", leaving",
+             IsPaused(step.dispatcher_.pool_, server, step.now_) ? ", paused"
+                                                                 : "",
              server.suspended_until_ > step.now_ ? ", suspended" : "",
              server.full_until_ > step.now_ ? ", full" : "",
              server.role_change_until_ > step.now_ ? ", changing role" : "")});
@@ -223,9 +233,12 @@
     server->held_tokens_ -=
         std::min(server->held_tokens_, call.counted_decode_);
     server->full_until_ = {};
-    if (!call.hold_.empty()) {
+    // A paused engine wants no release either; the reservation expires soon.
+    if (!call.hold_.empty() &&
+        !IsPaused(step.dispatcher_.pool_, *server, step.now_)) {
       step.actions_.emplace_back(
-          ReleaseReservation{server->info_.address_, call.hold_});
+          ReleaseReservation{server->info_.address_, call.hold_,
+                             server->info_.name_, server->info_.incarnation_});
     }
   }
   call.counted_decode_ = 0;
@@ -237,8 +250,15 @@
   if (call.handle_.empty()) {
     return;
   }
-  ++step.dispatcher_.counters_.handles_freed_;
-  step.actions_.emplace_back(FreeHandle{call.handle_address_, call.handle_});
+  ServerPool& pool = step.dispatcher_.pool_;
+  const ServerState* server = FindServer(pool, call.prefill_server_);
+  // The result of a paused engine expires by itself.
+  if (server == nullptr || !IsPaused(pool, *server, step.now_)) {
+    ++step.dispatcher_.counters_.handles_freed_;
+    step.actions_.emplace_back(
+        FreeHandle{call.handle_address_, call.handle_, call.prefill_server_,
+                   server == nullptr ? 0 : server->info_.incarnation_});
+  }
   call.handle_.clear();
 }
 
@@ -266,9 +286,10 @@
       outcome = "cut";
       ++dispatcher.counters_.cut_;
     } else if (call.run_state_ == RunState::kNotRun) {
-      refuse.verdict_.retry_after_ = AddJitter(
-          step, call.retry_after_.count() > 0 ? call.retry_after_
-                                              : RetryAfterFor(reason));
+      refuse.verdict_.retry_after_ =
+          call.retry_after_.count() > 0
+              ? AddJitter(step, call.retry_after_, kNeverEarlier)
+              : AddJitter(step, RetryAfterFor(reason), kAround);
       ++dispatcher.counters_.refused_not_run_;
     } else {
       outcome = "failed";
@@ -357,6 +378,7 @@
   start.stage_ = stage;
   start.server_ = server.info_.name_;
   start.address_ = server.info_.address_;
+  start.incarnation_ = server.info_.incarnation_;
   start.decided_at_ = step.now_;
   start.deadline_ = call.deadline_;
   return start;
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -211,6 +211,38 @@
   }
 }
 
+// Returns the fields that name the server process and its load.
+std::vector<core::LogField> DescribeProcess(const ServerNoticeReceived& event,
+                                            const ServerState* server) {
+  return {{"server", event.server_},
+          {"incarnation", std::to_string(event.incarnation_)},
+          {"listed",
+           std::to_string(server == nullptr ? 0 : server->info_.incarnation_)},
+          {"pool", server == nullptr ? "" : server->info_.service_},
+          {"calls", std::to_string(server == nullptr ? 0 : server->calls_)}};
+}
+
+void OnServerNotice(Step& step, const ServerNoticeReceived& event) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  ServerNotices& notices = dispatcher.pool_.notices_;
+  const ServerState* server = FindServer(dispatcher.pool_, event.server_);
+  if (event.leaving_ &&
+      RecordLeaving(notices, event.server_, event.incarnation_, step.now_)) {
+    ++dispatcher.counters_.leaving_announced_;
+    step.actions_.emplace_back(
+        core::LogEvent{"server_said_leaving", DescribeProcess(event, server)});
+  }
+  if (event.pause_.count() > 0) {
+    RecordPause(notices, event.server_, event.incarnation_, event.pause_,
+                step.now_);
+    ++dispatcher.counters_.pauses_asked_;
+    core::LogEvent log{"server_asked_pause", DescribeProcess(event, server)};
+    log.fields_.push_back({"stated", event.pause_text_});
+    log.fields_.push_back({"pause_ms", FormatMs(event.pause_)});
+    step.actions_.push_back(std::move(log));
+  }
+}
+
 void OnConfiguration(Step& step, const ConfigurationRead& event) {
   Dispatcher& dispatcher = step.dispatcher_;
   const core::OfferOutcome offer = core::OfferConfiguration(
@@ -240,12 +272,14 @@
   if (step.now_ - dispatcher.started_at_ > kRoleChangeWindow) {
     return;
   }
-  for (const std::string& name : PrefillEnginesToConvert(dispatcher.pool_)) {
+  for (const std::string& name :
+       PrefillEnginesToConvert(dispatcher.pool_, step.now_)) {
     ++dispatcher.counters_.orders_;
     ServerState* server = FindServer(dispatcher.pool_, name);
     server->role_change_until_ = step.now_ + kRoleChangeTimeout;
     dispatcher.peers_.next_round_at_ = step.now_;
-    step.actions_.emplace_back(SwitchToDecode{name, server->info_.address_});
+    step.actions_.emplace_back(SwitchToDecode{name, server->info_.address_,
+                                              server->info_.incarnation_});
     step.actions_.emplace_back(core::LogEvent{
         "engine_turned",
         {{"server", name},
@@ -280,6 +314,7 @@
   GossipWithPeers(step);
   SendUsage(step);
   RemoveUnlistedServers(dispatcher.pool_, step.now_);
+  RemoveExpiredNotices(dispatcher.pool_.notices_, step.now_);
 }
 
 }  // namespace
@@ -363,6 +398,7 @@
           [&](const PeerMessageReceived& e) { OnPeerMessage(step, e); },
           [&](const ConfigurationRead& e) { OnConfiguration(step, e); },
           [&](const RetainedPromptsListed& e) { OnRetainedPrompts(step, e); },
+          [&](const ServerNoticeReceived& e) { OnServerNotice(step, e); },
           [&](const SettingsRead& e) {
             dispatcher.peers_.seeds_ = e.seeds_;
             dispatcher.options_.repeats_ = e.repeats_;
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -67,7 +67,8 @@
 // one.
 void SendDecode(Step& step, ActiveCall& call) {
   ServerState* server = FindServer(step.dispatcher_.pool_, call.decode_server_);
-  if (server == nullptr || !AcceptsNewWork(*server, step.now_)) {
+  if (server == nullptr ||
+      !AcceptsNewWork(step.dispatcher_.pool_, *server, step.now_)) {
     ReleaseDecode(step, call);
     AssignDecodeEngine(step, call);
     return;
@@ -180,8 +181,7 @@
       PlaceDecode(step.dispatcher_.pool_, request, call.direct_, step.now_);
   ServerState* server = FindServer(step.dispatcher_.pool_, plan.decode_);
   if (server == nullptr) {
-    FailCall(step, call, core::Reason::kNoServer,
-             absl::StrCat("pool ", call.pool_, " has no usable decode engine"));
+    HandleNoServer(step, call, core::ServerRole::kDecode);
     return;
   }
   const bool denied =
@@ -210,6 +210,12 @@
       RecordResponse(*server);
     }
     call.hold_ = event.hold_;
+    if (server != nullptr &&
+        !AcceptsNewWork(step.dispatcher_.pool_, *server, step.now_)) {
+      ReleaseDecode(step, call);
+      AssignDecodeEngine(step, call);
+      return;
+    }
     if (call.reserved_at_ == TimePoint{}) {
       call.reserved_at_ = step.now_;
     }
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -56,6 +56,17 @@
       request_(std::move(request)),
       context_(context) {}
 
+std::optional<dispatch::ServerNoticeReceived> ReadNotice(
+    const AnswerFields& fields,
+    const std::string& server,
+    core::Incarnation incarnation) {
+  if (fields.misdirected_ || (!fields.leaving_ && fields.pause_.count() == 0)) {
+    return std::nullopt;
+  }
+  return dispatch::ServerNoticeReceived{server, incarnation, fields.leaving_,
+                                        fields.pause_, fields.pause_text_};
+}
+
 std::string FormatControlRequest(ControlRequest request) {
   if (!request.body_.empty()) {
     request.head_.fields_.push_back(
@@ -162,6 +173,10 @@
         fields.match_ != AnswerMatch::kUnknown || call_.ReusesConnection();
     return is_stale ? http::AnswerDecision::kSkip : http::AnswerDecision::kFail;
   }
+  const auto notice = ReadNotice(fields, start_.server_, start_.incarnation_);
+  if (notice.has_value()) {
+    context_.post_(*notice);
+  }
   const bool encoded = http::FindField(head, "Content-Encoding") != nullptr;
   const bool for_caller =
       start_.stage_ == Stage::kPlain || start_.stage_ == Stage::kDecode;
--- a/packages/gateway/test/gateway_fixture.h
+++ b/packages/gateway/test/gateway_fixture.h
@@ -8,9 +8,11 @@
 #include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "loopback.h"
 #include "siskindrum/gateway/gateway.h"
+#include "siskindrum/http/clock.h"
 #include "siskindrum/rules/rules.h"
 
 namespace siskindrum::gateway {
@@ -51,6 +53,10 @@
     }
     fields.not_run_ = http::FindField(head, "Not-Run") != nullptr;
     fields.authentic_ = http::FindField(head, "Mark") != nullptr;
+    fields.leaving_ = http::FindField(head, "Leaving") != nullptr;
+    if (http::FindField(head, "Pause") != nullptr) {
+      fields.pause_ = core::Milliseconds(1500);
+    }
     return fields;
   };
   dialect.read_prefill_ =
@@ -131,8 +137,10 @@
   void AddServer(const std::string& name,
                  const std::string& pool,
                  core::ServerRole role,
-                 const std::string& address) {
+                 const std::string& address,
+                 bool leaving = false) {
     core::ServerInfo info;
+    info.leaving_ = leaving;
     info.name_ = name;
     info.address_ = address;
     info.service_ = pool;
@@ -149,6 +157,21 @@
                            body.size(), "\r\n\r\n", body));
     return peer.ReadAll();
   }
+  // Reads an operators' page until it contains the text; false on timeout.
+  bool AwaitOperatorText(const std::string& target,
+                         const std::string& text) const {
+    const core::TimePoint limit =
+        http::MonotonicNow() + core::Milliseconds(test::kWaitMs);
+    while (http::MonotonicNow() < limit) {
+      test::Peer peer = test::Peer::Connect(operators_port_);
+      peer.Send(absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: h\r\n",
+                             "Connection: close\r\n\r\n"));
+      if (absl::StrContains(peer.ReadAll(), text)) {
+        return true;
+      }
+    }
+    return false;
+  }
 
   std::uint16_t port_ = 0;
   std::uint16_t operators_port_ = 0;
