Caller connections: a request that waits unread is read before a time limit closes its connection

Callers saw: a whole request on an open connection ended with a closed connection, neither answered nor refused, when the entry was busy or a configuration had just shortened the idle limit; the same when idle connections are closed at the end of a drain. Bytes that wait in the socket of a busy process do not count, and what is read after the close is thrown away.

--- a/packages/http/include/siskindrum/http/caller_connection.h
+++ b/packages/http/include/siskindrum/http/caller_connection.h
@@ -76,8 +76,9 @@
   void Abort();
 
   // Finishes the request in progress and sends `Connection: close` with its
-  // answer. With `close_idle` an idle connection is closed at once, and a busy
-  // one after its answer even if the head was already sent without that field.
+  // answer. With `close_idle` an idle connection is closed at once unless bytes
+  // of a request wait in its socket, and a busy one after its answer even if
+  // the head was already sent without that field.
   void Drain(bool close_idle);
 
   // Enforces the time limits. Call about every 100 ms.
@@ -98,6 +99,7 @@
   void FailRequest(ParseError error);
   void RefuseAndClose(int status);
   bool IsCallerGone();
+  bool HasUnreadBytes() const;
   void FinishAnswer();
   void Write(std::string data);
   void WriteNext();
--- a/packages/http/src/caller_connection.cc
+++ b/packages/http/src/caller_connection.cc
@@ -146,6 +146,13 @@
          error != boost::asio::error::try_again;
 }
 
+// Returns whether bytes of the caller wait in the socket. A busy process may
+// look at its time limits before it reads a request that arrived in time.
+bool CallerConnection::HasUnreadBytes() const {
+  error_code error;
+  return socket_.available(error) > 0 && !error;
+}
+
 void CallerConnection::FailRequest(ParseError error) {
   if (error == ParseError::kHeadTooLarge) {
     RefuseAndClose(431);
@@ -308,7 +315,7 @@
   draining_ = true;
   no_more_requests_ = no_more_requests_ || close_idle;
   const bool idle = state_ == State::kReading && parser_ == nullptr;
-  if (idle && close_idle) {
+  if (idle && close_idle && !HasUnreadBytes()) {
     state_ = State::kLingering;
     Linger();
   }
@@ -324,17 +331,17 @@
   if (state_ != State::kReading) {
     return;
   }
-  if (parser_ != nullptr && !parser_->IsHeadDone()) {
-    if (now - request_began_ > limits_.head_time_) {
-      RefuseAndClose(408);
-    }
-  } else if (now - last_activity_ > limits_.idle_time_) {
-    if (parser_ != nullptr) {
-      RefuseAndClose(408);
-    } else {
-      state_ = State::kLingering;
-      Linger();
-    }
+  const bool in_head = parser_ != nullptr && !parser_->IsHeadDone();
+  const bool expired = in_head ? now - request_began_ > limits_.head_time_
+                               : now - last_activity_ > limits_.idle_time_;
+  if (!expired || HasUnreadBytes()) {
+    return;
+  }
+  if (parser_ != nullptr) {
+    RefuseAndClose(408);
+  } else {
+    state_ = State::kLingering;
+    Linger();
   }
 }
 
--- a/packages/http/test/caller_connection_test.cc
+++ b/packages/http/test/caller_connection_test.cc
@@ -144,6 +144,32 @@
   BOOST_TEST(!peer.WasReset());
 }
 
+// The network thread is busy for longer than the idle limit, while a whole
+// request waits in the socket.
+BOOST_AUTO_TEST_CASE(Request_WhenItWaitsUnreadPastTheIdleLimit_IsAnswered) {
+  for (const bool drain : {false, true}) {
+    test::Peer peer = Connect();
+    peer.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST(!peer.ReadUntil("\r\n\r\n").empty());
+    const int before = requests_;
+    boost::asio::post(context_, [this, &peer, drain] {
+      std::this_thread::sleep_for(limits_.idle_time_);
+      peer.Send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+      std::this_thread::sleep_for(core::Milliseconds(50));
+      const auto open = open_;
+      for (const auto& connection : open) {
+        if (drain) {
+          connection->Drain(true);
+        } else {
+          connection->Sweep(MonotonicNow());
+        }
+      }
+    });
+    BOOST_TEST(peer.ReadUntil("\r\n\r\n").starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(requests_ == before + 1);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Requests_WhenPipelined_AreAnsweredInOrder) {
   const std::string answers =
       Ask("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\none"
