Silent servers: a request leaves one only when another send is allowed and possible

Callers saw: a stream cut after 0.9 s without an event, a read answered 504 after 0.3 s, a prompt refused after 0.35 s, though the server was sound and went on; at such times a repeat was not allowed any more. Cause: the entry cancelled the attempt at its timeout and asked only then whether the rule, the repeat budget and the placement allow the next send. Change: the exchange reports the silence; the dispatcher takes a repeat from the budget, looks for another server with room, and only then tells the exchange to abandon the attempt.

--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -36,6 +36,7 @@
   Stage stage_ = Stage::kPlain;
   std::string server_;
   TimePoint sent_at_{};
+  bool silence_recorded_ = false;      // The server was found silent.
   std::uint32_t counted_prefill_ = 0;  // Tokens counted at `server_`.
   double expected_prefill_ms_ = 0;     // Of the prefill at `prefill_server_`.
   std::string prefill_server_;         // Of the last prefill; empty: none.
@@ -48,7 +49,8 @@
   // Whole request.
   std::uint32_t sends_ = 0;  // Attempts counted against the rule's retries.
   int connect_failures_ = 0;
-  bool sent_before_ = false;  // Another send counts as a repeat.
+  bool sent_before_ = false;     // Another send counts as a repeat.
+  bool repeat_granted_ = false;  // A repeat was taken from the budget for it.
   RunState run_state_ = RunState::kNotRun;
   bool answer_begun_ = false;
   TimePoint begun_at_{};
@@ -84,6 +86,7 @@
   std::uint64_t attempts_ = 0;
   std::uint64_t repeats_ = 0;
   std::uint64_t repeats_denied_ = 0;
+  std::uint64_t silences_endured_ = 0;  // Attempts that stayed where they were.
   std::uint64_t resumed_ = 0;
   std::uint64_t cut_ = 0;
   std::uint64_t prefills_elsewhere_ = 0;
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -113,6 +113,13 @@
   Milliseconds longest_gap_{0};
 };
 
+// The server has sent no data for the attempt's timeout. Repeated while the
+// silence lasts.
+struct AttemptSilent {
+  RequestId request_;
+  std::uint32_t attempt_ = 0;
+};
+
 struct ListSeen {
   ListChanges changes_;
 };
@@ -148,6 +155,7 @@
                            ReserveDone,
                            AnswerBegan,
                            AttemptDone,
+                           AttemptSilent,
                            ListSeen,
                            ConfigurationRead,
                            PeerMessageReceived,
@@ -168,9 +176,11 @@
   std::string address_;
   TimePoint decided_at_{};
   TimePoint deadline_{};  // Passed to the server as the remaining time.
-  // Until the first relevant byte; zero: no limit.
+  // Time without data after which the server counts as silent: until the first
+  // relevant byte, and between events. Zero: never. A reservation fails then;
+  // any other attempt is reported with AttemptSilent.
   Milliseconds first_byte_timeout_{0};
-  Milliseconds event_timeout_{0};  // Between events; zero: no limit.
+  Milliseconds event_timeout_{0};
   // Engine that has the prefill result; empty: none.
   std::string source_address_;
   std::string handle_;
@@ -182,6 +192,13 @@
   std::optional<std::uint64_t> resume_after_;
 };
 
+// Cancels the attempt if its server is still silent, and reports that it
+// failed.
+struct AbandonAttempt {
+  RequestId request_;
+  std::uint32_t attempt_ = 0;
+};
+
 // Ends the request with a refusal or failure. An answer that has begun is cut
 // off.
 struct Refuse {
@@ -235,6 +252,7 @@
 };
 
 using Action = std::variant<StartAttempt,
+                            AbandonAttempt,
                             Refuse,
                             DeliverServerError,
                             FreeHandle,
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -289,6 +289,15 @@
   return entries == 1 ? kDefaultRepeatSharers : entries;
 }
 
+bool GrantRepeat(Step& step, ActiveCall& call) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  call.repeat_granted_ =
+      call.repeat_granted_ ||
+      TryConsumeRepeat(dispatcher.budget_, dispatcher.options_.repeats_,
+                       RepeatSharers(step), call.pool_, step.now_);
+  return call.repeat_granted_;
+}
+
 bool AllowAttempt(Step& step, ActiveCall& call, std::string* denied) {
   if (call.sends_ > call.rule_->outcome_.retries_) {
     *denied = "the rule allows no more retries";
@@ -297,13 +306,12 @@
   if (!call.sent_before_) {
     return true;
   }
-  Dispatcher& dispatcher = step.dispatcher_;
-  if (!TryConsumeRepeat(dispatcher.budget_, dispatcher.options_.repeats_,
-                        RepeatSharers(step), call.pool_, step.now_)) {
+  if (!GrantRepeat(step, call)) {
     ++step.dispatcher_.counters_.repeats_denied_;
     *denied = "the repeat budget is exhausted";
     return false;
   }
+  call.repeat_granted_ = false;
   ++step.dispatcher_.counters_.repeats_;
   return true;
 }
@@ -338,6 +346,7 @@
   call.stage_ = stage;
   call.server_ = server.info_.name_;
   call.sent_at_ = step.now_;
+  call.silence_recorded_ = false;
   RecordChoice(step, call);
   RecordCallStart(server, step.now_);
   StartAttempt start;
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -353,6 +353,12 @@
             }
           },
           [&](const AttemptDone& e) { OnAttemptDone(step, e); },
+          [&](const AttemptSilent& e) {
+            ActiveCall* call = FindAttempt(step, e.request_, e.attempt_);
+            if (call != nullptr && !call->server_.empty()) {
+              OnAttemptSilent(step, *call);
+            }
+          },
           [&](const ListSeen& e) { OnListChanges(step, e.changes_, "store"); },
           [&](const PeerMessageReceived& e) { OnPeerMessage(step, e); },
           [&](const ConfigurationRead& e) { OnConfiguration(step, e); },
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -44,6 +44,9 @@
               const std::string& detail);
 // Ends a request that needs no refusal; destroys `call`.
 void EndCall(Step& step, ActiveCall& call, const std::string& outcome);
+// Takes one repeat from the budget for the request's next send, unless it has
+// one already. Returns whether it has one.
+bool GrantRepeat(Step& step, ActiveCall& call);
 // Returns true when the rule and the repeat budget allow another attempt, and
 // consumes one repeat of the budget if the attempt is a repeat.
 bool AllowAttempt(Step& step, ActiveCall& call, std::string* denied);
@@ -83,6 +86,12 @@
 void OnDecodeDone(Step& step, ActiveCall& call, const AttemptDone& event);
 void OnAnswerBegan(Step& step, ActiveCall& call);
 
+// silence.cc
+// Moves the request away from a silent server, if the rule and the repeat
+// budget allow another send and another server can take it. Else the attempt
+// goes on: a sound server may fall silent for a while.
+void OnAttemptSilent(Step& step, ActiveCall& call);
+
 // kept_prompts.cc: prompts that engines retain from before this process
 // started.
 
--- a/packages/dispatch/test/dispatcher_fixture.h
+++ b/packages/dispatch/test/dispatcher_fixture.h
@@ -172,6 +172,7 @@
   std::uint64_t requests_ = 0;
   std::map<RequestId, std::vector<StartAttempt>> starts_;
   std::map<RequestId, core::Verdict> refused_;
+  std::vector<RequestId> abandoned_;
   std::vector<RequestId> server_errors_;
   std::vector<std::string> freed_;     // Handles of freed prefill results.
   std::vector<std::string> released_;  // Released reservations.
@@ -186,6 +187,8 @@
     if (const auto* start = std::get_if<StartAttempt>(&action)) {
       starts_[start->request_].push_back(*start);
       order_.push_back(start->request_);
+    } else if (const auto* abandon = std::get_if<AbandonAttempt>(&action)) {
+      abandoned_.push_back(abandon->request_);
     } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
       refused_[refuse->request_] = refuse->verdict_;
     } else if (const auto* error = std::get_if<DeliverServerError>(&action)) {
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -21,6 +21,9 @@
 // Reading from the server is paused while more than this number of bytes waits
 // to be written to the caller.
 constexpr std::size_t kMaxWriteBacklog = 128 * 1024;
+// Time between two reports of the same silence.
+constexpr core::Milliseconds kSilenceReportInterval{100};
+constexpr char kSilenceDetail[] = "timeout: no data from the server";
 
 using core::Reason;
 using core::RunState;
@@ -407,16 +410,29 @@
   call_.Cancel();
 }
 
-void Exchange::Sweep(core::TimePoint now) {
-  if (!attempt_open_ || done_ || paused_) {
-    return;
-  }
+bool Exchange::IsSilent(core::TimePoint now) const {
   const core::Milliseconds limit =
       answer_begun_ ? start_.event_timeout_ : start_.first_byte_timeout_;
-  if (limit.count() == 0 || now - last_progress_at_ < limit) {
+  return attempt_open_ && !done_ && !paused_ && limit.count() > 0 &&
+         now - last_progress_at_ >= limit;
+}
+
+void Exchange::Sweep(core::TimePoint now) {
+  if (!IsSilent(now)) {
     return;
   }
-  FailAttempt(Reason::kDeadline, "timeout: no data from the server");
+  if (start_.stage_ == Stage::kReserve) {
+    FailAttempt(Reason::kDeadline, kSilenceDetail);
+  } else if (now - silence_reported_at_ >= kSilenceReportInterval) {
+    silence_reported_at_ = now;
+    context_.post_(dispatch::AttemptSilent{id_, start_.attempt_});
+  }
+}
+
+void Exchange::Abandon(const dispatch::AbandonAttempt& abandon) {
+  if (abandon.attempt_ == start_.attempt_ && IsSilent(http::MonotonicNow())) {
+    FailAttempt(Reason::kDeadline, kSilenceDetail);
+  }
 }
 
 void Exchange::FailAttempt(Reason reason, const std::string& detail) {
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -46,6 +46,9 @@
 
   // Sends the request to a server; cancels the previous attempt.
   void Start(const dispatch::StartAttempt& start);
+  // Cancels the attempt and reports it as failed, if it is the current one and
+  // its server is still silent.
+  void Abandon(const dispatch::AbandonAttempt& abandon);
   // Answers the caller with a refusal, or closes the connection when an answer
   // has begun.
   void Refuse(const core::Verdict& verdict);
@@ -56,7 +59,8 @@
   // Resumes reading from the server. Call when all data for the caller has been
   // handed to the kernel.
   void OnCallerWritable();
-  // Fails the attempt when its timeout has passed without progress.
+  // Reports the attempt as silent when its timeout has passed without progress,
+  // and again while the silence lasts. Fails a reservation at once.
   void Sweep(core::TimePoint now);
 
   const core::RequestId& Id() const { return id_; }
@@ -72,6 +76,8 @@
   void ForwardEvents(std::string_view data);
   // Pauses reading from the server while too much data waits for the caller.
   void ApplyBackpressure();
+  // Returns whether the server has sent nothing for the attempt's timeout.
+  bool IsSilent(core::TimePoint now) const;
   // Cancels the attempt and reports that the request may have run.
   void FailAttempt(core::Reason reason, const std::string& detail);
   void BeginAnswer();
@@ -112,8 +118,9 @@
   bool done_ = false;
   core::TimePoint started_at_{};        // Start of the current attempt.
   core::TimePoint last_progress_at_{};  // The timeout counts from here.
-  core::TimePoint last_event_at_{};     // Last event sent to the caller.
-  core::Nanoseconds longest_gap_{0};    // Between two such events.
+  core::TimePoint silence_reported_at_{};
+  core::TimePoint last_event_at_{};   // Last event sent to the caller.
+  core::Nanoseconds longest_gap_{0};  // Between two such events.
 };
 
 }  // namespace siskindrum::gateway
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -209,6 +209,11 @@
       exchange->Start(start);
     }
   }
+  void Execute(const dispatch::AbandonAttempt& abandon) {
+    if (const auto exchange = FindExchange(abandon.request_)) {
+      exchange->Abandon(abandon);
+    }
+  }
   void Execute(const dispatch::Refuse& refuse) {
     if (const auto exchange = FindExchange(refuse.request_)) {
       exchange->Refuse(refuse.verdict_);
