--- a/packages/core/include/siskindrum/core/peer_message.h
+++ b/packages/core/include/siskindrum/core/peer_message.h
@@ -145,7 +145,9 @@
 // Parts that are known to be harmless are left out.
 struct CrashSuspect {
   std::string server_;
-  Milliseconds age_{0};  // Since the crash.
+  Incarnation incarnation_ = 0;  // Of the server; zero: unknown.
+  Milliseconds age_{0};          // Since the crash.
+  bool confirmed_ = false;  // The lost connection is certain to be a crash.
   PromptParts parts_;
 };
 
--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -84,6 +84,7 @@
 // be sent.
 struct QuarantineNews {
   core::QuarantineReport report_;
+  TimePoint collected_since_{};  // When its first row was added.
   double messages_ = kNewsBurst;
   TimePoint counted_at_{};
 };
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -110,6 +110,9 @@
   // Last event delivered to the caller.
   std::optional<std::uint64_t> last_event_;
   bool misdirected_ = false;  // As in PrefillDone.
+  // The server closed or reset the connection before the answer was whole.
+  bool connection_lost_ = false;
+  bool wrote_events_ = false;  // This attempt brought part of the answer.
   // Another attempt can complete the answer without repeating any part of it.
   bool can_resume_ = true;
   // Longest time between two events of the whole answer so far, including
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -174,15 +174,21 @@
 // Entries of the same failure domain that get a report in one round.
 inline constexpr std::size_t kUsageFanOut = 16;
 
-// Crashes after which the parts of a waiting request are quarantined, if it was
-// the same set of parts each time, or only a common part of different sets.
-inline constexpr std::uint32_t kMinCrashes = 2;
-inline constexpr std::uint32_t kMinCrashesOfCommonParts = 3;
-// Two reports of one server's crash differ by less; an engine takes longer to
-// start again.
+// Weights of a confirmed crash and of a lost connection that may have had
+// another cause.
+inline constexpr std::uint32_t kConfirmedCrashWeight = 2;
+inline constexpr std::uint32_t kUnconfirmedCrashWeight = 1;
+// Weight of crashes with which the parts of a waiting request are quarantined,
+// if it was the same set of parts each time.
+inline constexpr std::uint32_t kMinCrashWeight = 4;
+// The same for common parts of different sets, and the number of such sets.
+inline constexpr std::uint32_t kMinCommonCrashWeight = 6;
+inline constexpr std::size_t kMinDifferentSets = 3;
+// Two reports of one crash of a server whose incarnation is unknown differ by
+// less; an engine takes longer to start again.
 inline constexpr Milliseconds kSameCrashTime{1000};
 // A crash is evidence for this long.
-inline constexpr Milliseconds kSuspicionLifetime{60000};
+inline constexpr Milliseconds kSuspicionLifetime{180000};
 // An answer acquits its parts of crashes up to this much later.
 inline constexpr Milliseconds kHarmlessLifetime{30000};
 // An answer that was written for this long proves its parts harmless.
@@ -204,7 +210,9 @@
 inline constexpr std::size_t kMaxQuarantinedSets = 32;
 inline constexpr std::size_t kMaxHarmlessParts = 8192;
 // Rows of each kind in one report to a peer.
-inline constexpr std::size_t kMaxReportRows = 8;
+inline constexpr std::size_t kMaxReportRows = 6;
+// Peers that still blame a harmless part are told again after this time.
+inline constexpr Milliseconds kAcquittalInterval{1000};
 // Entries that get news of crashes at once, and the mean rate and largest burst
 // of such messages.
 inline constexpr std::size_t kNewsFanOut = 6;
--- a/packages/dispatch/include/siskindrum/dispatch/quarantine.h
+++ b/packages/dispatch/include/siskindrum/dispatch/quarantine.h
@@ -24,8 +24,16 @@
 // A request that waited for its first event when its engine crashed.
 struct Suspicion {
   std::string server_;
+  core::Incarnation incarnation_ = 0;  // Of the server; zero: unknown.
   core::TimePoint crashed_at_{};
-  PromptParts parts_;  // Without those known to be harmless; not empty.
+  bool confirmed_ = false;  // The lost connection is certain to be a crash.
+  PromptParts parts_;       // Without those known to be harmless; not empty.
+};
+
+// A harmless part that was suspected somewhere.
+struct Acquittal {
+  core::TimePoint written_at_{};  // When an answer was last written with it.
+  core::TimePoint told_at_{};     // When peers were last told.
 };
 
 // Requests with all of `parts_` are not sent until the quarantine ends. Then
@@ -42,8 +50,7 @@
   std::vector<QuarantinedSet> sets_;
   // When an answer was last written with the part.
   std::unordered_map<std::uint64_t, core::TimePoint> harmless_;
-  // Those of `harmless_` that were suspected somewhere.
-  std::map<std::uint64_t, core::TimePoint> acquitted_;
+  std::map<std::uint64_t, Acquittal> acquitted_;
   // Quarantines end this much later at this entry, so that one entry of the
   // fleet sends the first trial request.
   core::Nanoseconds release_delay_{0};
@@ -61,12 +68,10 @@
 // each crash up to a maximum. Thread-safe: yes.
 core::Milliseconds QuarantineTerm(std::uint32_t crashes);
 
-// Records that `server` crashed while a request with `parts` waited for its
-// first event. Requires: `parts` in ascending order. Thread-safe: no.
+// Records that a server crashed while a request waited for its first event.
+// Requires: its parts in ascending order. Thread-safe: no.
 QuarantineChange RecordCrash(Quarantine& quarantine,
-                             const std::string& server,
-                             const PromptParts& parts,
-                             core::TimePoint crashed_at,
+                             const Suspicion& suspicion,
                              core::TimePoint now);
 
 // Records that an answer was written with `parts`. Thread-safe: no.
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -129,9 +129,9 @@
 bool RefuseNewQuarantined(Step& step, ActiveCall& call);
 // The same before each later stage of a request.
 bool RefuseQuarantined(Step& step, ActiveCall& call);
-// Records that the engine crashed before it wrote an event of this attempt, if
-// that is what `event` means. Call before the attempt's result is stored in
-// `call`.
+// Records that the engine may have crashed before it wrote an event of this
+// attempt, if that is what `event` means. Call before the attempt's result is
+// stored in `call`.
 void RecordCrashSuspect(Step& step,
                         const ActiveCall& call,
                         const AttemptDone& event);
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -301,7 +301,7 @@
   const std::string name = call.server_;
   ServerState* server = FindServer(dispatcher.pool_, name);
   RecordCrashSuspect(step, call, event);
-  if (server != nullptr && event.reason_ == core::Reason::kConnectionLost) {
+  if (server != nullptr && event.connection_lost_) {
     server->connection_lost_at_ = step.now_;
   }
   if (event.last_event_.has_value()) {
@@ -317,7 +317,9 @@
     call.run_state_ = RunState::kRan;
     RecordTokenTime(step, call);
     RecordDeliveredLength(step, call);
-    RecordHarmlessCall(step, call);
+    if (event.wrote_events_) {
+      RecordHarmlessCall(step, call);
+    }
     ++dispatcher.counters_.delivered_;
     EndCall(step, call, "delivered");
     return;
--- a/packages/dispatch/src/peers.cc
+++ b/packages/dispatch/src/peers.cc
@@ -81,7 +81,8 @@
 void SendQuarantine(Step& step, const std::string& address) {
   core::QuarantineReport report =
       MakeReport(step.dispatcher_.quarantine_, step.now_);
-  if (!report.suspects_.empty() || !report.quarantined_.empty()) {
+  if (!report.suspects_.empty() || !report.harmless_.empty() ||
+      !report.quarantined_.empty()) {
     SendToPeer(step, address, std::move(report));
   }
 }
--- a/packages/dispatch/src/quarantine.cc
+++ b/packages/dispatch/src/quarantine.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <optional>
+#include <set>
 
 #include "siskindrum/dispatch/limits.h"
 
@@ -33,8 +34,12 @@
   return std::chrono::duration_cast<Milliseconds>(now - time);
 }
 
+// A process crashes once, however late its crash is reported again.
 bool IsSameCrash(const Suspicion& a, const Suspicion& b) {
-  return a.server_ == b.server_ &&
+  if (a.server_ != b.server_ || a.incarnation_ != b.incarnation_) {
+    return false;
+  }
+  return a.incarnation_ != 0 ||
          std::chrono::abs(a.crashed_at_ - b.crashed_at_) <= kSameCrashTime;
 }
 
@@ -55,27 +60,51 @@
   return parts;
 }
 
-// Number of crashes in which a request with all of `parts` was waiting.
-std::uint32_t CountCrashes(const std::vector<const Suspicion*>& suspicions,
-                           const PromptParts& parts) {
-  std::vector<const Suspicion*> counted;
+using Suspicions = std::vector<const Suspicion*>;
+
+// The crashes in which a request with certain parts was waiting.
+struct Evidence {
+  std::uint32_t crashes_ = 0;
+  std::uint32_t weight_ = 0;
+  // Of parts of the waiting requests, one set a crash.
+  std::size_t different_sets_ = 0;
+  TimePoint last_crash_at_{};
+};
+
+std::uint32_t Weight(const Suspicion& suspicion) {
+  return suspicion.confirmed_ ? kConfirmedCrashWeight : kUnconfirmedCrashWeight;
+}
+
+Evidence CollectEvidence(const Suspicions& suspicions,
+                         const PromptParts& parts) {
+  Evidence evidence;
+  Suspicions counted;
+  std::set<PromptParts> sets;
   for (const Suspicion* suspicion : suspicions) {
+    if (!Contains(suspicion->parts_, parts)) {
+      continue;
+    }
+    evidence.last_crash_at_ =
+        std::max(evidence.last_crash_at_, suspicion->crashed_at_);
     const bool is_new = std::none_of(counted.begin(), counted.end(),
                                      [&](const Suspicion* other) {
                                        return IsSameCrash(*other, *suspicion);
                                      });
-    if (is_new && Contains(suspicion->parts_, parts)) {
+    if (is_new) {
       counted.push_back(suspicion);
+      sets.insert(suspicion->parts_);
+      ++evidence.crashes_;
+      evidence.weight_ += Weight(*suspicion);
     }
   }
-  return static_cast<std::uint32_t>(counted.size());
+  evidence.different_sets_ = sets.size();
+  return evidence;
 }
 
 // Returns the suspicions of crashes in which no request with quarantined parts
 // was waiting.
-std::vector<const Suspicion*> UnexplainedSuspicions(
-    const Quarantine& quarantine) {
-  std::vector<const Suspicion*> explained;
+Suspicions UnexplainedSuspicions(const Quarantine& quarantine) {
+  Suspicions explained;
   for (const Suspicion& suspicion : quarantine.suspicions_) {
     for (const QuarantinedSet& set : quarantine.sets_) {
       if (Contains(suspicion.parts_, set.parts_)) {
@@ -84,7 +113,7 @@
       }
     }
   }
-  std::vector<const Suspicion*> open;
+  Suspicions open;
   for (const Suspicion& suspicion : quarantine.suspicions_) {
     const bool is_explained = std::any_of(
         explained.begin(), explained.end(),
@@ -98,92 +127,162 @@
 
 struct Candidate {
   PromptParts parts_;
-  std::uint32_t crashes_ = 0;
+  Evidence evidence_;
 };
 
 // Keeps the candidate with the most crashes and, of these, with the most parts.
-void Consider(std::optional<Candidate>& best,
-              const std::vector<const Suspicion*>& suspicions,
-              const PromptParts& parts,
-              std::uint32_t min_crashes) {
-  const std::uint32_t crashes = CountCrashes(suspicions, parts);
-  if (crashes < min_crashes) {
-    return;
-  }
-  if (!best.has_value() || crashes > best->crashes_ ||
-      (crashes == best->crashes_ && parts.size() > best->parts_.size())) {
-    best = Candidate{parts, crashes};
+void KeepBetter(std::optional<Candidate>& best, Candidate candidate) {
+  const std::uint32_t crashes = candidate.evidence_.crashes_;
+  if (!best.has_value() || crashes > best->evidence_.crashes_ ||
+      (crashes == best->evidence_.crashes_ &&
+       candidate.parts_.size() > best->parts_.size())) {
+    best = std::move(candidate);
   }
 }
 
-// Returns the set of parts that explains the most crashes, if they are enough.
-std::optional<Candidate> FindCulprit(
-    const std::vector<const Suspicion*>& suspicions) {
+// Returns the whole set of parts that explains the most crashes, if they are
+// enough.
+std::optional<Candidate> FindSameParts(const Suspicions& suspicions) {
   std::optional<Candidate> best;
   for (const Suspicion* suspicion : suspicions) {
-    Consider(best, suspicions, suspicion->parts_, kMinCrashes);
+    Candidate candidate{suspicion->parts_,
+                        CollectEvidence(suspicions, suspicion->parts_)};
+    if (candidate.evidence_.weight_ >= kMinCrashWeight) {
+      KeepBetter(best, std::move(candidate));
+    }
   }
-  if (best.has_value()) {
-    return best;
+  return best;
+}
+
+bool IsQuarantined(const Quarantine& quarantine, const PromptParts& parts) {
+  return std::any_of(
+      quarantine.sets_.begin(), quarantine.sets_.end(),
+      [&](const QuarantinedSet& set) { return Contains(parts, set.parts_); });
+}
+
+// Returns whether some but not all of the parts are quarantined.
+bool IsPartlyQuarantined(const Quarantine& quarantine,
+                         const PromptParts& parts) {
+  return std::any_of(quarantine.sets_.begin(), quarantine.sets_.end(),
+                     [&](const QuarantinedSet& set) {
+                       return set.parts_ != parts &&
+                              Contains(parts, set.parts_);
+                     });
+}
+
+// Returns the suspicions that count for common parts of different sets: also
+// those of crashes that a whole set explains, since a request that is continued
+// ends two engines by itself.
+Suspicions SuspicionsOfCommonParts(const Quarantine& quarantine) {
+  Suspicions suspicions;
+  for (const Suspicion& suspicion : quarantine.suspicions_) {
+    const bool is_explained =
+        std::any_of(quarantine.suspicions_.begin(),
+                    quarantine.suspicions_.end(), [&](const Suspicion& other) {
+                      return IsSameCrash(other, suspicion) &&
+                             IsPartlyQuarantined(quarantine, other.parts_);
+                    });
+    if (!is_explained) {
+      suspicions.push_back(&suspicion);
+    }
   }
+  return suspicions;
+}
+
+// Returns the sets that any two suspicions have in common.
+std::set<PromptParts> CommonParts(const Quarantine& quarantine,
+                                  const Suspicions& suspicions) {
+  std::set<PromptParts> sets;
   for (std::size_t i = 0; i < suspicions.size(); ++i) {
     for (std::size_t j = i + 1; j < suspicions.size(); ++j) {
-      const PromptParts common =
+      PromptParts common =
           Intersect(suspicions[i]->parts_, suspicions[j]->parts_);
-      if (!common.empty()) {
-        Consider(best, suspicions, common, kMinCrashesOfCommonParts);
+      if (!common.empty() && !IsQuarantined(quarantine, common)) {
+        sets.insert(std::move(common));
       }
     }
   }
-  return best;
+  return sets;
 }
 
-TimePoint LastCrash(const std::vector<const Suspicion*>& suspicions,
-                    const PromptParts& parts) {
-  TimePoint last{};
-  for (const Suspicion* suspicion : suspicions) {
-    if (Contains(suspicion->parts_, parts)) {
-      last = std::max(last, suspicion->crashed_at_);
+// Returns the parts that different sets have in common and that explain the
+// most crashes, if they are enough. A larger set that explains half of them is
+// preferred: a part that every prompt shares is there in each crash.
+std::optional<Candidate> FindCommonParts(const Quarantine& quarantine) {
+  const Suspicions suspicions = SuspicionsOfCommonParts(quarantine);
+  std::vector<Candidate> candidates;
+  std::optional<Candidate> best;
+  for (const PromptParts& parts : CommonParts(quarantine, suspicions)) {
+    candidates.push_back({parts, CollectEvidence(suspicions, parts)});
+    const Evidence& evidence = candidates.back().evidence_;
+    if (evidence.weight_ >= kMinCommonCrashWeight &&
+        evidence.different_sets_ >= kMinDifferentSets) {
+      KeepBetter(best, candidates.back());
     }
   }
-  return last;
+  std::optional<Candidate> larger;
+  for (const Candidate& candidate : candidates) {
+    if (best.has_value() && candidate.parts_ != best->parts_ &&
+        Contains(candidate.parts_, best->parts_) &&
+        candidate.evidence_.weight_ >= kMinCrashWeight &&
+        candidate.evidence_.crashes_ * 2 >= best->evidence_.crashes_) {
+      KeepBetter(larger, candidate);
+    }
+  }
+  return larger.has_value() ? larger : best;
+}
+
+core::CrashSuspect ToReport(const Suspicion& suspicion, TimePoint now) {
+  return {suspicion.server_, suspicion.incarnation_,
+          AgeOf(suspicion.crashed_at_, now), suspicion.confirmed_,
+          suspicion.parts_};
 }
 
 core::QuarantinedParts ToReport(const QuarantinedSet& set, TimePoint now) {
   return {set.parts_, set.crashes_, AgeOf(set.last_crash_at_, now)};
 }
 
-void Impose(Quarantine& quarantine,
+// Returns false when all quarantines that fit are later ones.
+bool Impose(Quarantine& quarantine,
             QuarantinedSet set,
             TimePoint now,
             QuarantineChange& change) {
+  // Sets with further parts say no more.
+  std::erase_if(quarantine.sets_, [&](const QuarantinedSet& other) {
+    return Contains(other.parts_, set.parts_);
+  });
   if (quarantine.sets_.size() >= kMaxQuarantinedSets) {
-    quarantine.sets_.erase(
+    const auto oldest =
         std::min_element(quarantine.sets_.begin(), quarantine.sets_.end(),
                          [](const QuarantinedSet& a, const QuarantinedSet& b) {
                            return a.last_crash_at_ < b.last_crash_at_;
-                         }));
+                         });
+    if (oldest->last_crash_at_ >= set.last_crash_at_) {
+      return false;
+    }
+    quarantine.sets_.erase(oldest);
   }
   change.imposed_.push_back(set);
   change.news_.quarantined_.push_back(ToReport(set, now));
   quarantine.sets_.push_back(std::move(set));
+  return true;
 }
 
 void ImposeNew(Quarantine& quarantine,
                TimePoint now,
                QuarantineChange& change) {
-  while (true) {
-    const auto open = UnexplainedSuspicions(quarantine);
-    const auto culprit = FindCulprit(open);
+  bool imposed = true;
+  while (imposed) {
+    auto culprit = FindSameParts(UnexplainedSuspicions(quarantine));
     if (!culprit.has_value()) {
-      return;
+      culprit = FindCommonParts(quarantine);
     }
-    Impose(quarantine,
-           {culprit->parts_,
-            culprit->crashes_,
-            LastCrash(open, culprit->parts_),
-            {}},
-           now, change);
+    imposed = culprit.has_value() && Impose(quarantine,
+                                            {culprit->parts_,
+                                             culprit->evidence_.crashes_,
+                                             culprit->evidence_.last_crash_at_,
+                                             {}},
+                                            now, change);
   }
 }
 
@@ -221,8 +320,7 @@
       now - suspicion.crashed_at_ > kSuspicionLifetime) {
     return;
   }
-  change.news_.suspects_.push_back(
-      {suspicion.server_, AgeOf(suspicion.crashed_at_, now), suspicion.parts_});
+  change.news_.suspects_.push_back(ToReport(suspicion, now));
   RenewConfirmed(quarantine, suspicion, now, change);
   if (quarantine.suspicions_.size() >= kMaxSuspicions) {
     quarantine.suspicions_.pop_front();
@@ -252,30 +350,45 @@
   return erased > 0;
 }
 
-void EraseOlder(auto& times, core::Nanoseconds lifetime, TimePoint now) {
-  std::erase_if(
-      times, [&](const auto& entry) { return now - entry.second > lifetime; });
+void EraseOldHarmless(Quarantine& quarantine,
+                      core::Nanoseconds lifetime,
+                      TimePoint now) {
+  std::erase_if(quarantine.harmless_, [&](const auto& entry) {
+    return now - entry.second > lifetime;
+  });
 }
 
-// Remembers when an answer was last written with the part. Returns whether that
-// is later than known before.
-bool KeepHarmless(Quarantine& quarantine,
+// Remembers when an answer was last written with the part.
+void KeepHarmless(Quarantine& quarantine,
                   std::uint64_t part,
                   TimePoint written_at,
                   TimePoint now) {
   const auto found = quarantine.harmless_.find(part);
   if (found != quarantine.harmless_.end()) {
-    const bool is_later = found->second < written_at;
     found->second = std::max(found->second, written_at);
-    return is_later;
+    return;
   }
   if (quarantine.harmless_.size() >= kMaxHarmlessParts) {
-    EraseOlder(quarantine.harmless_, kHarmlessLifetime / 2, now);
+    EraseOldHarmless(quarantine, kHarmlessLifetime / 2, now);
   }
   if (quarantine.harmless_.size() < kMaxHarmlessParts) {
     quarantine.harmless_[part] = written_at;
   }
-  return true;
+}
+
+// Tells the peers that the part is harmless, unless they were told just now.
+void Tell(Quarantine& quarantine,
+          std::uint64_t part,
+          TimePoint written_at,
+          TimePoint now,
+          QuarantineChange& change) {
+  const auto [found, is_new] = quarantine.acquitted_.try_emplace(part);
+  Acquittal& acquittal = found->second;
+  acquittal.written_at_ = std::max(acquittal.written_at_, written_at);
+  if (is_new || now - acquittal.told_at_ >= kAcquittalInterval) {
+    acquittal.told_at_ = now;
+    change.news_.harmless_.push_back({part, AgeOf(written_at, now)});
+  }
 }
 
 // Removes parts that this entry knows to be harmless from a peer's row, and
@@ -290,10 +403,7 @@
     if (std::binary_search(left.begin(), left.end(), part)) {
       continue;
     }
-    const TimePoint written_at = quarantine.harmless_.at(part);
-    if (quarantine.acquitted_.emplace(part, written_at).second) {
-      change.news_.harmless_.push_back({part, AgeOf(written_at, now)});
-    }
+    Tell(quarantine, part, quarantine.harmless_.at(part), now, change);
   }
   return left;
 }
@@ -322,7 +432,9 @@
     }
     return;
   }
-  Impose(quarantine, std::move(set), now, change);
+  if (!IsQuarantined(quarantine, set.parts_)) {
+    Impose(quarantine, std::move(set), now, change);
+  }
 }
 
 TimePoint EndOf(const Quarantine& quarantine, const QuarantinedSet& set) {
@@ -330,6 +442,20 @@
          quarantine.release_delay_;
 }
 
+std::vector<core::HarmlessPart> LatestAcquittals(const Quarantine& quarantine,
+                                                 TimePoint now) {
+  std::vector<core::HarmlessPart> rows;
+  for (const auto& [part, acquittal] : quarantine.acquitted_) {
+    rows.push_back({part, AgeOf(acquittal.written_at_, now)});
+  }
+  std::sort(rows.begin(), rows.end(),
+            [](const core::HarmlessPart& a, const core::HarmlessPart& b) {
+              return a.age_ < b.age_;
+            });
+  rows.resize(std::min(rows.size(), kMaxReportRows));
+  return rows;
+}
+
 // Returns whether a peer may state this age. Ages come over the network.
 bool IsPlausible(Milliseconds age) {
   return age >= Milliseconds(0) && age <= 2 * kMaxQuarantineTerm;
@@ -346,12 +472,10 @@
 }
 
 QuarantineChange RecordCrash(Quarantine& quarantine,
-                             const std::string& server,
-                             const PromptParts& parts,
-                             TimePoint crashed_at,
+                             const Suspicion& suspicion,
                              TimePoint now) {
   QuarantineChange change;
-  AddSuspicion(quarantine, {server, crashed_at, parts}, now, change);
+  AddSuspicion(quarantine, suspicion, now, change);
   return change;
 }
 
@@ -362,9 +486,12 @@
   QuarantineChange change;
   for (const std::uint64_t part : parts) {
     KeepHarmless(quarantine, part, written_at, now);
+    const auto acquitted = quarantine.acquitted_.find(part);
+    if (acquitted != quarantine.acquitted_.end()) {
+      acquitted->second.written_at_ = written_at;
+    }
     if (Acquit(quarantine, part, written_at)) {
-      quarantine.acquitted_[part] = written_at;
-      change.news_.harmless_.push_back({part, AgeOf(written_at, now)});
+      Tell(quarantine, part, written_at, now, change);
     }
   }
   return change;
@@ -375,15 +502,14 @@
                              TimePoint now) {
   QuarantineChange change;
   for (const core::HarmlessPart& row : report.harmless_) {
-    if (!IsPlausible(row.age_)) {
+    if (row.age_ < Milliseconds(0) || row.age_ > kSuspicionLifetime) {
       continue;
     }
     const TimePoint written_at = now - row.age_;
     KeepHarmless(quarantine, row.part_, written_at, now);
-    const bool was_suspected = Acquit(quarantine, row.part_, written_at);
-    if (quarantine.acquitted_.emplace(row.part_, written_at).second ||
-        was_suspected) {
-      change.news_.harmless_.push_back(row);
+    const bool is_known = quarantine.acquitted_.contains(row.part_);
+    if (Acquit(quarantine, row.part_, written_at) || !is_known) {
+      Tell(quarantine, row.part_, written_at, now, change);
     }
   }
   for (const core::CrashSuspect& row : report.suspects_) {
@@ -391,7 +517,7 @@
       const TimePoint crashed_at = now - row.age_;
       AddSuspicion(
           quarantine,
-          {row.server_, crashed_at,
+          {row.server_, row.incarnation_, crashed_at, row.confirmed_,
            AnswerPeer(quarantine, row.parts_, crashed_at, now, change)},
           now, change);
     }
@@ -406,17 +532,12 @@
 
 core::QuarantineReport MakeReport(const Quarantine& quarantine, TimePoint now) {
   core::QuarantineReport report;
-  for (const auto& [part, written_at] : quarantine.acquitted_) {
-    if (report.harmless_.size() < kMaxReportRows) {
-      report.harmless_.push_back({part, AgeOf(written_at, now)});
-    }
-  }
+  report.harmless_ = LatestAcquittals(quarantine, now);
   for (auto it = quarantine.suspicions_.rbegin();
        it != quarantine.suspicions_.rend() &&
        report.suspects_.size() < kMaxReportRows;
        ++it) {
-    report.suspects_.push_back(
-        {it->server_, AgeOf(it->crashed_at_, now), it->parts_});
+    report.suspects_.push_back(ToReport(*it, now));
   }
   for (auto it = quarantine.sets_.rbegin();
        it != quarantine.sets_.rend() &&
@@ -469,8 +590,10 @@
     return;
   }
   quarantine.next_expiry_ = now + kQuarantineExpiryInterval;
-  EraseOlder(quarantine.harmless_, kHarmlessLifetime, now);
-  EraseOlder(quarantine.acquitted_, kSuspicionLifetime, now);
+  EraseOldHarmless(quarantine, kHarmlessLifetime, now);
+  std::erase_if(quarantine.acquitted_, [&](const auto& entry) {
+    return now - entry.second.told_at_ > kSuspicionLifetime;
+  });
   std::erase_if(quarantine.suspicions_, [&](const Suspicion& suspicion) {
     return now - suspicion.crashed_at_ > kSuspicionLifetime;
   });
--- a/packages/dispatch/src/quarantined_calls.cc
+++ b/packages/dispatch/src/quarantined_calls.cc
@@ -22,6 +22,19 @@
             std::back_inserter(to));
 }
 
+// Adds the time for which the report was held back.
+void AddAge(core::QuarantineReport& report, Milliseconds held) {
+  for (core::CrashSuspect& row : report.suspects_) {
+    row.age_ += held;
+  }
+  for (core::HarmlessPart& row : report.harmless_) {
+    row.age_ += held;
+  }
+  for (core::QuarantinedParts& row : report.quarantined_) {
+    row.age_ += held;
+  }
+}
+
 // Refills the allowance of messages for the time since it was last counted.
 void RefillMessages(QuarantineNews& news, TimePoint now) {
   const double seconds = ToMs(now - news.counted_at_) / 1000;
@@ -40,6 +53,8 @@
   if (news.messages_ < kNewsFanOut) {
     return;
   }
+  AddAge(news.report_, std::chrono::duration_cast<Milliseconds>(
+                           step.now_ - news.collected_since_));
   news.messages_ -=
       static_cast<double>(SendQuarantineReport(step, news.report_));
   news.report_ = {};
@@ -70,6 +85,7 @@
         core::LogEvent{"crash_suspected",
                        {{"server", row.server_},
                         {"parts", FormatParts(row.parts_)},
+                        {"confirmed", row.confirmed_ ? "yes" : "no"},
                         {"age_ms", std::to_string(row.age_.count())},
                         {"source", source}}});
   }
@@ -120,7 +136,11 @@
            const std::string& source,
            const RequestId& current = {}) {
   LogChange(step, change, source);
-  core::QuarantineReport& report = step.dispatcher_.quarantine_news_.report_;
+  QuarantineNews& news = step.dispatcher_.quarantine_news_;
+  core::QuarantineReport& report = news.report_;
+  if (IsEmpty(report)) {
+    news.collected_since_ = step.now_;
+  }
   MoveRows(change.news_.suspects_, report.suspects_);
   MoveRows(change.news_.harmless_, report.harmless_);
   MoveRows(change.news_.quarantined_, report.quarantined_);
@@ -130,22 +150,21 @@
   }
 }
 
-// Returns whether the attempt ended because its engine crashed while the
-// request waited for its first event. A connection that was lost before any
-// answer may have had another cause.
-bool IsCrashWhileWaiting(const Step& step,
-                         const ActiveCall& call,
-                         const AttemptDone& event) {
-  if (event.outcome_ != AttemptOutcome::kFailed ||
-      event.reason_ != core::Reason::kConnectionLost ||
-      event.run_state_ == RunState::kNotRun ||
-      event.last_event_ > call.last_event_) {
-    return false;
-  }
-  const ServerState* server = FindServer(step.dispatcher_.pool_, call.server_);
+// Returns whether the attempt ended with its connection while the request
+// waited for its first event.
+bool IsLostWhileWaiting(const AttemptDone& event) {
+  return event.outcome_ == AttemptOutcome::kFailed && event.connection_lost_ &&
+         !event.wrote_events_;
+}
+
+// A connection that is lost before the answer's head may have had another cause
+// than a crash.
+bool IsCrashConfirmed(const ServerState& server,
+                      const AttemptDone& event,
+                      TimePoint now) {
   const bool others_lost =
-      server != nullptr && server->connection_lost_at_ != TimePoint{} &&
-      step.now_ - server->connection_lost_at_ <= kCrashConfirmTime;
+      server.connection_lost_at_ != TimePoint{} &&
+      now - server.connection_lost_at_ <= kCrashConfirmTime;
   return event.status_ / 100 == 2 || others_lost;
 }
 
@@ -175,12 +194,14 @@
 void RecordCrashSuspect(Step& step,
                         const ActiveCall& call,
                         const AttemptDone& event) {
-  if (!IsCrashWhileWaiting(step, call, event) || call.parts_harmless_) {
+  const ServerState* server = FindServer(step.dispatcher_.pool_, call.server_);
+  if (!IsLostWhileWaiting(event) || call.parts_harmless_ || server == nullptr) {
     return;
   }
-  Apply(step,
-        RecordCrash(step.dispatcher_.quarantine_, call.server_,
-                    call.call_.shared_parts_, step.now_, step.now_),
+  const Suspicion suspicion{call.server_, server->info_.incarnation_, step.now_,
+                            IsCrashConfirmed(*server, event, step.now_),
+                            call.call_.shared_parts_};
+  Apply(step, RecordCrash(step.dispatcher_.quarantine_, suspicion, step.now_),
         "own", call.id_);
 }
 
--- a/packages/dispatch/test/dispatcher_fixture.h
+++ b/packages/dispatch/test/dispatcher_fixture.h
@@ -166,6 +166,10 @@
     done.run_state_ = run_state;
     done.reason_ = core::Reason::kConnectionLost;
     done.last_event_ = last_event;
+    done.connection_lost_ =
+        outcome == AttemptOutcome::kFailed && run_state != RunState::kNotRun;
+    done.wrote_events_ =
+        outcome == AttemptOutcome::kDelivered || last_event.has_value();
     Handle(done);
   }
 
--- a/packages/dispatch/test/fleet_quarantine_test.cc
+++ b/packages/dispatch/test/fleet_quarantine_test.cc
@@ -59,6 +59,9 @@
     if (deadly) {
       arrived.call_.shared_parts_.push_back(kDeadlyPart);
     }
+    if (own_parts_) {
+      arrived.call_.shared_parts_.push_back(1000 + requests_);
+    }
     arrived.arrived_at_ = now_;
     deadly_requests_.insert({arrived.request_, deadly});
     Handle(address, arrived);
@@ -75,6 +78,7 @@
                                : core::Reason::kConnectionLost;
     done.run_state_ = status == 0 ? RunState::kNotRun : RunState::kMayHaveRun;
     done.status_ = status;
+    done.connection_lost_ = status != 0;
     Handle(attempt.entry_, done);
   }
   void HandleStarts() {
@@ -141,6 +145,8 @@
     done.reason_ = core::Reason::kConnectionLost;
     done.status_ = 200;
     done.last_event_ = 5;
+    done.connection_lost_ = true;
+    done.wrote_events_ = true;
     Handle(attempt.entry_, done);
   }
   void Advance(Attempt attempt) {
@@ -158,6 +164,7 @@
       done.outcome_ = AttemptOutcome::kDelivered;
       done.run_state_ = RunState::kRan;
       done.status_ = 200;
+      done.wrote_events_ = true;
       Handle(attempt.entry_, done);
     } else if (!IsUp(attempt.server_)) {
       Fail(attempt, 0);
@@ -219,6 +226,7 @@
   std::map<RequestId, bool> deadly_requests_;
   std::map<std::string, TimePoint> up_again_at_;
   TimePoint fifth_crash_at_ = TimePoint::max() - kStableTime;
+  bool own_parts_ = false;  // Each request has a shared part of its own.
   int crashes_ = 0;
   int late_sends_ = 0;
   int sound_begun_ = 0;
@@ -244,11 +252,32 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(DeadlyPart_WhenBesideADifferentPartEachTime_IsStopped) {
+  for (const double share : {0.02, 0.05, 0.4}) {
+    for (const auto& [entries, seed] :
+         {std::pair{1U, 5U}, {1U, 6U}, {5U, 5U}, {5U, 6U}, {5U, 7U}}) {
+      BOOST_TEST_CONTEXT(share << " of the requests, " << entries
+                               << " entries, seed " << seed) {
+        static_cast<FleetQuarantineFixture&>(*this) = FleetQuarantineFixture{};
+        own_parts_ = true;
+        random_.seed(seed);
+        StartFleet(entries, 4);
+        SimulateLoad(12, share, std::chrono::seconds(60));
+        BOOST_TEST_MESSAGE(crashes_ << " crashes, " << late_sends_ << " late");
+        BOOST_TEST(late_sends_ <= kAllowedSends);
+        BOOST_TEST(sound_refused_ * 20 <= sound_begun_);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Entry_WhenItStartsLater_LearnsOfTheQuarantine) {
   StartFleet(5, 2);
   SimulateLoad(12, 0.3, std::chrono::seconds(5));
   const int crashes = crashes_;
-  Pass(kSuspicionLifetime);  // Only the quarantine itself is left to tell of.
+  for (auto& [address, entry] : entries_) {
+    entry.dispatcher_.quarantine_.suspicions_.clear();
+  }
   Add(5, "domain-0", false);
   Feed(engines_);
   Pass(kStableTime);
@@ -275,7 +304,9 @@
     for (auto& [address, entry] : entries_) {
       core::QuarantineReport report;
       report.suspects_ = {{"d" + std::to_string(i),
+                           1,
                            Milliseconds(0),
+                           true,
                            {static_cast<std::uint64_t>(i + 1)}}};
       Handle(address,
              PeerMessageReceived{core::PeerMessage{"entry-0", 1, report}});
--- a/packages/dispatch/test/quarantine_test.cc
+++ b/packages/dispatch/test/quarantine_test.cc
@@ -1,5 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <string>
+
 #include "siskindrum/dispatch/limits.h"
 #include "siskindrum/dispatch/quarantine.h"
 
@@ -15,8 +18,11 @@
 constexpr std::uint64_t kOtherBystander = 50;
 
 struct QuarantineFixture {
+  Suspicion CrashOf(const std::string& server, const PromptParts& parts) const {
+    return {server, 0, now_, true, parts};
+  }
   void Crash(const std::string& server, const PromptParts& parts) {
-    change_ = RecordCrash(quarantine_, server, parts, now_, now_);
+    change_ = RecordCrash(quarantine_, CrashOf(server, parts), now_);
   }
   void Write(const PromptParts& parts) {
     change_ = RecordHarmless(quarantine_, parts, now_, now_);
@@ -163,7 +169,7 @@
 BOOST_AUTO_TEST_CASE(Quarantine_WhenNothingHappensForLong_IsForgotten) {
   Crash("d1", {kDeadly});
   Crash("d2", {kDeadly});
-  Pass(3 * QuarantineTerm(2));
+  Pass(kSuspicionLifetime + 3 * QuarantineTerm(2));
   BOOST_TEST(quarantine_.sets_.empty());
   BOOST_TEST(quarantine_.suspicions_.empty());
   BOOST_TEST((QuarantineTerm(100) == kMaxQuarantineTerm));
@@ -208,7 +214,8 @@
 
 BOOST_AUTO_TEST_CASE(Report_WhenMalformed_IsIgnored) {
   const core::QuarantineReport report{
-      {{"d1", Milliseconds(-5), {1}}, {"d2", Milliseconds(1), {3, 2}}},
+      {{"d1", 1, Milliseconds(-5), true, {1}},
+       {"d2", 1, Milliseconds(1), true, {3, 2}}},
       {{1, Milliseconds(-1)}},
       {{{2}, 2, Milliseconds(INT64_MAX)}, {{4, 3}, 2, Milliseconds(1)}}};
   MergeReport(quarantine_, report, now_);
@@ -227,6 +234,90 @@
   BOOST_TEST(MakeReport(quarantine_, now_).suspects_.size() <= kMaxReportRows);
 }
 
+BOOST_AUTO_TEST_CASE(DeadlyPart_WhenEachRequestCrashesTwoEngines_IsRefused) {
+  for (std::uint64_t i = 0; i < 6; ++i) {
+    const std::string server = "d" + std::to_string(2 * i);
+    Crash(server, {kDeadly, 100 + i});
+    Pass(Milliseconds(150));
+    Crash(server + "b", {kDeadly, 100 + i});
+    Pass(Milliseconds(2000));
+  }
+  BOOST_TEST(IsRefused({kDeadly, 200}));
+}
+
+BOOST_AUTO_TEST_CASE(Parts_WhenOneCrashIsReportedLateAgain_ArePassed) {
+  core::QuarantineReport report;
+  report.suspects_.push_back({"d1", 7, Milliseconds(0), true, {kBystander}});
+  MergeReport(quarantine_, report, now_);
+  Pass(Milliseconds(1500));
+  // The same message, by a peer that was frozen.
+  MergeReport(quarantine_, report, now_);
+  BOOST_TEST(!IsRefused({kBystander}));
+}
+
+BOOST_AUTO_TEST_CASE(Report_WhenItBlamesAHarmlessPartOnceMore_IsAnswered) {
+  core::QuarantineReport report;
+  report.suspects_.push_back({"d1", 7, Milliseconds(0), true, {kCommon}});
+  Write({kCommon});
+  BOOST_TEST(MergeReport(quarantine_, report, now_).news_.harmless_.size() ==
+             1U);
+  Pass(Milliseconds(40000));
+  Write({kCommon});
+  report.suspects_.front().server_ = "d2";
+  BOOST_TEST(MergeReport(quarantine_, report, now_).news_.harmless_.size() ==
+             1U);
+}
+
+BOOST_AUTO_TEST_CASE(Entry_WhenItMissedTheAcquittal_LearnsItFromAReport) {
+  Quarantine other;
+  const core::PromptParts parts{kCommon};
+  Write(parts);
+  RecordCrash(other, CrashOf("d1", parts), now_);
+  RecordCrash(other, CrashOf("d2", parts), now_);
+  // The answer is lost on its way.
+  MergeReport(quarantine_, MakeReport(other, now_), now_);
+  for (int i = 0; i < 20; ++i) {
+    Pass(Milliseconds(500));
+    Write(parts);
+    const auto change = MergeReport(quarantine_, MakeReport(other, now_), now_);
+    MergeReport(other, change.news_, now_);
+    // As gossip does: nothing is sent without suspicions or quarantines.
+    const auto gossip = MakeReport(quarantine_, now_);
+    if (!gossip.suspects_.empty() || !gossip.quarantined_.empty()) {
+      MergeReport(other, gossip, now_);
+    }
+  }
+  BOOST_TEST((FindQuarantine(other, parts, now_) == nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(Report_WhenManyPartsWereAcquitted_HasTheLatest) {
+  for (std::uint64_t part = 1; part <= 9; ++part) {
+    Crash("d1", {part});
+    Write({part});
+    Pass(Milliseconds(10));
+  }
+  const auto report = MakeReport(quarantine_, now_);
+  BOOST_TEST(std::any_of(report.harmless_.begin(), report.harmless_.end(),
+                         [](const auto& row) { return row.part_ == 9; }));
+}
+
+BOOST_AUTO_TEST_CASE(Sets_WhenMoreThanFitAreSupported_AreChosenInBoundedTime,
+                     *boost::unit_test::timeout(5)) {
+  Crash("d1", {1});
+  Crash("d2", {1});
+  Pass(Milliseconds(2000));
+  Crash("d3", {2});
+  Crash("d4", {2});
+  Pass(Milliseconds(2000));
+  core::QuarantineReport report;
+  for (std::uint64_t i = 0; i < kMaxQuarantinedSets; ++i) {
+    report.quarantined_.push_back({{100 + i}, 2, Milliseconds(0)});
+  }
+  MergeReport(quarantine_, report, now_);
+  Crash("d5", {3});
+  BOOST_TEST(quarantine_.sets_.size() <= kMaxQuarantinedSets);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/dispatch/test/quarantined_calls_test.cc
+++ b/packages/dispatch/test/quarantined_calls_test.cc
@@ -25,7 +25,7 @@
     AttemptDone done;
     done.request_ = id;
     done.attempt_ = Last(id).attempt_;
-    done.reason_ = core::Reason::kConnectionLost;
+    done.connection_lost_ = true;
     done.status_ = status;
     Handle(done);
   }
@@ -123,8 +123,26 @@
   BOOST_TEST(!IsRefused(ArriveWith({10, 40})));
 }
 
-BOOST_AUTO_TEST_CASE(Connection_WhenLostBeforeAnyAnswer_IsNoCrashByItself) {
-  Crash(StartDecode(kSound), 0);
+BOOST_AUTO_TEST_CASE(Connection_WhenLostBeforeAnyAnswer_IsNoCertainCrash) {
+  for (int i = 0; i < 3; ++i) {
+    Crash(StartDecode(kSound), 0);
+    Pass(Milliseconds(1500));
+    BOOST_TEST(!dispatcher_.quarantine_.suspicions_.back().confirmed_);
+    BOOST_TEST(!IsRefused(ArriveWith(kSound)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Answer_WhenItIsMalformed_IsNoCrash) {
+  for (int i = 0; i < 3; ++i) {
+    const RequestId id = StartDecode(kSound);
+    AttemptDone done;
+    done.request_ = id;
+    done.attempt_ = Last(id).attempt_;
+    done.reason_ = core::Reason::kConnectionLost;
+    done.status_ = 200;
+    Handle(done);
+    Pass(Milliseconds(1500));
+  }
   BOOST_TEST(dispatcher_.quarantine_.suspicions_.empty());
 }
 
@@ -137,7 +155,8 @@
   }
   Done(writing, AttemptOutcome::kFailed, RunState::kMayHaveRun, 9);
   Crash(waiting, 0);
-  BOOST_TEST(dispatcher_.quarantine_.suspicions_.size() == 1U);
+  BOOST_REQUIRE(dispatcher_.quarantine_.suspicions_.size() == 1U);
+  BOOST_TEST(dispatcher_.quarantine_.suspicions_.front().confirmed_);
 }
 
 BOOST_AUTO_TEST_CASE(Engine_WhenItRefusesOrFailsOtherwise_IsNoCrash) {
@@ -148,6 +167,46 @@
   BOOST_TEST(dispatcher_.quarantine_.suspicions_.empty());
 }
 
+BOOST_AUTO_TEST_CASE(Stream_WhenClosedBeforeItsFirstEvent_IsACrash) {
+  for (int i = 0; i < 2; ++i) {
+    const RequestId id = StartDecode(kDeadly);
+    AttemptDone done;
+    done.request_ = id;
+    done.attempt_ = Last(id).attempt_;
+    done.outcome_ = AttemptOutcome::kFailed;
+    done.reason_ = core::Reason::kBadAnswer;
+    done.connection_lost_ = true;
+    done.run_state_ = RunState::kMayHaveRun;
+    done.status_ = 200;
+    Handle(done);
+    Pass(Milliseconds(1500));
+  }
+  const RequestId id = ArriveWith(kDeadly);
+  BOOST_TEST(IsRefused(id));
+}
+
+BOOST_AUTO_TEST_CASE(EmptyStream_WhenDelivered_DoesNotAcquit) {
+  const RequestId empty = StartDecode(kDeadly);
+  Handle(AnswerBegan{empty, Last(empty).attempt_});
+  AttemptDone done;
+  done.request_ = empty;
+  done.attempt_ = Last(empty).attempt_;
+  done.outcome_ = AttemptOutcome::kDelivered;
+  done.run_state_ = RunState::kRan;
+  done.status_ = 200;
+  Handle(done);
+  Quarantine(kDeadly);
+  BOOST_TEST(IsRefused(ArriveWith(kDeadly)));
+}
+
+BOOST_AUTO_TEST_CASE(Part_WhenItsEnginesCloseBeforeAnyHead_IsRefused) {
+  for (int i = 0; i < 4; ++i) {
+    Crash(StartDecode(kDeadly), 0);
+    Pass(Milliseconds(1500));
+  }
+  BOOST_TEST(IsRefused(ArriveWith(kDeadly)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -121,6 +121,7 @@
   }
   paused_ = false;
   attempt_has_events_ = false;
+  connection_lost_ = false;
   started_at_ = http::MonotonicNow();
   last_progress_at_ = started_at_;
   http::BackendCall call;
@@ -329,6 +330,7 @@
 }
 
 void Exchange::OnRequestEnd(const http::CallResult& end) {
+  connection_lost_ = end.failure_ == http::CallFailure::kConnectionLost;
   if (end.failure_ != http::CallFailure::kNone) {
     Report(AttemptOutcome::kFailed,
            end.sent_ ? RunState::kMayHaveRun : RunState::kNotRun,
@@ -343,12 +345,14 @@
   }
   if (IsStreaming() || (answer_begun_ && IsSuccess(*answer_))) {
     if (!events_.partial_.empty()) {
+      connection_lost_ = end.ended_by_close_;
       Report(AttemptOutcome::kFailed, RunState::kMayHaveRun, Reason::kBadAnswer,
              "the stream ended in the middle of an event");
       return;
     }
     if (IsStreaming() && is_event_stream_ && end.ended_by_close_ &&
         !attempt_has_events_) {
+      connection_lost_ = true;
       Report(AttemptOutcome::kFailed, RunState::kMayHaveRun, Reason::kBadAnswer,
              "the stream ended before its first event");
       return;
@@ -405,6 +409,8 @@
   done.longest_gap_ =
       std::chrono::duration_cast<core::Milliseconds>(longest_gap_);
   done.misdirected_ = answer_fields_.misdirected_;
+  done.connection_lost_ = connection_lost_;
+  done.wrote_events_ = attempt_has_events_;
   done.can_resume_ = CanResume();
   context_.post_(std::move(done));
 }
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -135,6 +135,8 @@
   bool answer_begun_ = false;
   bool is_event_stream_ = false;
   bool attempt_has_events_ = false;  // Of the current attempt, for the caller.
+  // The server ended the connection of the current attempt too early.
+  bool connection_lost_ = false;
   bool paused_ = false;
   bool done_ = false;
   core::TimePoint started_at_{};        // Start of the current attempt.
--- a/packages/gateway/test/broken_answer_test.cc
+++ b/packages/gateway/test/broken_answer_test.cc
@@ -254,6 +254,19 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(
+    Stream_WhenItsConnectionEndsBeforeItsFirstEvent_SuspectsItsPrompt) {
+  test::ScriptedServer engine([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send(
+        "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\n"
+        "Content-Type: text/event-stream\r\n\r\n");
+  });
+  AddServer("d", "engines", core::ServerRole::kDecode, engine.Address());
+  BOOST_TEST(SendRequest("/stream").starts_with("HTTP/1.1 502 "));
+  BOOST_TEST(AwaitOperatorText("/metrics", "crash_suspicions_total 1"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/gateway/test/gateway_fixture.h
+++ b/packages/gateway/test/gateway_fixture.h
@@ -31,6 +31,7 @@
     call.label_ = *id;
     call.shape_.path_ = head.target_;
     call.shape_.prompt_tokens_ = 100;
+    call.shared_parts_ = {7};
     return call;
   };
   dialect.make_server_head_ = [](const http::Head& caller,
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -441,12 +441,15 @@
 }
 
 Json Put(const CrashSuspect& row) {
-  return Json::array({row.server_, row.age_.count(), row.parts_});
+  return Json::array({row.server_, row.incarnation_, row.age_.count(),
+                      row.confirmed_, row.parts_});
 }
 void Take(const Json& json, CrashSuspect& row) {
   row.server_ = json.at(0).get<std::string>();
-  row.age_ = Milliseconds(json.at(1).get<std::int64_t>());
-  row.parts_ = json.at(2).get<PromptParts>();
+  row.incarnation_ = json.at(1).get<Incarnation>();
+  row.age_ = Milliseconds(json.at(2).get<std::int64_t>());
+  row.confirmed_ = json.at(3).get<bool>();
+  row.parts_ = json.at(4).get<PromptParts>();
 }
 
 Json Put(const HarmlessPart& row) {
--- a/packages/peer/test/peer_test.cc
+++ b/packages/peer/test/peer_test.cc
@@ -77,7 +77,7 @@
                        {{"k", CallState::kAnswered, {200, "t", "b"}, true}}},
           SeatHandoverRequest{"seat"},
           EngineUseReport{8, {{"d1", 9000}, {"d2", 400}}},
-          QuarantineReport{{{"d1", Milliseconds(40), {1, UINT64_MAX}}},
+          QuarantineReport{{{"d1", 9, Milliseconds(40), true, {1, UINT64_MAX}}},
                            {{3, Milliseconds(50)}},
                            {{{4, 5}, 2, Milliseconds(60)}}}};
 }
