--- a/packages/dispatch/src/peers.cc
+++ b/packages/dispatch/src/peers.cc
@@ -276,19 +276,22 @@
   ApplyPeerUsage(dispatcher.use_, dispatcher.pool_, step.now_);
 }
 
-// Returns the live entries of this failure domain, limited to a random
-// selection of kUsageFanOut.
-std::vector<const MemberRow*> DomainPeers(Step& step) {
+// Returns at most `limit` random peers that were heard lately, of all failure
+// domains or only of this entry's.
+std::vector<const MemberRow*> RandomPeers(Step& step,
+                                          bool own_domain_only,
+                                          std::size_t limit) {
   const core::Membership& membership = step.dispatcher_.peers_.membership_;
   std::vector<const MemberRow*> peers;
   for (const auto& [name, member] : membership.members_) {
-    if (member.row_.domain_ == membership.self_.domain_ &&
+    const bool in_domain = member.row_.domain_ == membership.self_.domain_;
+    if ((in_domain || !own_domain_only) &&
         core::IsHeard(membership, member, step.now_)) {
       peers.push_back(&member.row_);
     }
   }
   std::shuffle(peers.begin(), peers.end(), step.dispatcher_.random_);
-  peers.resize(std::min(peers.size(), kUsageFanOut));
+  peers.resize(std::min(peers.size(), limit));
   return peers;
 }
 
@@ -301,7 +304,8 @@
       step.now_ < peers.next_usage_report_at_) {
     return;
   }
-  const std::vector<const MemberRow*> domain_peers = DomainPeers(step);
+  const std::vector<const MemberRow*> domain_peers =
+      RandomPeers(step, true, kUsageFanOut);
   const auto round = std::chrono::duration<double>(
       static_cast<double>(domain_peers.size()) / kUsageMessagesPerSecond);
   peers.next_usage_report_at_ =
@@ -325,19 +329,12 @@
 
 std::size_t SendQuarantineReport(Step& step,
                                  const core::QuarantineReport& report) {
-  const core::Membership& membership = step.dispatcher_.peers_.membership_;
-  std::vector<std::string> addresses;
-  for (const auto& [name, member] : membership.members_) {
-    if (core::IsHeard(membership, member, step.now_)) {
-      addresses.push_back(member.row_.address_);
-    }
-  }
-  std::shuffle(addresses.begin(), addresses.end(), step.dispatcher_.random_);
-  addresses.resize(std::min(addresses.size(), kNewsFanOut));
-  for (const std::string& address : addresses) {
-    SendToPeer(step, address, report);
+  const std::vector<const MemberRow*> peers =
+      RandomPeers(step, false, kNewsFanOut);
+  for (const MemberRow* row : peers) {
+    SendToPeer(step, row->address_, report);
   }
-  return addresses.size();
+  return peers.size();
 }
 
 std::size_t KnownEntryCount(const Peers& peers) {
