--- a/packages/dispatch/include/siskindrum/dispatch/quarantine.h
+++ b/packages/dispatch/include/siskindrum/dispatch/quarantine.h
@@ -71,7 +71,7 @@
 // Records that a server crashed while a request waited for its first event.
 // Requires: its parts in ascending order. Thread-safe: no.
 QuarantineChange RecordCrash(Quarantine& quarantine,
-                             const Suspicion& suspicion,
+                             Suspicion suspicion,
                              core::TimePoint now);
 
 // Records that an answer was written with `parts`. Thread-safe: no.
--- /dev/null
+++ b/packages/dispatch/src/crash_evidence.cc
@@ -0,0 +1,181 @@
+#include "crash_evidence_p.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+#include "siskindrum/dispatch/limits.h"
+
+namespace siskindrum::dispatch {
+
+namespace {
+
+using Suspicions = std::vector<const Suspicion*>;
+
+PromptParts Intersect(const PromptParts& a, const PromptParts& b) {
+  PromptParts common;
+  std::set_intersection(a.begin(), a.end(), b.begin(), b.end(),
+                        std::back_inserter(common));
+  return common;
+}
+
+std::uint32_t Weight(const Suspicion& suspicion) {
+  return suspicion.confirmed_ ? kConfirmedCrashWeight : kUnconfirmedCrashWeight;
+}
+
+Evidence CollectEvidence(const Suspicions& suspicions,
+                         const PromptParts& parts) {
+  Evidence evidence;
+  Suspicions counted;
+  std::set<PromptParts> sets;
+  for (const Suspicion* suspicion : suspicions) {
+    if (!Contains(suspicion->parts_, parts)) {
+      continue;
+    }
+    evidence.last_crash_at_ =
+        std::max(evidence.last_crash_at_, suspicion->crashed_at_);
+    const bool is_new = std::none_of(counted.begin(), counted.end(),
+                                     [&](const Suspicion* other) {
+                                       return IsSameCrash(*other, *suspicion);
+                                     });
+    if (is_new) {
+      counted.push_back(suspicion);
+      sets.insert(suspicion->parts_);
+      ++evidence.crashes_;
+      evidence.weight_ += Weight(*suspicion);
+    }
+  }
+  evidence.different_sets_ = sets.size();
+  return evidence;
+}
+
+// Returns the suspicions of crashes in which no waiting request had parts for
+// which `explains` holds.
+template <class Explains>
+Suspicions UnexplainedSuspicions(const Quarantine& quarantine,
+                                 Explains explains) {
+  Suspicions open;
+  for (const Suspicion& suspicion : quarantine.suspicions_) {
+    const bool is_explained =
+        std::any_of(quarantine.suspicions_.begin(),
+                    quarantine.suspicions_.end(), [&](const Suspicion& other) {
+                      return IsSameCrash(other, suspicion) &&
+                             explains(quarantine, other.parts_);
+                    });
+    if (!is_explained) {
+      open.push_back(&suspicion);
+    }
+  }
+  return open;
+}
+
+// Keeps the candidate with the most crashes and, of these, with the most parts.
+void KeepBetter(std::optional<Candidate>& best, Candidate candidate) {
+  const std::uint32_t crashes = candidate.evidence_.crashes_;
+  if (!best.has_value() || crashes > best->evidence_.crashes_ ||
+      (crashes == best->evidence_.crashes_ &&
+       candidate.parts_.size() > best->parts_.size())) {
+    best = std::move(candidate);
+  }
+}
+
+// Returns the whole set of parts that explains the most crashes, if they are
+// enough.
+std::optional<Candidate> FindSameParts(const Quarantine& quarantine) {
+  const Suspicions suspicions =
+      UnexplainedSuspicions(quarantine, IsQuarantined);
+  std::optional<Candidate> best;
+  for (const Suspicion* suspicion : suspicions) {
+    Candidate candidate{suspicion->parts_,
+                        CollectEvidence(suspicions, suspicion->parts_)};
+    if (candidate.evidence_.weight_ >= kMinCrashWeight) {
+      KeepBetter(best, std::move(candidate));
+    }
+  }
+  return best;
+}
+
+// Returns whether some but not all of the parts are quarantined.
+bool IsPartlyQuarantined(const Quarantine& quarantine,
+                         const PromptParts& parts) {
+  return std::any_of(quarantine.sets_.begin(), quarantine.sets_.end(),
+                     [&](const QuarantinedSet& set) {
+                       return set.parts_ != parts &&
+                              Contains(parts, set.parts_);
+                     });
+}
+
+// Returns the sets that any two suspicions have in common.
+std::set<PromptParts> CommonParts(const Quarantine& quarantine,
+                                  const Suspicions& suspicions) {
+  std::set<PromptParts> sets;
+  for (std::size_t i = 0; i < suspicions.size(); ++i) {
+    for (std::size_t j = i + 1; j < suspicions.size(); ++j) {
+      PromptParts common =
+          Intersect(suspicions[i]->parts_, suspicions[j]->parts_);
+      if (!common.empty() && !IsQuarantined(quarantine, common)) {
+        sets.insert(std::move(common));
+      }
+    }
+  }
+  return sets;
+}
+
+// Returns the parts that different sets have in common and that explain the
+// most crashes, if they are enough. A larger set that explains half of them is
+// preferred: a part that every prompt shares is there in each crash.
+std::optional<Candidate> FindCommonParts(const Quarantine& quarantine) {
+  // Crashes that a whole set explains count too, since a request that is
+  // continued ends two engines by itself.
+  const Suspicions suspicions =
+      UnexplainedSuspicions(quarantine, IsPartlyQuarantined);
+  std::vector<Candidate> candidates;
+  std::optional<Candidate> best;
+  for (const PromptParts& parts : CommonParts(quarantine, suspicions)) {
+    candidates.push_back({parts, CollectEvidence(suspicions, parts)});
+    const Evidence& evidence = candidates.back().evidence_;
+    if (evidence.weight_ >= kMinCommonCrashWeight &&
+        evidence.different_sets_ >= kMinDifferentSets) {
+      KeepBetter(best, candidates.back());
+    }
+  }
+  std::optional<Candidate> larger;
+  for (const Candidate& candidate : candidates) {
+    if (best.has_value() && candidate.parts_ != best->parts_ &&
+        Contains(candidate.parts_, best->parts_) &&
+        candidate.evidence_.weight_ >= kMinCrashWeight &&
+        candidate.evidence_.crashes_ * 2 >= best->evidence_.crashes_) {
+      KeepBetter(larger, candidate);
+    }
+  }
+  return larger.has_value() ? larger : best;
+}
+
+}  // namespace
+
+bool Contains(const PromptParts& parts, const PromptParts& subset) {
+  return std::includes(parts.begin(), parts.end(), subset.begin(),
+                       subset.end());
+}
+
+bool IsSameCrash(const Suspicion& a, const Suspicion& b) {
+  if (a.server_ != b.server_ || a.incarnation_ != b.incarnation_) {
+    return false;
+  }
+  return a.incarnation_ != 0 ||
+         std::chrono::abs(a.crashed_at_ - b.crashed_at_) <= kSameCrashTime;
+}
+
+bool IsQuarantined(const Quarantine& quarantine, const PromptParts& parts) {
+  return std::any_of(
+      quarantine.sets_.begin(), quarantine.sets_.end(),
+      [&](const QuarantinedSet& set) { return Contains(parts, set.parts_); });
+}
+
+std::optional<Candidate> FindCulprit(const Quarantine& quarantine) {
+  std::optional<Candidate> culprit = FindSameParts(quarantine);
+  return culprit.has_value() ? culprit : FindCommonParts(quarantine);
+}
+
+}  // namespace siskindrum::dispatch
--- a/packages/dispatch/src/quarantine.cc
+++ b/packages/dispatch/src/quarantine.cc
@@ -1,10 +1,9 @@
 #include "siskindrum/dispatch/quarantine.h"
 
 #include <algorithm>
-#include <iterator>
-#include <optional>
-#include <set>
+#include <utility>
 
+#include "crash_evidence_p.h"
 #include "siskindrum/dispatch/limits.h"
 
 namespace siskindrum::dispatch {
@@ -13,36 +12,14 @@
 
 using core::TimePoint;
 
-// Requires: both in ascending order.
-bool Contains(const PromptParts& parts, const PromptParts& subset) {
-  return std::includes(parts.begin(), parts.end(), subset.begin(),
-                       subset.end());
-}
-
 bool IsSorted(const PromptParts& parts) {
   return std::is_sorted(parts.begin(), parts.end());
 }
 
-PromptParts Intersect(const PromptParts& a, const PromptParts& b) {
-  PromptParts common;
-  std::set_intersection(a.begin(), a.end(), b.begin(), b.end(),
-                        std::back_inserter(common));
-  return common;
-}
-
 Milliseconds AgeOf(TimePoint time, TimePoint now) {
   return std::chrono::duration_cast<Milliseconds>(now - time);
 }
 
-// A process crashes once, however late its crash is reported again.
-bool IsSameCrash(const Suspicion& a, const Suspicion& b) {
-  if (a.server_ != b.server_ || a.incarnation_ != b.incarnation_) {
-    return false;
-  }
-  return a.incarnation_ != 0 ||
-         std::chrono::abs(a.crashed_at_ - b.crashed_at_) <= kSameCrashTime;
-}
-
 // An answer says nothing of a much later crash: a new version of the engine's
 // software may crash by a part that was harmless before.
 bool Acquits(TimePoint written_at, TimePoint crashed_at) {
@@ -60,178 +37,6 @@
   return parts;
 }
 
-using Suspicions = std::vector<const Suspicion*>;
-
-// The crashes in which a request with certain parts was waiting.
-struct Evidence {
-  std::uint32_t crashes_ = 0;
-  std::uint32_t weight_ = 0;
-  // Of parts of the waiting requests, one set a crash.
-  std::size_t different_sets_ = 0;
-  TimePoint last_crash_at_{};
-};
-
-std::uint32_t Weight(const Suspicion& suspicion) {
-  return suspicion.confirmed_ ? kConfirmedCrashWeight : kUnconfirmedCrashWeight;
-}
-
-Evidence CollectEvidence(const Suspicions& suspicions,
-                         const PromptParts& parts) {
-  Evidence evidence;
-  Suspicions counted;
-  std::set<PromptParts> sets;
-  for (const Suspicion* suspicion : suspicions) {
-    if (!Contains(suspicion->parts_, parts)) {
-      continue;
-    }
-    evidence.last_crash_at_ =
-        std::max(evidence.last_crash_at_, suspicion->crashed_at_);
-    const bool is_new = std::none_of(counted.begin(), counted.end(),
-                                     [&](const Suspicion* other) {
-                                       return IsSameCrash(*other, *suspicion);
-                                     });
-    if (is_new) {
-      counted.push_back(suspicion);
-      sets.insert(suspicion->parts_);
-      ++evidence.crashes_;
-      evidence.weight_ += Weight(*suspicion);
-    }
-  }
-  evidence.different_sets_ = sets.size();
-  return evidence;
-}
-
-// Returns the suspicions of crashes in which no request with quarantined parts
-// was waiting.
-Suspicions UnexplainedSuspicions(const Quarantine& quarantine) {
-  Suspicions explained;
-  for (const Suspicion& suspicion : quarantine.suspicions_) {
-    for (const QuarantinedSet& set : quarantine.sets_) {
-      if (Contains(suspicion.parts_, set.parts_)) {
-        explained.push_back(&suspicion);
-        break;
-      }
-    }
-  }
-  Suspicions open;
-  for (const Suspicion& suspicion : quarantine.suspicions_) {
-    const bool is_explained = std::any_of(
-        explained.begin(), explained.end(),
-        [&](const Suspicion* other) { return IsSameCrash(*other, suspicion); });
-    if (!is_explained) {
-      open.push_back(&suspicion);
-    }
-  }
-  return open;
-}
-
-struct Candidate {
-  PromptParts parts_;
-  Evidence evidence_;
-};
-
-// Keeps the candidate with the most crashes and, of these, with the most parts.
-void KeepBetter(std::optional<Candidate>& best, Candidate candidate) {
-  const std::uint32_t crashes = candidate.evidence_.crashes_;
-  if (!best.has_value() || crashes > best->evidence_.crashes_ ||
-      (crashes == best->evidence_.crashes_ &&
-       candidate.parts_.size() > best->parts_.size())) {
-    best = std::move(candidate);
-  }
-}
-
-// Returns the whole set of parts that explains the most crashes, if they are
-// enough.
-std::optional<Candidate> FindSameParts(const Suspicions& suspicions) {
-  std::optional<Candidate> best;
-  for (const Suspicion* suspicion : suspicions) {
-    Candidate candidate{suspicion->parts_,
-                        CollectEvidence(suspicions, suspicion->parts_)};
-    if (candidate.evidence_.weight_ >= kMinCrashWeight) {
-      KeepBetter(best, std::move(candidate));
-    }
-  }
-  return best;
-}
-
-bool IsQuarantined(const Quarantine& quarantine, const PromptParts& parts) {
-  return std::any_of(
-      quarantine.sets_.begin(), quarantine.sets_.end(),
-      [&](const QuarantinedSet& set) { return Contains(parts, set.parts_); });
-}
-
-// Returns whether some but not all of the parts are quarantined.
-bool IsPartlyQuarantined(const Quarantine& quarantine,
-                         const PromptParts& parts) {
-  return std::any_of(quarantine.sets_.begin(), quarantine.sets_.end(),
-                     [&](const QuarantinedSet& set) {
-                       return set.parts_ != parts &&
-                              Contains(parts, set.parts_);
-                     });
-}
-
-// Returns the suspicions that count for common parts of different sets: also
-// those of crashes that a whole set explains, since a request that is continued
-// ends two engines by itself.
-Suspicions SuspicionsOfCommonParts(const Quarantine& quarantine) {
-  Suspicions suspicions;
-  for (const Suspicion& suspicion : quarantine.suspicions_) {
-    const bool is_explained =
-        std::any_of(quarantine.suspicions_.begin(),
-                    quarantine.suspicions_.end(), [&](const Suspicion& other) {
-                      return IsSameCrash(other, suspicion) &&
-                             IsPartlyQuarantined(quarantine, other.parts_);
-                    });
-    if (!is_explained) {
-      suspicions.push_back(&suspicion);
-    }
-  }
-  return suspicions;
-}
-
-// Returns the sets that any two suspicions have in common.
-std::set<PromptParts> CommonParts(const Quarantine& quarantine,
-                                  const Suspicions& suspicions) {
-  std::set<PromptParts> sets;
-  for (std::size_t i = 0; i < suspicions.size(); ++i) {
-    for (std::size_t j = i + 1; j < suspicions.size(); ++j) {
-      PromptParts common =
-          Intersect(suspicions[i]->parts_, suspicions[j]->parts_);
-      if (!common.empty() && !IsQuarantined(quarantine, common)) {
-        sets.insert(std::move(common));
-      }
-    }
-  }
-  return sets;
-}
-
-// Returns the parts that different sets have in common and that explain the
-// most crashes, if they are enough. A larger set that explains half of them is
-// preferred: a part that every prompt shares is there in each crash.
-std::optional<Candidate> FindCommonParts(const Quarantine& quarantine) {
-  const Suspicions suspicions = SuspicionsOfCommonParts(quarantine);
-  std::vector<Candidate> candidates;
-  std::optional<Candidate> best;
-  for (const PromptParts& parts : CommonParts(quarantine, suspicions)) {
-    candidates.push_back({parts, CollectEvidence(suspicions, parts)});
-    const Evidence& evidence = candidates.back().evidence_;
-    if (evidence.weight_ >= kMinCommonCrashWeight &&
-        evidence.different_sets_ >= kMinDifferentSets) {
-      KeepBetter(best, candidates.back());
-    }
-  }
-  std::optional<Candidate> larger;
-  for (const Candidate& candidate : candidates) {
-    if (best.has_value() && candidate.parts_ != best->parts_ &&
-        Contains(candidate.parts_, best->parts_) &&
-        candidate.evidence_.weight_ >= kMinCrashWeight &&
-        candidate.evidence_.crashes_ * 2 >= best->evidence_.crashes_) {
-      KeepBetter(larger, candidate);
-    }
-  }
-  return larger.has_value() ? larger : best;
-}
-
 core::CrashSuspect ToReport(const Suspicion& suspicion, TimePoint now) {
   return {suspicion.server_, suspicion.incarnation_,
           AgeOf(suspicion.crashed_at_, now), suspicion.confirmed_,
@@ -273,10 +78,7 @@
                QuarantineChange& change) {
   bool imposed = true;
   while (imposed) {
-    auto culprit = FindSameParts(UnexplainedSuspicions(quarantine));
-    if (!culprit.has_value()) {
-      culprit = FindCommonParts(quarantine);
-    }
+    const auto culprit = FindCulprit(quarantine);
     imposed = culprit.has_value() && Impose(quarantine,
                                             {culprit->parts_,
                                              culprit->evidence_.crashes_,
@@ -310,12 +112,11 @@
                      });
 }
 
+// Requires: harmless parts are removed from `suspicion`.
 void AddSuspicion(Quarantine& quarantine,
                   Suspicion suspicion,
                   TimePoint now,
                   QuarantineChange& change) {
-  suspicion.parts_ = RemoveHarmless(quarantine, std::move(suspicion.parts_),
-                                    suspicion.crashed_at_);
   if (suspicion.parts_.empty() || IsKnown(quarantine, suspicion) ||
       now - suspicion.crashed_at_ > kSuspicionLifetime) {
     return;
@@ -472,10 +273,12 @@
 }
 
 QuarantineChange RecordCrash(Quarantine& quarantine,
-                             const Suspicion& suspicion,
+                             Suspicion suspicion,
                              TimePoint now) {
+  suspicion.parts_ = RemoveHarmless(quarantine, std::move(suspicion.parts_),
+                                    suspicion.crashed_at_);
   QuarantineChange change;
-  AddSuspicion(quarantine, suspicion, now, change);
+  AddSuspicion(quarantine, std::move(suspicion), now, change);
   return change;
 }
 
