--- a/review/standins/harness.cc
+++ b/review/standins/harness.cc
@@ -162,6 +162,10 @@
   return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+void Channel::Shutdown() const {
+  shutdown(fd_, SHUT_RDWR);
+}
+
 void Channel::Close() {
   if (fd_ >= 0) {
     close(fd_);
@@ -234,16 +238,30 @@
          std::to_string(1 + run % 250) + "." + std::to_string(last);
 }
 
-Listener::Listener(const std::string& ip, Serve serve) {
+Listener::Listener(const std::string& ip, Serve serve)
+    : address_(ip + ":0"), serve_(std::move(serve)) {
+  Start();
+}
+
+Listener::~Listener() {
+  Stop();
+}
+
+void Listener::Start() {
   fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   sockaddr_in address{};
-  FillAddress(ip + ":0", &address);
-  bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address);
+  FillAddress(address_, &address);
+  if (bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 ||
+      listen(fd_, kBacklog) != 0) {
+    std::_Exit(kCannotRun);
+  }
   socklen_t length = sizeof address;
   getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &length);
-  address_ = ip + ":" + std::to_string(ntohs(address.sin_port));
-  listen(fd_, kBacklog);
-  thread_ = std::thread([this, serve = std::move(serve)] {
+  address_ = address_.substr(0, address_.rfind(':') + 1) +
+             std::to_string(ntohs(address.sin_port));
+  thread_ = std::thread([this] {
     while (true) {
       const int fd = accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
       if (fd < 0) {
@@ -251,7 +269,7 @@
       }
       const int on = 1;
       setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-      std::thread([fd, serve] {
+      std::thread([fd, serve = serve_] {
         Channel channel(fd);
         serve(channel);
       }).detach();
@@ -259,10 +277,13 @@
   });
 }
 
-Listener::~Listener() {
-  shutdown(fd_, SHUT_RDWR);
-  thread_.join();
-  close(fd_);
+void Listener::Stop() {
+  if (fd_ >= 0) {
+    shutdown(fd_, SHUT_RDWR);
+    thread_.join();
+    close(fd_);
+  }
+  fd_ = -1;
 }
 
 Store::Store(const std::string& ip)
@@ -416,6 +437,10 @@
   }
 }
 
+void Entry::Terminate() const {
+  kill(pid_, SIGTERM);
+}
+
 double Entry::MemoryMb() const {
   std::ifstream file("/proc/" + std::to_string(pid_) + "/statm");
   double size = 0;
--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -14,6 +14,7 @@
 #include <fstream>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -63,6 +64,8 @@
   // Returns whether the peer has closed or reset the channel.
   bool IsClosedByPeer() const;
   void Close();
+  // Ends both directions; the thread that uses the channel closes it.
+  void Shutdown() const;
   int Fd() const { return fd_; }
 
  private:
@@ -97,9 +100,14 @@
   Listener(const std::string& ip, Serve serve);
   ~Listener();
   const std::string& Address() const { return address_; }
+  // Refuses new channels, as when no process listens. Open ones stay.
+  void Stop();
+  // Listens again at the same address.
+  void Start();
 
  private:
   std::string address_;
+  Serve serve_;
   int fd_ = -1;
   std::thread thread_;
 };
@@ -158,6 +166,8 @@
   // How it ended; empty: it runs.
   const std::string& EndedHow() const { return ended_how_; }
   void Kill();
+  // Sends SIGTERM.
+  void Terminate() const;
   std::string Front() const { return front_; }
   std::string Operators() const { return options_.ip_ + ":7390"; }
   // Resident memory in MB; zero: the process has ended.
