Servers: an answer without end no longer ends the entry

Callers saw: kept connections with requests at sound plain servers closed without an answer (LOST), seconds after an entry was restarted.

Cause: the parser limits head and body, but neither chunk headers nor trailers. An entry that asks its engines for their retained prompts kept every byte of a chunk header that did not end, copied all of it with each 16 KB, and never gave the call up; the platform killed it at its memory limit. The entry's own requests had a time limit for sending only.

Evidence: the new test has one endless answer for each place where bytes may come without end.

Change: ParserLimits::framing_bytes_ bounds chunk headers and trailers for answers and requests. BackendCall has a time limit and a limit of all bytes of the answer; the entry's own requests set both. The same cause elsewhere: answers to prefills and reservations are bounded by 64 KB, an event by 256 KB (4 MB each before).

Why it works: whatever a server sends, what is kept of it is bounded by the head, the framing and the body's own limit, and the connection is closed at the first of them or at the time limit.

--- a/packages/gateway/src/control_client.cc
+++ b/packages/gateway/src/control_client.cc
@@ -12,14 +12,19 @@
 namespace {
 
 constexpr core::Milliseconds kSendTimeout{2000};
-// No further data of a prompt list is buffered once this size is reached.
-constexpr std::size_t kMaxListBytes = 1024 * 1024;
+// Longer than the silence of a sound server.
+constexpr core::Milliseconds kAnswerTimeout{5000};
+constexpr std::uint64_t kMaxAnswerBytes = 64 * 1024;
+constexpr std::uint64_t kMaxPromptListBytes = 1024 * 1024;
 
 http::BackendCall MakeCall(const std::string& address, ControlRequest request) {
   http::BackendCall call;
   call.address_ = address;
   call.bytes_ = FormatControlRequest(std::move(request));
-  call.write_deadline_ = http::MonotonicNow() + kSendTimeout;
+  const core::TimePoint now = http::MonotonicNow();
+  call.write_deadline_ = now + kSendTimeout;
+  call.deadline_ = now + kAnswerTimeout;
+  call.max_answer_bytes_ = kMaxAnswerBytes;
   return call;
 }
 
@@ -59,15 +64,14 @@
   http::BackendCall call =
       MakeCall(list.address_,
                context_.dialect_.make_list_prompts_request_(list.server_));
+  call.max_answer_bytes_ = kMaxPromptListBytes;
   const auto answer = std::make_shared<BufferedAnswer>();
   call.on_head_ = [this, list, answer](const http::Head& head) {
     answer->status_ = head.status_;
     return OnHead({list.server_, list.address_, list.incarnation_}, head);
   };
   call.on_body_ = [answer](std::string_view data) {
-    if (answer->body_.size() < kMaxListBytes) {
-      answer->body_.append(data);
-    }
+    answer->body_.append(data);
   };
   call.on_end_ = [this, list, answer](const http::CallResult& end) {
     const bool succeeded =
@@ -75,7 +79,8 @@
     const auto prompts =
         succeeded ? context_.dialect_.read_prompt_list_(answer->body_)
                   : tl::unexpected(absl::StrCat("status ", answer->status_, " ",
-                                                http::ToString(end.failure_)));
+                                                http::ToString(end.failure_),
+                                                " ", end.detail_));
     if (prompts.has_value()) {
       context_.post_(dispatch::RetainedPromptsListed{list.server_, *prompts});
     } else {
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -15,9 +15,12 @@
 // Successful answers of plain calls are buffered up to this size; larger ones
 // are streamed.
 constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
-// Limit of a body that must be buffered whole and of a single event; the
-// attempt fails above it.
+// Limits of a body that must be buffered whole and of a single event; the
+// attempt fails above them.
 constexpr std::size_t kMaxBodyBytes = 4 * 1024 * 1024;
+constexpr std::size_t kMaxEventBytes = 256 * 1024;
+// Limit of the answer to a reservation or a prefill, which names a handle.
+constexpr std::uint64_t kMaxHandleAnswerBytes = 64 * 1024;
 // Reading from the server is paused while more than this number of bytes waits
 // to be written to the caller.
 constexpr std::size_t kMaxWriteBacklog = 128 * 1024;
@@ -136,6 +139,9 @@
                    dispatch::kServerConnectTimeout,
                start.deadline_);
   call.connect_timeout_ = dispatch::kServerConnectTimeout;
+  if (start.stage_ == Stage::kReserve || start.stage_ == Stage::kPrefill) {
+    call.max_answer_bytes_ = kMaxHandleAnswerBytes;
+  }
   const auto self = shared_from_this();
   const std::uint32_t attempt = start.attempt_;
   call.on_head_ = [self, attempt](const http::Head& head) {
@@ -249,7 +255,7 @@
 void Exchange::ForwardEvents(std::string_view data) {
   const std::string whole =
       is_event_stream_ ? ExtractEvents(events_, data) : std::string(data);
-  if (events_.partial_.size() > kMaxBodyBytes) {
+  if (events_.partial_.size() > kMaxEventBytes) {
     FailAttempt(Reason::kBadAnswer, "an event exceeds the size limit");
     return;
   }
--- a/packages/gateway/test/control_client_test.cc
+++ b/packages/gateway/test/control_client_test.cc
@@ -1,5 +1,9 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <future>
+
 #include <boost/asio/io_context.hpp>
 
 #include "control_client_p.h"
@@ -14,10 +18,55 @@
   Dialect dialect_ = TestDialect();
   http::BackendPool pool_{context_};
   std::vector<dispatch::Event> events_;
+  std::vector<core::LogEvent> logs_;
   ControlClient client_{
       {dialect_, pool_, "entry",
        [this](dispatch::Event event) { events_.push_back(std::move(event)); },
-       [](core::LogEvent) {}}};
+       [this](core::LogEvent event) { logs_.push_back(std::move(event)); }}};
+
+  // Runs the client until it has posted an event or written a log line.
+  void RunUntilResult() {
+    const core::TimePoint limit =
+        http::MonotonicNow() + core::Milliseconds(test::kWaitMs);
+    while (events_.empty() && logs_.empty() && http::MonotonicNow() < limit) {
+      context_.restart();
+      context_.run_for(core::Milliseconds(5));
+      pool_.Sweep(http::MonotonicNow());
+    }
+  }
+};
+
+// What a server sends once, and then again and again until the caller closes.
+struct EndlessAnswer {
+  const char* begin_;
+  std::string again_;
+};
+
+std::ostream& operator<<(std::ostream& out, const EndlessAnswer& answer) {
+  return out << answer.begin_;
+}
+
+const EndlessAnswer kEndlessAnswers[] = {
+    // In the head.
+    {"HTTP/1.1 200 OK\r\nX: ", std::string(4096, 'x')},
+    // In a chunk header.
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+     std::string(4096, 'x')},
+    // In the extension of a chunk header.
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=",
+     std::string(4096, 'x')},
+    // In the trailers.
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+     "X: " + std::string(4096, 'x') + "\r\n"},
+    // In a body of chunks.
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+     http::FormatChunk(std::string(4096, 'x'))},
+    // In a body that the end of the connection delimits.
+    {"HTTP/1.1 200 OK\r\n\r\n", std::string(4096, 'x')},
+    // Interim answers.
+    {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+    // Answers to other requests.
+    {"", "HTTP/1.1 200 OK\r\nId: 6\r\nContent-Length: 5\r\n\r\nother"},
 };
 
 BOOST_FIXTURE_TEST_SUITE(ControlClients, ControlClientFixture)
@@ -31,12 +80,7 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
   });
   client_.Send(dispatch::ListRetainedPrompts{"d", server.Address()});
-  const core::TimePoint limit =
-      http::MonotonicNow() + core::Milliseconds(test::kWaitMs);
-  while (events_.empty() && http::MonotonicNow() < limit) {
-    context_.restart();
-    context_.run_for(core::Milliseconds(5));
-  }
+  RunUntilResult();
   BOOST_REQUIRE(events_.size() == 1U);
   const auto* listed =
       std::get_if<dispatch::RetainedPromptsListed>(&events_[0]);
@@ -44,6 +88,51 @@
   BOOST_TEST((listed->prompts_ == std::vector<std::uint64_t>{3}));
 }
 
+// Guards against an entry whose memory grows with what a faulty server sends.
+BOOST_DATA_TEST_CASE(List_WhenTheAnswerDoesNotEnd_FailsAndClosesTheConnection,
+                     boost::unit_test::data::make(kEndlessAnswers),
+                     answer) {
+  constexpr std::size_t kMostBytes = 32 * 1024 * 1024;
+  std::promise<bool> was_closed;
+  test::ScriptedServer server([&](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    bool is_open = peer.Send(answer.begin_);
+    for (std::size_t sent = 0; is_open && sent < kMostBytes;
+         sent += answer.again_.size()) {
+      is_open = peer.Send(answer.again_);
+    }
+    was_closed.set_value(!is_open);
+  });
+  client_.Send(dispatch::ListRetainedPrompts{"d", server.Address()});
+  RunUntilResult();
+  BOOST_TEST(events_.empty());
+  BOOST_REQUIRE(logs_.size() == 1U);
+  BOOST_TEST(logs_[0].event_ == "prompts_not_listed");
+  BOOST_TEST(was_closed.get_future().get());
+}
+
+BOOST_AUTO_TEST_CASE(List_WhenTheServerStaysSilent_FailsAfterATimeout) {
+  test::ScriptedServer server([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.ReadAll();
+  });
+  client_.Send(dispatch::ListRetainedPrompts{"d", server.Address()});
+  RunUntilResult();
+  BOOST_REQUIRE(logs_.size() == 1U);
+  BOOST_TEST(logs_[0].event_ == "prompts_not_listed");
+}
+
+BOOST_AUTO_TEST_CASE(Release_WhenTheServerStaysSilent_FailsAfterATimeout) {
+  test::ScriptedServer server([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.ReadAll();
+  });
+  client_.Send(dispatch::ReleaseReservation{server.Address(), "hold", "d"});
+  RunUntilResult();
+  BOOST_REQUIRE(logs_.size() == 1U);
+  BOOST_TEST(logs_[0].event_ == "hold_not_dropped");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/http/include/siskindrum/http/backend_pool.h
+++ b/packages/http/include/siskindrum/http/backend_pool.h
@@ -21,7 +21,9 @@
   kConnectTimeout,
   kConnectionLost,  // Closed or reset before the answer was complete.
   kMalformed,
-  kExpired,  // `write_deadline_` passed before anything was written.
+  kExpired,   // `write_deadline_` passed before anything was written.
+  kTimeout,   // `deadline_` passed before the answer was complete.
+  kTooLarge,  // More than `max_answer_bytes_` arrived.
   kCount
 };
 
@@ -56,6 +58,12 @@
   bool use_new_connection_ = false;
   // A request that is not yet being written at this time fails with kExpired.
   core::TimePoint write_deadline_ = core::TimePoint::max();
+  // A call without a complete answer at this time fails with kTimeout. Set it
+  // unless something else cancels the call in time.
+  core::TimePoint deadline_ = core::TimePoint::max();
+  // Limit of all bytes received for the call, skipped answers and framing
+  // included; the call fails with kTooLarge above it. Zero: no limit.
+  std::uint64_t max_answer_bytes_ = 0;
   core::Milliseconds connect_timeout_{300};
   std::function<AnswerDecision(const Head&)> on_head_;
   std::function<void(std::string_view)> on_body_;
@@ -104,8 +112,8 @@
   // Sends a call. Its callbacks never run before Send has returned.
   CallHandle Send(BackendCall call);
 
-  // Closes idle connections that have expired and fails connection attempts
-  // that have timed out. Call about every 20 ms.
+  // Closes idle connections that have expired, and fails connection attempts
+  // and calls that have timed out. Call about every 20 ms.
   void Sweep(core::TimePoint now);
 
   const PoolCounters& Counters() const;
--- a/packages/http/include/siskindrum/http/parser.h
+++ b/packages/http/include/siskindrum/http/parser.h
@@ -16,7 +16,8 @@
   kMalformed,  // Includes ambiguous framing of the body.
   kHeadTooLarge,
   kBodyTooLarge,
-  kIncomplete,  // The connection closed within the message.
+  kFramingTooLarge,  // A chunk header, or the trailers.
+  kIncomplete,       // The connection closed within the message.
   kCount
 };
 
@@ -26,6 +27,8 @@
 struct ParserLimits {
   std::uint32_t head_bytes_ = 16 * 1024;
   std::uint64_t body_bytes_ = 4 * 1024 * 1024;  // Zero: no limit.
+  // Of one chunk header, and of all trailers.
+  std::uint32_t framing_bytes_ = 16 * 1024;
 };
 
 // Callbacks of a parser. Both are optional.
@@ -48,7 +51,7 @@
 
   // Parses bytes and returns how many were consumed. Remaining bytes belong to
   // the next message if IsDone(); otherwise pass them again, followed by more
-  // input.
+  // input. Their number is bounded by the limits on the head and the framing.
   std::size_t Feed(std::string_view bytes);
 
   // Signals an orderly end of the connection. Completes an answer whose body is
--- a/packages/http/src/backend_connection.cc
+++ b/packages/http/src/backend_connection.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 
 #include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
 #include "siskindrum/http/clock.h"
 #include "siskindrum/http/endpoint.h"
@@ -103,6 +104,7 @@
   written_ = false;
   skipping_ = false;
   rejected_ = false;
+  answer_bytes_ = 0;
   if (MonotonicNow() > call_.write_deadline_) {
     End(CallFailure::kExpired,
         "the write deadline passed before the request was sent");
@@ -166,6 +168,13 @@
     End(CallFailure::kConnectionLost, error.message());
     return;
   }
+  answer_bytes_ += count;
+  if (call_.max_answer_bytes_ > 0 && answer_bytes_ > call_.max_answer_bytes_) {
+    End(CallFailure::kTooLarge,
+        absl::StrCat("more than ", call_.max_answer_bytes_,
+                     " bytes were received"));
+    return;
+  }
   pending_.append(read_buffer_.get(), count);
   Parse();
   if (state_ == State::kInCall || state_ == State::kIdle) {
@@ -308,6 +317,8 @@
 void BackendConnection::Sweep(core::TimePoint now) {
   if (state_ == State::kConnecting && now > connect_until_) {
     End(CallFailure::kConnectTimeout, "the connection attempt timed out");
+  } else if (state_ == State::kInCall && now > call_.deadline_) {
+    End(CallFailure::kTimeout, "the answer was not complete in time");
   }
 }
 
--- a/packages/http/src/backend_connection_p.h
+++ b/packages/http/src/backend_connection_p.h
@@ -71,6 +71,7 @@
   std::uint64_t call_number_ = 1;
   std::unique_ptr<MessageParser> parser_;
   std::string pending_;
+  std::uint64_t answer_bytes_ = 0;  // Received in the current call.
   std::unique_ptr<char[]> read_buffer_;
   bool reading_ = false;
   bool paused_ = false;
--- a/packages/http/src/backend_pool.cc
+++ b/packages/http/src/backend_pool.cc
@@ -29,6 +29,10 @@
       return "malformed_answer";
     case CallFailure::kExpired:
       return "decision_too_old";
+    case CallFailure::kTimeout:
+      return "timeout";
+    case CallFailure::kTooLarge:
+      return "answer_too_large";
     case CallFailure::kCount:
       break;
   }
--- a/packages/http/src/parser.cc
+++ b/packages/http/src/parser.cc
@@ -139,6 +139,8 @@
       return "head_too_large";
     case ParseError::kBodyTooLarge:
       return "body_too_large";
+    case ParseError::kFramingTooLarge:
+      return "framing_too_large";
     case ParseError::kIncomplete:
       return "incomplete";
     case ParseError::kCount:
@@ -151,6 +153,7 @@
   ParsedMessage message_;
   std::variant<std::monostate, RequestParser, ResponseParser> parser_;
   ParseError error_ = ParseError::kNone;
+  std::size_t framing_bytes_ = 0;  // Limit.
   bool started_ = false;
 
   template <class Visitor>
@@ -167,6 +170,7 @@
                              ParserSink sink)
     : state_(std::make_unique<State>()) {
   state_->message_.sink_ = std::move(sink);
+  state_->framing_bytes_ = limits.framing_bytes_;
   if (kind == Kind::kRequest) {
     state_->parser_.emplace<RequestParser>(state_->message_);
   } else {
@@ -206,6 +210,13 @@
       break;
     }
   }
+  // Within a body, the parser leaves only an incomplete chunk header or
+  // incomplete trailers, and Beast limits neither.
+  const bool in_body = IsHeadDone() && !IsDone();
+  if (in_body && state.error_ == ParseError::kNone &&
+      bytes.size() - used > state.framing_bytes_) {
+    state.error_ = ParseError::kFramingTooLarge;
+  }
   return used;
 }
 
--- a/packages/http/test/caller_connection_test.cc
+++ b/packages/http/test/caller_connection_test.cc
@@ -144,6 +144,15 @@
   BOOST_TEST(requests_ == 0);
 }
 
+BOOST_AUTO_TEST_CASE(Request_WhenAChunkHeaderDoesNotEnd_IsRefused) {
+  const std::string answer =
+      Ask("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "5;x=" +
+          std::string(64 * 1024, 'x'));
+  BOOST_TEST(answer.starts_with("HTTP/1.1 400 "));
+  BOOST_TEST(requests_ == 0);
+}
+
 BOOST_AUTO_TEST_CASE(StreamedAnswer_WhenItMayHaveNoBody_IsOnlyAHead) {
   for (const char* method : {"HEAD", "GET"}) {
     test::Peer peer = Connect();
--- a/packages/http/test/parser_test.cc
+++ b/packages/http/test/parser_test.cc
@@ -46,6 +46,36 @@
   BOOST_TEST(body_ == "body");
 }
 
+// Guards against a buffer that grows with a chunk header that does not end.
+BOOST_AUTO_TEST_CASE(Feed_WhenTheFramingDoesNotEnd_FailsAtItsLimit) {
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  limits_.framing_bytes_ = 64;
+  for (const char* begin : {"", "5;x=", "5\r\nhello\r\n", "0\r\n"}) {
+    auto parser = Make(MessageParser::Kind::kRequest);
+    const std::string text = head + begin;
+    std::string pending = text.substr(parser->Feed(text));
+    while (parser->Error() == ParseError::kNone && pending.size() < 1000) {
+      pending += 'x';
+      pending.erase(0, parser->Feed(pending));
+    }
+    BOOST_TEST_INFO("after " << begin);
+    BOOST_TEST((parser->Error() == ParseError::kFramingTooLarge ||
+                parser->Error() == ParseError::kMalformed));
+    BOOST_TEST(pending.size() <= limits_.framing_bytes_ + 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Feed_WhenALongChunkHeaderIsWithinTheLimit_Succeeds) {
+  auto parser = Request(
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5;x=" +
+      std::string(1000, 'x') +
+      "\r\nhello\r\n0\r\nT: " + std::string(1000, 'x') + "\r\n\r\n");
+  BOOST_TEST(parser->IsDone());
+  BOOST_TEST(body_ == "hello");
+}
+
 BOOST_AUTO_TEST_CASE(Feed_WhenASecondRequestFollows_LeavesItsBytes) {
   const std::string first = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
   auto parser = Make(MessageParser::Kind::kRequest);
