Quarantine: a part that crashes engines after the first event is found

Callers saw: while requests with one part of a prompt came, engine after engine ended, and other answers in progress there broke off (BUDGET).

Cause: a request was a suspect of the crash of its engine only until its first event, and its answer acquitted its parts only after 500 ms of writing. A crash in between counted for nothing, and the request was continued at the next engine. The acquittal went by the time since the answer began, so that a silent engine acquitted the part too.

With the former condition, the two fleet tests with engines that write an event first have 14 to 106 late sends in 15 fleets (3 allowed) and Part_WhenItsEnginesCrashAfterTheFirstEvent_IsRefused fails.

Change: a request is a suspect until its answer has acquitted it. A crash within the answer counts half unless other connections to the engine were lost too, since servers also cut answers off. The exchange reports a sustained answer (events for 500 ms in one attempt); the end of an answer that only its connection's end marks acquits nothing.

Why it works: blame now ends where acquittal begins.

Tests changed: Answer_WhenItHasBegun_IsNeitherBlamedNorCut demanded the gap that is the fault; Answer_WhenItWasSustained_IsNeitherBlamedNorCut demands the same of an answer that has acquitted its parts, and Answer_WhenCutOnceAfterItsFirstEvent_IsNoCertainCrash bounds the blame before. The tests that waited for the acquittal by time now report the event.

--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -89,6 +89,13 @@
   std::uint32_t attempt_ = 0;
 };
 
+// The current attempt has brought parts of the answer for
+// kHarmlessWritingTime. Comes once an attempt.
+struct AnswerSustained {
+  RequestId request_;
+  std::uint32_t attempt_ = 0;
+};
+
 enum class AttemptOutcome {
   kDelivered,  // The caller received the complete answer.
   // Complete error response of the server, stored for the caller.
@@ -113,6 +120,9 @@
   // The server closed or reset the connection before the answer was whole.
   bool connection_lost_ = false;
   bool wrote_events_ = false;  // This attempt brought part of the answer.
+  // The answer had neither a length nor chunks: an answer that was cut off
+  // looks the same.
+  bool ended_by_close_ = false;
   // Another attempt can complete the answer without repeating any part of it.
   bool can_resume_ = true;
   // Longest time between two events of the whole answer so far, including
@@ -171,6 +181,7 @@
                            PrefillDone,
                            ReserveDone,
                            AnswerBegan,
+                           AnswerSustained,
                            AttemptDone,
                            AttemptSilent,
                            ListSeen,
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -178,8 +178,8 @@
 // another cause.
 inline constexpr std::uint32_t kConfirmedCrashWeight = 2;
 inline constexpr std::uint32_t kUnconfirmedCrashWeight = 1;
-// Weight of crashes with which the parts of a waiting request are quarantined,
-// if it was the same set of parts each time.
+// Weight of crashes with which the parts of a suspected request are
+// quarantined, if it was the same set of parts each time.
 inline constexpr std::uint32_t kMinCrashWeight = 4;
 // The same for common parts of different sets, and the number of such sets.
 inline constexpr std::uint32_t kMinCommonCrashWeight = 6;
@@ -194,7 +194,7 @@
 // An answer that was written for this long proves its parts harmless.
 inline constexpr Milliseconds kHarmlessWritingTime{500};
 // A lost connection counts as a crash if others to the same server were lost
-// within this time, or if the answer's head had arrived.
+// within this time, or if the answer's head had arrived and no event.
 inline constexpr Milliseconds kCrashConfirmTime{250};
 // A quarantine lasts this long after its last crash, doubled for each crash, up
 // to the maximum.
--- a/packages/dispatch/include/siskindrum/dispatch/quarantine.h
+++ b/packages/dispatch/include/siskindrum/dispatch/quarantine.h
@@ -17,11 +17,12 @@
 
 // Finds the parts of prompts that crash engines, and keeps requests with them
 // from being sent. A crash by itself says little: the engine may have crashed
-// for another reason, and had several requests that waited for their first
-// event. So a set of parts is quarantined once it was part of such a request in
-// several crashes, and a part is acquitted by any answer written with it.
+// for another reason, and had several requests whose answers were not or just
+// begun. So a set of parts is quarantined once it was part of such a request in
+// several crashes, and a part is acquitted by any answer written with it for
+// kHarmlessWritingTime or to its end.
 
-// A request that waited for its first event when its engine crashed.
+// A request whose answer was not or just begun when its engine crashed.
 struct Suspicion {
   std::string server_;
   core::Incarnation incarnation_ = 0;  // Of the server; zero: unknown.
@@ -68,7 +69,7 @@
 // each crash up to a maximum. Thread-safe: yes.
 core::Milliseconds QuarantineTerm(std::uint32_t crashes);
 
-// Records that a server crashed while a request waited for its first event.
+// Records that a server crashed while a request's answer was not or just begun.
 // Requires: its parts in ascending order. Thread-safe: no.
 QuarantineChange RecordCrash(Quarantine& quarantine,
                              Suspicion suspicion,
--- a/packages/dispatch/src/crash_evidence.cc
+++ b/packages/dispatch/src/crash_evidence.cc
@@ -50,7 +50,7 @@
   return evidence;
 }
 
-// Returns the suspicions of crashes in which no waiting request had parts for
+// Returns the suspicions of crashes in which no suspected request had parts for
 // which `explains` holds.
 template <class Explains>
 Suspicions UnexplainedSuspicions(const Quarantine& quarantine,
@@ -80,20 +80,47 @@
   }
 }
 
+// Returns the best of the candidates with more parts than `best` that explain
+// at least `min_crashes`. Such a set is preferred: a part that every prompt
+// shares is there in each crash.
+std::optional<Candidate> FindLarger(const std::vector<Candidate>& candidates,
+                                    const Candidate& best,
+                                    std::uint32_t min_crashes) {
+  std::optional<Candidate> larger;
+  for (const Candidate& candidate : candidates) {
+    if (candidate.parts_ != best.parts_ &&
+        Contains(candidate.parts_, best.parts_) &&
+        candidate.evidence_.crashes_ >= min_crashes) {
+      KeepBetter(larger, candidate);
+    }
+  }
+  return larger;
+}
+
 // Returns the whole set of parts that explains the most crashes, if they are
-// enough.
+// enough. Returns nothing while a larger set that explains most of them may
+// turn out to be the cause.
 std::optional<Candidate> FindSameParts(const Quarantine& quarantine) {
   const Suspicions suspicions =
       UnexplainedSuspicions(quarantine, IsQuarantined);
+  std::vector<Candidate> candidates;
   std::optional<Candidate> best;
   for (const Suspicion* suspicion : suspicions) {
-    Candidate candidate{suspicion->parts_,
-                        CollectEvidence(suspicions, suspicion->parts_)};
-    if (candidate.evidence_.weight_ >= kMinCrashWeight) {
-      KeepBetter(best, std::move(candidate));
+    candidates.push_back(
+        {suspicion->parts_, CollectEvidence(suspicions, suspicion->parts_)});
+    if (candidates.back().evidence_.weight_ >= kMinCrashWeight) {
+      KeepBetter(best, candidates.back());
     }
   }
-  return best;
+  if (!best.has_value()) {
+    return std::nullopt;
+  }
+  const std::uint32_t most = best->evidence_.crashes_ / 2 + 1;
+  const std::optional<Candidate> larger = FindLarger(candidates, *best, most);
+  if (!larger.has_value()) {
+    return best;
+  }
+  return larger->evidence_.weight_ >= kMinCrashWeight ? larger : std::nullopt;
 }
 
 // Returns whether some but not all of the parts are quarantined.
@@ -123,8 +150,7 @@
 }
 
 // Returns the parts that different sets have in common and that explain the
-// most crashes, if they are enough. A larger set that explains half of them is
-// preferred: a part that every prompt shares is there in each crash.
+// most crashes, if they are enough.
 std::optional<Candidate> FindCommonParts(const Quarantine& quarantine) {
   // Crashes that a whole set explains count too, since a request that is
   // continued ends two engines by itself.
@@ -133,22 +159,21 @@
   std::vector<Candidate> candidates;
   std::optional<Candidate> best;
   for (const PromptParts& parts : CommonParts(quarantine, suspicions)) {
-    candidates.push_back({parts, CollectEvidence(suspicions, parts)});
-    const Evidence& evidence = candidates.back().evidence_;
+    Candidate candidate{parts, CollectEvidence(suspicions, parts)};
+    const Evidence& evidence = candidate.evidence_;
     if (evidence.weight_ >= kMinCommonCrashWeight &&
         evidence.different_sets_ >= kMinDifferentSets) {
-      KeepBetter(best, candidates.back());
+      KeepBetter(best, candidate);
     }
-  }
-  std::optional<Candidate> larger;
-  for (const Candidate& candidate : candidates) {
-    if (best.has_value() && candidate.parts_ != best->parts_ &&
-        Contains(candidate.parts_, best->parts_) &&
-        candidate.evidence_.weight_ >= kMinCrashWeight &&
-        candidate.evidence_.crashes_ * 2 >= best->evidence_.crashes_) {
-      KeepBetter(larger, candidate);
+    if (evidence.weight_ >= kMinCrashWeight) {
+      candidates.push_back(std::move(candidate));
     }
   }
+  if (!best.has_value()) {
+    return std::nullopt;
+  }
+  const std::uint32_t half = (best->evidence_.crashes_ + 1) / 2;
+  const std::optional<Candidate> larger = FindLarger(candidates, *best, half);
   return larger.has_value() ? larger : best;
 }
 
--- a/packages/dispatch/src/crash_evidence_p.h
+++ b/packages/dispatch/src/crash_evidence_p.h
@@ -11,11 +11,11 @@
 
 // Finds the parts of prompts that explain crashes which no quarantine explains.
 
-// The crashes in which a request with certain parts was waiting.
+// The crashes in which a request with certain parts is suspected.
 struct Evidence {
   std::uint32_t crashes_ = 0;
   std::uint32_t weight_ = 0;
-  // Of parts of the waiting requests, one set a crash.
+  // Of parts of the suspected requests, one set a crash.
   std::size_t different_sets_ = 0;
   core::TimePoint last_crash_at_{};
 };
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -393,6 +393,12 @@
               OnAnswerBegan(step, *call);
             }
           },
+          [&](const AnswerSustained& e) {
+            ActiveCall* call = FindAttempt(step, e.request_, e.attempt_);
+            if (call != nullptr) {
+              RecordHarmlessCall(step, *call);
+            }
+          },
           [&](const AttemptDone& e) { OnAttemptDone(step, e); },
           [&](const AttemptSilent& e) {
             ActiveCall* call = FindAttempt(step, e.request_, e.attempt_);
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -129,9 +129,8 @@
 bool RefuseNewQuarantined(Step& step, ActiveCall& call);
 // The same before each later stage of a request.
 bool RefuseQuarantined(Step& step, ActiveCall& call);
-// Records that the engine may have crashed before it wrote an event of this
-// attempt, if that is what `event` means. Call before the attempt's result is
-// stored in `call`.
+// Records that the engine may have crashed by this request, if that is what
+// `event` means. Call before the attempt's result is stored in `call`.
 void RecordCrashSuspect(Step& step,
                         const ActiveCall& call,
                         const AttemptDone& event);
@@ -140,8 +139,7 @@
 void OnQuarantineReport(Step& step,
                         const std::string& from,
                         const core::QuarantineReport& report);
-// Records answers that have been written for long enough, sends news to peers
-// and drops what is too old.
+// Sends news to peers and drops what is too old.
 void UpdateQuarantine(Step& step);
 
 // peers.cc: messages between entries.
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -317,7 +317,7 @@
     call.run_state_ = RunState::kRan;
     RecordTokenTime(step, call);
     RecordDeliveredLength(step, call);
-    if (event.wrote_events_) {
+    if (event.wrote_events_ && !event.ended_by_close_) {
       RecordHarmlessCall(step, call);
     }
     ++dispatcher.counters_.delivered_;
--- a/packages/dispatch/src/quarantined_calls.cc
+++ b/packages/dispatch/src/quarantined_calls.cc
@@ -150,22 +150,23 @@
   }
 }
 
-// Returns whether the attempt ended with its connection while the request
-// waited for its first event.
-bool IsLostWhileWaiting(const AttemptDone& event) {
+// Returns whether the attempt ended with its connection before its answer had
+// proved the request's parts harmless.
+bool IsLostEarly(const ActiveCall& call, const AttemptDone& event) {
   return event.outcome_ == AttemptOutcome::kFailed && event.connection_lost_ &&
-         !event.wrote_events_;
+         !call.parts_harmless_;
 }
 
-// A connection that is lost before the answer's head may have had another cause
-// than a crash.
+// A connection that is lost before the answer's head or within the answer may
+// have had another cause than a crash.
 bool IsCrashConfirmed(const ServerState& server,
                       const AttemptDone& event,
                       TimePoint now) {
   const bool others_lost =
       server.connection_lost_at_ != TimePoint{} &&
       now - server.connection_lost_at_ <= kCrashConfirmTime;
-  return event.status_ / 100 == 2 || others_lost;
+  const bool only_head_came = event.status_ / 100 == 2 && !event.wrote_events_;
+  return only_head_came || others_lost;
 }
 
 }  // namespace
@@ -195,7 +196,7 @@
                         const ActiveCall& call,
                         const AttemptDone& event) {
   const ServerState* server = FindServer(step.dispatcher_.pool_, call.server_);
-  if (!IsLostWhileWaiting(event) || call.parts_harmless_ || server == nullptr) {
+  if (!IsLostEarly(call, event) || server == nullptr) {
     return;
   }
   const Suspicion suspicion{call.server_, server->info_.incarnation_, step.now_,
@@ -221,16 +222,7 @@
 }
 
 void UpdateQuarantine(Step& step) {
-  Dispatcher& dispatcher = step.dispatcher_;
-  for (auto& [id, call] : dispatcher.calls_) {
-    const bool is_writing = call.answer_begun_ && !call.server_.empty() &&
-                            call.begun_at_ >= call.sent_at_;
-    if (is_writing && !call.parts_harmless_ &&
-        step.now_ - call.begun_at_ >= kHarmlessWritingTime) {
-      RecordHarmlessCall(step, call);
-    }
-  }
-  ExpireQuarantine(dispatcher.quarantine_, step.now_);
+  ExpireQuarantine(step.dispatcher_.quarantine_, step.now_);
   SendNews(step);
 }
 
--- a/packages/dispatch/test/dispatcher_fixture.h
+++ b/packages/dispatch/test/dispatcher_fixture.h
@@ -147,6 +147,9 @@
   void Begin(const RequestId& id) {
     Handle(AnswerBegan{id, Last(id).attempt_});
   }
+  void Sustain(const RequestId& id) {
+    Handle(AnswerSustained{id, Last(id).attempt_});
+  }
   // Starts a request and its answer.
   RequestId StartAnswer(const std::string& path) {
     const RequestId id = Arrive(path);
--- a/packages/dispatch/test/fleet_quarantine_test.cc
+++ b/packages/dispatch/test/fleet_quarantine_test.cc
@@ -1,3 +1,5 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "fleet.h"
@@ -10,19 +12,22 @@
 constexpr std::uint64_t kDeadlyPart = 2;
 
 // Simulates engines that crash when they begin a request with the deadly part,
-// and start again some seconds later. Sound requests share the common part.
+// before or after its first event, and start again some seconds later. Sound
+// requests share the common part.
 struct FleetQuarantineFixture : Fleet {
   static constexpr std::size_t kEngines = 12;
   static constexpr Milliseconds kPrefillTime{60};
   static constexpr Milliseconds kFirstEventTime{100};
   static constexpr Milliseconds kAnswerTime{3000};
+  // From the first event to the crash.
+  static constexpr Milliseconds kCrashTime{50};
   static constexpr Milliseconds kRestartTime{3400};
   // From the fifth crash until all entries must know, and the requests that may
   // reach engines after that.
   static constexpr Milliseconds kStableTime{3000};
   static constexpr int kAllowedSends = 3;
 
-  enum class Step { kAnswer, kBegin, kEnd };
+  enum class Step { kAnswer, kSustain, kEnd };
   struct Attempt {
     std::string entry_;
     RequestId id_;
@@ -131,10 +136,10 @@
       return is_lost;
     });
     for (const Attempt& attempt : lost) {
-      if (attempt.step_ == Step::kEnd) {
-        EndBegunAnswer(attempt);
-      } else {
+      if (attempt.step_ == Step::kAnswer) {
         Fail(attempt, 200);
+      } else {
+        EndBegunAnswer(attempt);
       }
     }
   }
@@ -166,19 +171,30 @@
       done.status_ = 200;
       done.wrote_events_ = true;
       Handle(attempt.entry_, done);
+    } else if (attempt.step_ == Step::kSustain && attempt.deadly_) {
+      open_.push_back(attempt);
+      Crash(attempt.server_);
+    } else if (attempt.step_ == Step::kSustain) {
+      Handle(attempt.entry_, AnswerSustained{attempt.id_, attempt.attempt_});
+      attempt.step_ = Step::kEnd;
+      attempt.due_ = now_ + kAnswerTime - kHarmlessWritingTime;
+      open_.push_back(attempt);
     } else if (!IsUp(attempt.server_)) {
       Fail(attempt, 0);
-    } else if (attempt.deadly_) {
+    } else if (attempt.deadly_ && !writes_before_crash_) {
       open_.push_back(attempt);
       Crash(attempt.server_);
     } else {
-      Handle(attempt.entry_, AnswerBegan{attempt.id_, attempt.attempt_});
-      ++sound_begun_;
-      attempt.step_ = Step::kEnd;
-      attempt.due_ = now_ + kAnswerTime;
-      open_.push_back(attempt);
+      Begin(attempt);
     }
   }
+  void Begin(Attempt attempt) {
+    Handle(attempt.entry_, AnswerBegan{attempt.id_, attempt.attempt_});
+    sound_begun_ += attempt.deadly_ ? 0 : 1;
+    attempt.step_ = Step::kSustain;
+    attempt.due_ = now_ + (attempt.deadly_ ? kCrashTime : kHarmlessWritingTime);
+    open_.push_back(attempt);
+  }
   void AdvanceDue() {
     for (bool found = true; found;) {
       const auto due =
@@ -227,6 +243,7 @@
   std::map<std::string, TimePoint> up_again_at_;
   TimePoint fifth_crash_at_ = TimePoint::max() - kStableTime;
   bool own_parts_ = false;  // Each request has a shared part of its own.
+  bool writes_before_crash_ = false;  // Engines write the first event.
   int crashes_ = 0;
   int late_sends_ = 0;
   int sound_begun_ = 0;
@@ -235,12 +252,16 @@
 
 BOOST_FIXTURE_TEST_SUITE(FleetQuarantine, FleetQuarantineFixture)
 
-BOOST_AUTO_TEST_CASE(DeadlyPart_WhenSentThroughAllEntries_IsStoppedInTime) {
+BOOST_DATA_TEST_CASE_F(FleetQuarantineFixture,
+                       DeadlyPart_WhenSentThroughAllEntries_IsStoppedInTime,
+                       boost::unit_test::data::make({false, true}),
+                       writes_before_crash) {
   for (const double share : {0.05, 0.4}) {
-    for (const std::size_t entries : {5U, 34U}) {
+    for (const std::size_t entries : {1U, 5U, 34U}) {
       BOOST_TEST_CONTEXT(share << " of the requests, " << entries
                                << " entries") {
         static_cast<FleetQuarantineFixture&>(*this) = FleetQuarantineFixture{};
+        writes_before_crash_ = writes_before_crash;
         StartFleet(entries, 4);
         SimulateLoad(12, share, std::chrono::seconds(30));
         BOOST_TEST(crashes_ >= 2);
@@ -252,7 +273,10 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(DeadlyPart_WhenBesideADifferentPartEachTime_IsStopped) {
+BOOST_DATA_TEST_CASE_F(FleetQuarantineFixture,
+                       DeadlyPart_WhenBesideADifferentPartEachTime_IsStopped,
+                       boost::unit_test::data::make({false, true}),
+                       writes_before_crash) {
   for (const double share : {0.02, 0.05, 0.4}) {
     for (const auto& [entries, seed] :
          {std::pair{1U, 5U}, {1U, 6U}, {5U, 5U}, {5U, 6U}, {5U, 7U}}) {
@@ -260,6 +284,7 @@
                                << " entries, seed " << seed) {
         static_cast<FleetQuarantineFixture&>(*this) = FleetQuarantineFixture{};
         own_parts_ = true;
+        writes_before_crash_ = writes_before_crash;
         random_.seed(seed);
         StartFleet(entries, 4);
         SimulateLoad(12, share, std::chrono::seconds(60));
--- a/packages/dispatch/test/quarantined_calls_test.cc
+++ b/packages/dispatch/test/quarantined_calls_test.cc
@@ -36,6 +36,12 @@
     Reserve(id, true);
     Crash(id);
   }
+  // The engine of the request's last attempt crashes after its first event.
+  void CrashAfterFirstEvent(const RequestId& id) {
+    Begin(id);
+    Pass(Milliseconds(60));
+    Done(id, AttemptOutcome::kFailed, RunState::kMayHaveRun, 0);
+  }
 };
 
 BOOST_FIXTURE_TEST_SUITE(QuarantinedCalls, QuarantinedCallsFixture)
@@ -95,9 +101,34 @@
   BOOST_TEST((Verdict(id).run_state_ == RunState::kMayHaveRun));
 }
 
-BOOST_AUTO_TEST_CASE(Answer_WhenItHasBegun_IsNeitherBlamedNorCut) {
+// Guards against a part that crashes engines after the first event and is sent
+// again and again.
+BOOST_AUTO_TEST_CASE(Part_WhenItsEnginesCrashAfterTheFirstEvent_IsRefused) {
+  for (int i = 0; i < 2; ++i) {
+    const RequestId id = StartDecode(kDeadly);
+    CrashAfterFirstEvent(id);
+    BOOST_TEST(!IsRefused(id));
+    Reserve(id, true);
+    CrashAfterFirstEvent(id);
+    BOOST_TEST(IsRefused(id));
+    Pass(Milliseconds(1500));
+  }
+  const RequestId next = ArriveWith(kDeadly);
+  BOOST_REQUIRE(IsRefused(next));
+  BOOST_TEST((Verdict(next).run_state_ == RunState::kNotRun));
+}
+
+BOOST_AUTO_TEST_CASE(Answer_WhenCutOnceAfterItsFirstEvent_IsNoCertainCrash) {
+  CrashAfterFirstEvent(StartDecode(kSound));
+  BOOST_REQUIRE(dispatcher_.quarantine_.suspicions_.size() == 1U);
+  BOOST_TEST(!dispatcher_.quarantine_.suspicions_.front().confirmed_);
+  BOOST_TEST(!IsRefused(ArriveWith(kSound)));
+}
+
+BOOST_AUTO_TEST_CASE(Answer_WhenItWasSustained_IsNeitherBlamedNorCut) {
   const RequestId id = StartDecode(kSound);
   Begin(id);
+  Sustain(id);
   Done(id, AttemptOutcome::kFailed, RunState::kMayHaveRun, 7);
   BOOST_TEST(dispatcher_.quarantine_.suspicions_.empty());
   const RequestId begun = StartDecode(kDeadly);
@@ -118,11 +149,35 @@
     return id;
   }();
   Quarantine({10});
-  Pass(kHarmlessWritingTime + Milliseconds(20));
+  Sustain(writing);
   BOOST_TEST(!IsRefused(writing));
   BOOST_TEST(!IsRefused(ArriveWith({10, 40})));
 }
 
+BOOST_AUTO_TEST_CASE(Answer_WhenItFallsSilentAfterItBegan_DoesNotAcquit) {
+  Quarantine(kDeadly);
+  dispatcher_.quarantine_.sets_.clear();
+  Begin(StartDecode(kDeadly));
+  Pass(2 * kHarmlessWritingTime);
+  BOOST_TEST(dispatcher_.quarantine_.suspicions_.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(Answer_WhenItMayBeCutOff_DoesNotAcquit) {
+  const RequestId id = StartDecode(kDeadly);
+  Begin(id);
+  AttemptDone done;
+  done.request_ = id;
+  done.attempt_ = Last(id).attempt_;
+  done.outcome_ = AttemptOutcome::kDelivered;
+  done.run_state_ = RunState::kRan;
+  done.status_ = 200;
+  done.wrote_events_ = true;
+  done.ended_by_close_ = true;
+  Handle(done);
+  Quarantine(kDeadly);
+  BOOST_TEST(IsRefused(ArriveWith(kDeadly)));
+}
+
 BOOST_AUTO_TEST_CASE(Connection_WhenLostBeforeAnyAnswer_IsNoCertainCrash) {
   for (int i = 0; i < 3; ++i) {
     Crash(StartDecode(kSound), 0);
@@ -149,6 +204,7 @@
 BOOST_AUTO_TEST_CASE(Connections_WhenLostTogether_AreACrash) {
   const RequestId writing = StartDecode(kSound);
   Begin(writing);
+  Sustain(writing);
   RequestId waiting = StartDecode(kDeadly);
   while (Last(waiting).server_ != Last(writing).server_) {
     waiting = StartDecode(kDeadly);
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -124,6 +124,8 @@
   }
   paused_ = false;
   attempt_has_events_ = false;
+  sustained_reported_ = false;
+  answer_ended_by_close_ = false;
   connection_lost_ = false;
   started_at_ = http::MonotonicNow();
   last_progress_at_ = started_at_;
@@ -269,11 +271,23 @@
     longest_gap_ = std::max(longest_gap_, last_progress_at_ - last_event_at_);
   }
   last_event_at_ = last_progress_at_;
+  if (!attempt_has_events_) {
+    first_event_at_ = last_event_at_;
+  }
   attempt_has_events_ = true;
+  ReportSustained();
   caller_->RespondData(whole);
   ApplyBackpressure();
 }
 
+void Exchange::ReportSustained() {
+  if (!sustained_reported_ &&
+      last_event_at_ - first_event_at_ >= dispatch::kHarmlessWritingTime) {
+    sustained_reported_ = true;
+    context_.post_(dispatch::AnswerSustained{id_, start_.attempt_});
+  }
+}
+
 void Exchange::OnCallerWritable() {
   if (paused_) {
     paused_ = false;
@@ -337,6 +351,7 @@
 
 void Exchange::OnRequestEnd(const http::CallResult& end) {
   connection_lost_ = end.failure_ == http::CallFailure::kConnectionLost;
+  answer_ended_by_close_ = end.ended_by_close_;
   if (end.failure_ != http::CallFailure::kNone) {
     Report(AttemptOutcome::kFailed,
            end.sent_ ? RunState::kMayHaveRun : RunState::kNotRun,
@@ -417,6 +432,7 @@
   done.misdirected_ = answer_fields_.misdirected_;
   done.connection_lost_ = connection_lost_;
   done.wrote_events_ = attempt_has_events_;
+  done.ended_by_close_ = answer_ended_by_close_;
   done.can_resume_ = CanResume();
   context_.post_(std::move(done));
 }
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -90,6 +90,8 @@
   void OnPrefillEnd(const http::CallResult& end);
   void OnRequestEnd(const http::CallResult& end);
   void ForwardEvents(std::string_view data);
+  // Reports once that the current attempt has brought events for a while.
+  void ReportSustained();
   // Pauses reading from the server while too much data waits for the caller.
   void ApplyBackpressure();
   // Returns whether the server has sent nothing for the attempt's timeout.
@@ -139,7 +141,10 @@
   bool connection_lost_ = false;
   bool paused_ = false;
   bool done_ = false;
+  bool answer_ended_by_close_ = false;
+  bool sustained_reported_ = false;     // For the current attempt.
   core::TimePoint started_at_{};        // Start of the current attempt.
+  core::TimePoint first_event_at_{};    // Of the current attempt.
   core::TimePoint last_progress_at_{};  // The timeout counts from here.
   core::TimePoint silence_reported_at_{};
   core::TimePoint last_event_at_{};   // Last event sent to the caller.
--- a/packages/gateway/test/exchange_test.cc
+++ b/packages/gateway/test/exchange_test.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -5,6 +7,7 @@
 #include "absl/strings/match.h"
 #include "exchange_p.h"
 #include "gateway_fixture.h"
+#include "siskindrum/dispatch/limits.h"
 #include "siskindrum/http/clock.h"
 
 namespace siskindrum::gateway {
@@ -101,6 +104,16 @@
   };
 }
 
+// Script of a server that sends two parts of a stream with a pause between.
+test::ScriptedServer::Script SendsWithPause(core::Milliseconds pause) {
+  return [pause](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send(kStreamHead + http::FormatChunk(Events(1, 1)));
+    std::this_thread::sleep_for(pause);
+    peer.Send(http::FormatChunk(Events(2, 2)) + std::string(http::kLastChunk));
+  };
+}
+
 BOOST_FIXTURE_TEST_SUITE(Exchanges, ExchangeFixture)
 
 // The dispatcher may decide on the error before it has learned of the stream.
@@ -131,6 +144,41 @@
   BOOST_TEST(done.hold_ == "h1");
 }
 
+BOOST_AUTO_TEST_CASE(Stream_WhenWrittenForAWhile_IsReportedAsSustained) {
+  test::ScriptedServer server(
+      SendsWithPause(dispatch::kHarmlessWritingTime + core::Milliseconds(50)));
+  Attempt<dispatch::AnswerSustained>(server, dispatch::Stage::kDecode);
+  RunUntil([this] { return Find<dispatch::AttemptDone>() != nullptr; });
+  const auto is_sustained = [](const dispatch::Event& event) {
+    return std::holds_alternative<dispatch::AnswerSustained>(event);
+  };
+  BOOST_TEST(std::count_if(events_.begin(), events_.end(), is_sustained) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(Stream_WhenItIsShort_IsNotReportedAsSustained) {
+  test::ScriptedServer server(SendsWithPause(core::Milliseconds(10)));
+  const auto done =
+      Attempt<dispatch::AttemptDone>(server, dispatch::Stage::kDecode);
+  BOOST_TEST((done.outcome_ == dispatch::AttemptOutcome::kDelivered));
+  BOOST_TEST(done.wrote_events_);
+  BOOST_TEST(!done.ended_by_close_);
+  BOOST_TEST(Find<dispatch::AnswerSustained>() == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(Stream_WhenTheConnectionEndDelimitsIt_IsReportedSo) {
+  test::ScriptedServer server([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send(
+        "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\n"
+        "Content-Type: text/event-stream\r\n\r\n" +
+        Events(1, 1));
+  });
+  const auto done =
+      Attempt<dispatch::AttemptDone>(server, dispatch::Stage::kDecode);
+  BOOST_TEST((done.outcome_ == dispatch::AttemptOutcome::kDelivered));
+  BOOST_TEST(done.ended_by_close_);
+}
+
 BOOST_AUTO_TEST_CASE(Prefill_WhenItsAnswerNamesNoRequest_Fails) {
   test::ScriptedServer server(
       Sends("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nk1"));
