Drain: late requests are refused, and none is cut without an answer

Reported by another operator: in a planned stop, in calm, requests that came late in the grace were passed on and cut at its end, also ones that may not be repeated. Looked for here, and found: a request whose body is whole only after the listener and idle connections have closed was taken at any time and sent; and the end of the drain closed the connection of every request without an answer, also of those that had only waited.

Cause: only the connections knew of the drain; the decisions did not know when it ends.

Change: DrainBegan says until when requests are accepted and when all must be answered. A late request is taken only if its deadline is before that end, else refused at once, not_run. 0.2 s before the end, requests whose answer has not begun are refused, or failed if they may have run.

Evidence: on the code before, Drain_WhenARequestComesLate_RefusesItNotRun sees the request at the server and no answer, and Drain_WhenARequestOutlastsIt_AnswersBeforeTheEnd no answer. After: gateway_test and dispatch_test pass.

Entry_WhenItHasRulesAndAList_IsReadyUntilItDrains now names the times of the drain, which the event carries; it demands the same.

--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -168,7 +169,7 @@
   bool list_read_ = false;
   std::uint64_t list_version_ = 0;
   bool ready_ = false;
-  bool draining_ = false;
+  std::optional<DrainBegan> drain_;  // Set once the process shuts down.
   DispatchCounters counters_;
 };
 
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -173,7 +173,13 @@
   RepeatLimits repeats_;
 };
 
-struct DrainBegan {};
+// The process shuts down.
+struct DrainBegan {
+  // From then on a request is taken only if its deadline is before the end.
+  TimePoint accept_until_{};
+  // Time by which every request must have its answer.
+  TimePoint ends_at_{};
+};
 struct Ticked {};
 
 using Event = std::variant<CallArrived,
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -46,6 +46,15 @@
   }
 }
 
+// Returns whether the entry may shut down before the request is answered,
+// although it came when no more requests were due.
+bool CameTooLate(const std::optional<DrainBegan>& drain,
+                 const ActiveCall& call,
+                 TimePoint now) {
+  return drain.has_value() && now >= drain->accept_until_ &&
+         call.deadline_ >= drain->ends_at_;
+}
+
 void OnArrived(Step& step, const CallArrived& event) {
   Dispatcher& dispatcher = step.dispatcher_;
   ++dispatcher.counters_.arrived_;
@@ -79,6 +88,10 @@
     FailCall(step, call, core::Reason::kDeadline, "it passed before arrival");
     return;
   }
+  if (CameTooLate(dispatcher.drain_, call, step.now_)) {
+    FailCall(step, call, core::Reason::kDraining, "it came late in the drain");
+    return;
+  }
   RouteCall(step, call);
 }
 
@@ -172,7 +185,7 @@
 void UpdateReady(Step& step) {
   Dispatcher& dispatcher = step.dispatcher_;
   const bool ready = dispatcher.configuration_.current_ != nullptr &&
-                     dispatcher.list_read_ && !dispatcher.draining_;
+                     dispatcher.list_read_ && !dispatcher.drain_.has_value();
   if (ready != dispatcher.ready_) {
     dispatcher.ready_ = ready;
     step.actions_.emplace_back(ReadyChanged{ready});
@@ -289,24 +302,37 @@
   }
 }
 
-void OnTick(Step& step) {
-  Dispatcher& dispatcher = step.dispatcher_;
-  ChangeEngineRoles(step);
-  std::vector<RequestId> late;
-  for (const auto& [id, call] : dispatcher.calls_) {
-    if (step.now_ >= call.deadline_) {
-      late.push_back(id);
+// Ends the requests for which the condition holds, whatever their stage.
+template <class Condition>
+void FailCallsIf(Step& step, core::Reason reason, Condition condition) {
+  std::vector<RequestId> found;
+  for (const auto& [id, call] : step.dispatcher_.calls_) {
+    if (condition(call)) {
+      found.push_back(id);
     }
   }
-  for (const RequestId& id : late) {
-    ActiveCall& call = dispatcher.calls_.at(id);
+  for (const RequestId& id : found) {
+    ActiveCall& call = step.dispatcher_.calls_.at(id);
     // A request sent to a server may have run unless the server reports
     // otherwise. Reservations and prefills do not count as runs.
     if (!call.server_.empty() && call.stage_ != Stage::kPrefill &&
         call.stage_ != Stage::kReserve) {
       call.run_state_ = core::MaxState(call.run_state_, RunState::kMayHaveRun);
     }
-    FailCall(step, call, core::Reason::kDeadline, "");
+    FailCall(step, call, reason, "");
+  }
+}
+
+void OnTick(Step& step) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  ChangeEngineRoles(step);
+  FailCallsIf(step, core::Reason::kDeadline, [&step](const ActiveCall& call) {
+    return step.now_ >= call.deadline_;
+  });
+  if (dispatcher.drain_.has_value() &&
+      step.now_ >= dispatcher.drain_->ends_at_) {
+    FailCallsIf(step, core::Reason::kDraining,
+                [](const ActiveCall& call) { return !call.answer_begun_; });
   }
   UpdateQuarantine(step);
   QueryRetainedPrompts(step);
@@ -415,8 +441,8 @@
             dispatcher.peers_.seeds_ = e.seeds_;
             dispatcher.options_.repeats_ = e.repeats_;
           },
-          [&](const DrainBegan&) {
-            dispatcher.draining_ = true;
+          [&](const DrainBegan& e) {
+            dispatcher.drain_ = e;
             UpdateReady(step);
           },
           [&](const Ticked&) { OnTick(step); },
--- a/packages/dispatch/src/peers.cc
+++ b/packages/dispatch/src/peers.cc
@@ -41,7 +41,7 @@
   ++self.counter_;
   self.revision_ = OwnRevision(dispatcher);
   self.list_version_ = dispatcher.list_version_;
-  self.leaving_ = dispatcher.draining_;
+  self.leaving_ = dispatcher.drain_.has_value();
   self.domain_entries_ =
       core::CountDomainEntries(dispatcher.peers_.membership_);
 }
--- a/packages/dispatch/test/call_test.cc
+++ b/packages/dispatch/test/call_test.cc
@@ -213,11 +213,42 @@
 
 BOOST_AUTO_TEST_CASE(Entry_WhenItHasRulesAndAList_IsReadyUntilItDrains) {
   BOOST_TEST(ready_);
-  Handle(DrainBegan{});
+  Handle(DrainBegan{now_ + Milliseconds(2800), now_ + Milliseconds(7000)});
   BOOST_TEST(!ready_);
   BOOST_TEST(!IsRefused(Arrive("/book/1")));
 }
 
+BOOST_AUTO_TEST_CASE(Drain_WhenARequestComesLate_TakesItOnlyIfItEndsInTime) {
+  Handle(DrainBegan{now_ + Milliseconds(2800), now_ + Milliseconds(7000)});
+  BOOST_TEST(!IsRefused(Arrive("/resume/1")));
+  Pass(Milliseconds(2900));
+  BOOST_TEST(!IsRefused(Arrive("/book/1")));
+  const RequestId late = Arrive("/resume/1");
+  BOOST_TEST(starts_.count(late) == 0U);
+  BOOST_REQUIRE(IsRefused(late));
+  BOOST_TEST((Verdict(late).reason_ == core::Reason::kDraining));
+  BOOST_TEST((Verdict(late).run_state_ == RunState::kNotRun));
+  Pass(Milliseconds(3500));
+  BOOST_TEST(IsRefused(Arrive("/book/1")));
+}
+
+BOOST_AUTO_TEST_CASE(Drain_AtItsEnd_FailsRequestsWithoutAnAnswer) {
+  const RequestId begun = StartAnswer("/resume/1");
+  const RequestId reserving = Arrive("/resume/1");
+  const RequestId decoding = Arrive("/resume/1");
+  Reserve(decoding, true);
+  Prefill(decoding, true);
+  Handle(DrainBegan{now_ + Milliseconds(1000), now_ + Milliseconds(2000)});
+  Pass(Milliseconds(1900));
+  BOOST_TEST(refused_.empty());
+  Pass(Milliseconds(200));
+  BOOST_TEST(!IsRefused(begun));
+  BOOST_REQUIRE(IsRefused(reserving));
+  BOOST_TEST((Verdict(reserving).run_state_ == RunState::kNotRun));
+  BOOST_REQUIRE(IsRefused(decoding));
+  BOOST_TEST((Verdict(decoding).run_state_ == RunState::kMayHaveRun));
+}
+
 BOOST_AUTO_TEST_CASE(Configuration_WhenOlder_ChangesNothing) {
   Configure(5, "default then refuse # asked by Ann\n");
   Configure(4, kRules);
--- a/packages/gateway/include/siskindrum/gateway/gateway.h
+++ b/packages/gateway/include/siskindrum/gateway/gateway.h
@@ -22,7 +22,8 @@
   std::string operators_address_;  // Metrics, dump, explain; empty: none.
   // ID of the deployment; messages from peers with another value are rejected.
   std::string fleet_;
-  // Maximum duration of a drain; requests still in progress are then aborted.
+  // Maximum duration of a drain. Shortly before, requests whose answer has not
+  // begun are refused or failed; answers still in progress are then aborted.
   core::Milliseconds drain_limit_{7000};
   Dialect dialect_;
 };
@@ -46,8 +47,8 @@
   void Run();
 
   // Reports not ready, keeps accepting connections until load balancers have
-  // had time to notice, waits for requests in progress, and ends Run. Network
-  // thread only.
+  // had time to notice, waits for requests in progress, and ends Run. Later
+  // requests are refused, unless they end in time. Network thread only.
   void Drain();
 
   // Event loop and connection pool of the network thread, for the platform
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -28,6 +28,9 @@
 // A drain keeps accepting connections for this long, so that all load balancers
 // have seen that this entry is not ready. Idle connections are closed after it.
 constexpr core::Milliseconds kDrainListenTime{2800};
+// The last part of a drain, in which requests that cannot be served any more
+// are answered and connections close.
+constexpr core::Milliseconds kLastAnswersTime{200};
 
 GatewayOptions WithNewIncarnation(GatewayOptions options) {
   options.decisions_.incarnation_ = peer::MakeIncarnation();
@@ -379,7 +382,9 @@
   state.drain_began_ = http::MonotonicNow();
   state.logs_.Add(
       {"drain_began", {{"requests", std::to_string(state.by_caller_.size())}}});
-  state.Post(dispatch::DrainBegan{});
+  state.Post(dispatch::DrainBegan{
+      state.drain_began_ + kDrainListenTime,
+      state.drain_began_ + state.options_.drain_limit_ - kLastAnswersTime});
   state.callers_.Drain(false);
 }
 
--- a/packages/gateway/src/operators.cc
+++ b/packages/gateway/src/operators.cc
@@ -114,7 +114,7 @@
       {"name", dispatcher.options_.name_},
       {"domain", dispatcher.options_.domain_},
       {"ready", dispatcher.ready_},
-      {"draining", dispatcher.draining_},
+      {"draining", dispatcher.drain_.has_value()},
       {"revision", configuration == nullptr ? 0 : configuration->revision_},
       {"list_version", dispatcher.list_version_},
       {"rules", configuration == nullptr ? "" : configuration->rules_.text_}};
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -374,6 +374,38 @@
   BOOST_TEST(absl::StrContains(answer, "Connection: close"));
 }
 
+// Guards against a request that comes late in a drain, is passed on and then
+// cut off by the end of the process.
+BOOST_AUTO_TEST_CASE(Drain_WhenARequestComesLate_RefusesItNotRun) {
+  std::atomic<int> requests{0};
+  test::ScriptedServer server([&requests](test::Peer& peer, int) {
+    requests += peer.ReadUntil("\r\n\r\n").empty() ? 0 : 1;
+    peer.ReadAll();
+  });
+  AddServer("s", "plain", core::ServerRole::kPlain, server.Address());
+  test::Peer caller = test::Peer::Connect(port_);
+  caller.Send(
+      "POST /once HTTP/1.1\r\nHost: h\r\nId: 7\r\nContent-Length: 2"
+      "\r\n\r\n");
+  std::this_thread::sleep_for(core::Milliseconds(100));
+  boost::asio::post(gateway_->Context(), [this] { gateway_->Drain(); });
+  std::this_thread::sleep_for(core::Milliseconds(3100));
+  caller.Send("hi");
+  BOOST_TEST(caller.ReadAll().starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(requests == 0);
+}
+
+// Guards against requests that the end of a drain cuts off without an answer.
+BOOST_AUTO_TEST_CASE(Drain_WhenARequestOutlastsIt_AnswersBeforeTheEnd) {
+  test::ScriptedServer server([this](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    boost::asio::post(gateway_->Context(), [this] { gateway_->Drain(); });
+    peer.ReadAll();
+  });
+  AddServer("s", "plain", core::ServerRole::kPlain, server.Address());
+  BOOST_TEST(SendRequest("/once").starts_with("HTTP/1.1 502 "));
+}
+
 BOOST_AUTO_TEST_CASE(Restart_AsksEnginesForTheirCachedPrompts) {
   std::promise<std::string> asked;
   test::ScriptedServer engine([&](test::Peer& peer, int connection) {
