--- a/packages/core/include/siskindrum/core/rule.h
+++ b/packages/core/include/siskindrum/core/rule.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "siskindrum/core/organisation.h"
 #include "siskindrum/core/types.h"
 
 namespace siskindrum::core {
@@ -58,6 +59,8 @@
   Milliseconds timeout_{30000};  // For a plain call or a whole answer.
   Resume resume_ = Resume::kAllowed;
   std::uint32_t rank_ = 0;  // Within a pool; lowest is served first.
+  // Needs no key, even if the rules name organisations.
+  bool public_ = false;
 };
 
 struct Rule {
@@ -107,6 +110,8 @@
   CallerSettings callers_;
   std::vector<Seat> seats_;
   std::vector<std::string> retired_seats_;
+  // Empty: requests need no key.
+  std::vector<Organisation> organisations_;
   std::string text_;  // Unmodified text of the rules file.
 };
 
--- a/packages/core/include/siskindrum/core/verdict.h
+++ b/packages/core/include/siskindrum/core/verdict.h
@@ -36,8 +36,9 @@
   kKeyAnswerDropped,
   kSendTooOld,
   kRetriesExhausted,
-  kTooLarge,     // Exceeds the memory of every engine.
-  kQuarantined,  // Parts of its prompt crash engines.
+  kTooLarge,      // Exceeds the memory of every engine.
+  kQuarantined,   // Parts of its prompt crash engines.
+  kUnauthorised,  // No organisation holds its key.
   kCount
 };
 
--- a/packages/core/src/verdict.cc
+++ b/packages/core/src/verdict.cc
@@ -37,6 +37,7 @@
       "retries_exhausted",
       "too_large",
       "quarantined",
+      "unauthorised",
   };
   static_assert(std::size(kNames) == static_cast<std::size_t>(Reason::kCount));
   return kNames[static_cast<int>(reason)];
--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -32,7 +32,9 @@
   std::string pool_;
   TimePoint arrived_at_{};
   TimePoint deadline_{};
-  std::uint64_t draw_ = 0;  // As in PlacementRequest.
+  std::uint64_t draw_ = 0;     // As in PlacementRequest.
+  std::string organisation_;   // Holder of its key; empty: none.
+  std::uint32_t urgency_ = 0;  // Rank; lowest is served first.
 
   // Current attempt.
   std::uint32_t attempt_ = 0;
@@ -131,6 +133,10 @@
   std::string peers_address_;
   std::vector<std::string> seeds_;  // Addresses of other entries.
   RepeatLimits repeats_;            // Shared by all entries.
+  // A key that was taken away admits no request later than this after its
+  // removal, even while this entry cannot reach the store; zero: no such bound.
+  Milliseconds revocation_limit_{0};
+  core::QuotaBounds quota_bounds_;  // Shared by all entries.
 };
 
 // State and decisions of one entry. Each entry chooses servers from the load
@@ -140,6 +146,8 @@
   DispatcherOptions options_;
   std::mt19937_64 random_;
   core::ConfigurationState configuration_;
+  // The configuration was certainly the newest at this time; epoch: unknown.
+  TimePoint configuration_confirmed_at_{};
   ServerPool pool_;
   RepeatBudget budget_;
   Peers peers_;
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -44,6 +44,7 @@
   core::PromptParts shared_parts_;
   // The caller resumes after this event.
   std::optional<std::uint64_t> last_event_;
+  std::string key_;  // Secret, never logged or shown; empty: none.
 };
 
 // Events: the inputs of a dispatcher. The time of each is passed with it to
@@ -151,6 +152,12 @@
   std::string source_;
 };
 
+// The store confirmed that no configuration newer than the ones reported before
+// was in force at `confirmed_at_`.
+struct ConfigurationConfirmed {
+  TimePoint confirmed_at_{};
+};
+
 // Prompts that an engine retains.
 struct RetainedPromptsListed {
   std::string server_;
@@ -192,6 +199,7 @@
                            AttemptSilent,
                            ListSeen,
                            ConfigurationRead,
+                           ConfigurationConfirmed,
                            PeerMessageReceived,
                            RetainedPromptsListed,
                            ServerNoticeReceived,
@@ -226,6 +234,9 @@
   std::uint32_t hold_tokens_ = 0;  // Tokens to reserve.
   Milliseconds hold_time_{0};
   std::optional<std::uint64_t> resume_after_;
+  std::string organisation_;               // Of the caller; empty: none.
+  bool removes_key_ = false;               // As in gateway::AttemptFields.
+  std::optional<std::uint32_t> priority_;  // For engines; none: not stated.
 };
 
 // Cancels the attempt if its server is still silent, and reports that it
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -435,6 +435,10 @@
           [&](const ListSeen& e) { OnListChanges(step, e.changes_, "store"); },
           [&](const PeerMessageReceived& e) { OnPeerMessage(step, e); },
           [&](const ConfigurationRead& e) { OnConfiguration(step, e); },
+          [&](const ConfigurationConfirmed& e) {
+            dispatcher.configuration_confirmed_at_ = std::max(
+                dispatcher.configuration_confirmed_at_, e.confirmed_at_);
+          },
           [&](const RetainedPromptsListed& e) { OnRetainedPrompts(step, e); },
           [&](const ServerNoticeReceived& e) { OnServerNotice(step, e); },
           [&](const SettingsRead& e) {
--- a/packages/gateway/include/siskindrum/gateway/dialect.h
+++ b/packages/gateway/include/siskindrum/gateway/dialect.h
@@ -26,6 +26,11 @@
   // Server that may have the prompt in its cache; empty: none.
   std::string fetch_address_;
   std::string hold_;  // ID of a memory reservation; empty: none.
+  // Organisation of the caller; empty: none.
+  std::string organisation_;
+  // The deployment has organisations: their keys are not passed on.
+  bool removes_key_ = false;
+  std::optional<std::uint32_t> priority_;  // For engines; lowest is first.
   // ID of the last event that the caller has, when a stream is resumed.
   std::optional<std::uint64_t> resume_after_;
 };
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -98,6 +98,9 @@
   fields.fetch_address_ = start.fetch_address_;
   fields.hold_ = start.hold_;
   fields.resume_after_ = start.resume_after_;
+  fields.organisation_ = start.organisation_;
+  fields.removes_key_ = start.removes_key_;
+  fields.priority_ = start.priority_;
   http::Head head = context_.dialect_.make_server_head_(request_.head_, fields);
   const bool has_body = !request_.body_.empty() || head.method_ == "POST" ||
                         head.method_ == "PUT" || head.method_ == "PATCH";
