Requests can be refused by their head

A connection may ask for a decision when the head of a request has been read. A refusal is sent before the body is read: in place of the answer if the whole request has arrived, else with a close. Nothing asks yet.

--- a/packages/http/include/siskindrum/http/caller_connection.h
+++ b/packages/http/include/siskindrum/http/caller_connection.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -37,6 +38,9 @@
 
 // Callbacks to the owner; all run on the network thread.
 struct CallerHandlers {
+  // The head of a request was read. Returns the head of a refusal, which is
+  // then sent before the rest of the request is read, or nothing. Optional.
+  std::function<std::optional<Head>(const Head&)> on_head_;
   // A complete request was read. Answer it with the Respond functions.
   std::function<void(const std::shared_ptr<CallerConnection>&, CallerRequest)>
       on_request_;
@@ -98,7 +102,9 @@
   void ParsePending();
   void BeginRequest();
   void FailRequest(ParseError error);
-  void RefuseAndClose(int status);
+  void RefuseAndClose(Head head);
+  void EnterRequest();
+  void RefuseAtHead(Head refusal);
   bool IsCallerGone();
   bool HasUnreadBytes() const;
   void FinishAnswer();
@@ -114,7 +120,8 @@
   State state_ = State::kReading;
   std::unique_ptr<MessageParser> parser_;
   CallerRequest request_;
-  std::string pending_;  // Read but not yet parsed.
+  std::optional<Head> refusal_;  // Of the request that is being read.
+  std::string pending_;          // Read but not yet parsed.
   std::unique_ptr<char[]> read_buffer_;
   bool reading_ = false;
   bool read_ended_ = false;
--- a/packages/http/src/caller_connection.cc
+++ b/packages/http/src/caller_connection.cc
@@ -17,6 +17,12 @@
 
 using boost::system::error_code;
 
+Head StatusHead(int status) {
+  Head head;
+  head.status_ = status;
+  return head;
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket,
@@ -90,6 +96,10 @@
       FailRequest(parser_->Error());
       break;
     }
+    if (refusal_.has_value()) {
+      RefuseAtHead(*std::exchange(refusal_, std::nullopt));
+      continue;
+    }
     if (!parser_->IsDone()) {
       break;
     }
@@ -97,12 +107,7 @@
       Close(false);
       break;
     }
-    request_.head_ = std::move(parser_->GetHead());
-    parser_.reset();
-    state_ = State::kInRequest;
-    answer_begun_ = false;
-    chunked_ = false;
-    close_after_answer_ = draining_ || !AllowsKeepAlive(request_.head_);
+    EnterRequest();
     CallerRequest request = std::move(request_);
     request_ = CallerRequest();
     request_.head_.version_ = request.head_.version_;
@@ -112,17 +117,46 @@
   parsing_ = false;
 }
 
+// Makes the request that was read completely the one in progress.
+void CallerConnection::EnterRequest() {
+  request_.head_ = std::move(parser_->GetHead());
+  parser_.reset();
+  state_ = State::kInRequest;
+  answer_begun_ = false;
+  chunked_ = false;
+  close_after_answer_ = draining_ || !AllowsKeepAlive(request_.head_);
+}
+
+// Refuses a request by its head. The connection stays open only if the whole
+// request has arrived.
+void CallerConnection::RefuseAtHead(Head refusal) {
+  if (parser_->IsDone()) {
+    EnterRequest();
+    Respond(std::move(refusal), "");
+  } else {
+    RefuseAndClose(std::move(refusal));
+  }
+}
+
 void CallerConnection::BeginRequest() {
   request_ = CallerRequest();
+  refusal_.reset();
   request_.arrived_at_ = MonotonicNow();
   request_began_ = request_.arrived_at_;
   ParserSink sink;
   sink.on_head_ = [this] {
-    if (HasListToken(parser_->GetHead(), "Expect", "100-continue")) {
+    if (handlers_.on_head_) {
+      refusal_ = handlers_.on_head_(parser_->GetHead());
+    }
+    if (!refusal_.has_value() &&
+        HasListToken(parser_->GetHead(), "Expect", "100-continue")) {
       Write("HTTP/1.1 100 Continue\r\n\r\n");
     }
   };
   sink.on_body_ = [this](std::string_view data) {
+    if (refusal_.has_value()) {
+      return;
+    }
     request_.body_.append(data);
   };
   parser_ = std::make_unique<MessageParser>(MessageParser::Kind::kRequest,
@@ -155,19 +189,19 @@
 
 void CallerConnection::FailRequest(ParseError error) {
   if (error == ParseError::kHeadTooLarge) {
-    RefuseAndClose(431);
+    RefuseAndClose(StatusHead(431));
   } else if (error == ParseError::kBodyTooLarge) {
-    RefuseAndClose(413);
+    RefuseAndClose(StatusHead(413));
   } else {
-    RefuseAndClose(400);
+    RefuseAndClose(StatusHead(400));
   }
 }
 
 // Rejects a request that was not read completely.
-void CallerConnection::RefuseAndClose(int status) {
-  Head head;
-  head.status_ = status;
-  head.fields_ = {{"Content-Length", "0"}, {"Connection", "close"}};
+void CallerConnection::RefuseAndClose(Head head) {
+  RemoveConnectionFields(head);
+  head.fields_.push_back({"Content-Length", "0"});
+  head.fields_.push_back({"Connection", "close"});
   answer_begun_ = true;
   parser_.reset();
   pending_.clear();
@@ -342,7 +376,7 @@
     return;
   }
   if (parser_ != nullptr) {
-    RefuseAndClose(408);
+    RefuseAndClose(StatusHead(408));
   } else {
     state_ = State::kLingering;
     Linger();
