Rules files name organisations and their keys

Configurations need a place for organisations. A line 'organisation' names one with its keys, rank and quota, and access=public says that a rule needs no key. The parser builds the index from key to organisation and refuses duplicate keys and names; no message quotes a key.

--- a/packages/core/include/siskindrum/core/rule.h
+++ b/packages/core/include/siskindrum/core/rule.h
@@ -1,8 +1,10 @@
 #ifndef SISKINDRUM_CORE_RULE_H_
 #define SISKINDRUM_CORE_RULE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "siskindrum/core/organisation.h"
@@ -112,7 +114,12 @@
   std::vector<std::string> retired_seats_;
   // Empty: requests need no key.
   std::vector<Organisation> organisations_;
-  std::string text_;  // Unmodified text of the rules file.
+  // Positions in `organisations_` by key, and by name.
+  std::unordered_map<std::string, std::size_t> organisation_by_key_;
+  std::unordered_map<std::string, std::size_t> organisation_by_name_;
+  // Unmodified text of the rules file, for peers. It contains keys: shown only
+  // through rules::HideKeys.
+  std::string text_;
 };
 
 // Returns true if `text` matches `pattern`, which may start or end with '*'.
--- a/packages/rules/include/siskindrum/rules/rules.h
+++ b/packages/rules/include/siskindrum/rules/rules.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <tl/expected.hpp>
@@ -28,6 +29,13 @@
 // Largest rules file that is read, in bytes: what the service can hold.
 inline constexpr std::size_t kMaxRulesBytes = 1024 * 1024;
 
+// Largest rate or burst of a quota, in its unit.
+inline constexpr double kMaxQuotaAmount = 1e12;
+
+// Returns whether an organisation can have this name: not empty and without
+// control characters. Thread-safe: yes.
+bool IsOrganisationName(std::string_view name);
+
 // Parses a rules file. One bad line refuses the whole file; every bad line is
 // reported. Thread-safe: yes.
 tl::expected<ParsedRules, std::vector<Problem>> ParseRules(
--- a/packages/rules/src/rules.cc
+++ b/packages/rules/src/rules.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
 #include "lexer_p.h"
+#include "organisation_line_p.h"
 #include "siskindrum/core/hash.h"
 
 namespace siskindrum::rules {
@@ -162,6 +163,12 @@
                ? ""
                : "expected repeat=allowed or repeat=never";
   }
+  if (word.key_ == "access") {
+    outcome.public_ = value == "public";
+    return value == "public" || value == "key"
+               ? ""
+               : "expected access=key or access=public";
+  }
   if (word.key_ == "resume") {
     outcome.resume_ =
         value == "never" ? core::Resume::kNever : core::Resume::kAllowed;
@@ -257,7 +264,7 @@
                : "expected priority=low, normal or high";
   }
   if (key == "prefer" || key == "repeat" || key == "fencing" ||
-      key == "resume") {
+      key == "resume" || key == "access") {
     return ParseChoice(outcome, word);
   }
   if (key == "first_token" || key == "between_tokens" || key == "timeout") {
@@ -429,10 +436,12 @@
     ParsePoolLine(parser, line);
   } else if (verb == "callers") {
     ParseCallersLine(parser, line);
+  } else if (verb == "organisation") {
+    ParseOrganisationLine(parser.parsed_.rules_, line, parser.errors_);
   } else {
     AddError(parser, line, line.words_.front().column_,
-             absl::StrCat("expected 'when', 'default', 'seat', 'pool' or "
-                          "'callers', not '",
+             absl::StrCat("expected 'when', 'default', 'seat', 'pool', "
+                          "'callers' or 'organisation', not '",
                           verb, "'"));
   }
 }
