Keys are checked at the head and before each send

Requests wait for capacity, and configurations change meanwhile. The dispatcher asks packages/access on arrival and before each plain call, reservation, prefill, decode and retry, and names the organisation and its rank. The network thread refuses by the head what certainly needs a key that it lacks. A confirmation counts only for the configuration that it names, or an older one.

--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -1,6 +1,8 @@
 #ifndef SISKINDRUM_DISPATCH_DISPATCHER_H_
 #define SISKINDRUM_DISPATCH_DISPATCHER_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -99,6 +101,9 @@
   std::uint64_t refused_not_run_ = 0;
   std::uint64_t failed_may_have_run_ = 0;
   std::uint64_t caller_left_ = 0;
+  // Requests that ended with a refusal or failure, by reason.
+  std::array<std::uint64_t, static_cast<std::size_t>(core::Reason::kCount)>
+      failed_by_reason_{};
   std::uint64_t attempts_ = 0;
   std::uint64_t repeats_ = 0;
   std::uint64_t repeats_denied_ = 0;
@@ -146,8 +151,8 @@
   DispatcherOptions options_;
   std::mt19937_64 random_;
   core::ConfigurationState configuration_;
-  // The configuration was certainly the newest at this time; epoch: unknown.
-  TimePoint configuration_confirmed_at_{};
+  // When the configuration was certainly the newest.
+  access::Confirmation confirmation_;
   ServerPool pool_;
   RepeatBudget budget_;
   Peers peers_;
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "siskindrum/access/access.h"
 #include "siskindrum/core/configuration.h"
 #include "siskindrum/core/event.h"
 #include "siskindrum/core/peer_message.h"
@@ -153,9 +154,27 @@
 };
 
 // The store confirmed that no configuration newer than the ones reported before
-// was in force at `confirmed_at_`.
+// was in force at `confirmed_at_`. Not applied while the dispatcher uses
+// another configuration than the last one reported, and none newer.
 struct ConfigurationConfirmed {
   TimePoint confirmed_at_{};
+  // Of the last valid configuration that the store reported; zero: any.
+  std::uint64_t revision_ = 0;
+  std::uint64_t digest_ = 0;
+  // The newest configuration was refused: the confirmation holds only for keys
+  // that it lists. Null: all are confirmed.
+  std::shared_ptr<const access::KeySet> only_keys_;
+};
+
+// A request was refused by its head, before the dispatcher knew of it.
+struct RefusedAtHead {
+  RequestId request_;
+  CallerCall call_;
+  TimePoint arrived_at_{};
+  std::shared_ptr<const core::Configuration> configuration_;  // Owns `rule_`.
+  const core::Rule* rule_ = nullptr;
+  core::Reason reason_ = core::Reason::kNone;
+  std::string detail_;
 };
 
 // Prompts that an engine retains.
@@ -200,6 +219,7 @@
                            ListSeen,
                            ConfigurationRead,
                            ConfigurationConfirmed,
+                           RefusedAtHead,
                            PeerMessageReceived,
                            RetainedPromptsListed,
                            ServerNoticeReceived,
@@ -299,6 +319,13 @@
   core::CallerSettings settings_;
 };
 
+// What decides on keys has changed. The network thread refuses by it what is
+// certain by the head of a request.
+struct AccessChanged {
+  std::shared_ptr<const core::Configuration> configuration_;
+  access::Confirmation confirmation_;
+};
+
 // The entry became ready to accept requests, or is no longer ready.
 struct ReadyChanged {
   bool ready_ = false;
@@ -314,6 +341,7 @@
                             ListRetainedPrompts,
                             SendPeerMessage,
                             SetCallerLimits,
+                            AccessChanged,
                             ReadyChanged,
                             core::LogEvent>;
 
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -42,6 +42,7 @@
        {"revision", std::to_string(call.configuration_ == nullptr
                                        ? 0
                                        : call.configuration_->revision_)},
+       {"organisation", call.organisation_},
        {"server", call.server_},
        {"sends", std::to_string(call.sends_)},
        {"ms", FormatMs(step.now_ - call.arrived_at_)},
@@ -91,7 +92,8 @@
                const std::string& outcome,
                const std::string& detail) {
   LogEnd(step, call, outcome, detail);
-  RecordEnd(step, call, outcome);
+  RecordEnd(step, call,
+            detail.empty() ? outcome : absl::StrCat(outcome, ": ", detail));
   ReleaseAttempt(step, call);
   ReleaseDecode(step, call);
   ReleaseHandle(step, call);
@@ -282,12 +284,15 @@
     refuse.verdict_.run_state_ = call.run_state_;
     refuse.verdict_.reason_ = reason;
     refuse.verdict_.detail_ = detail;
+    ++dispatcher.counters_.failed_by_reason_[static_cast<std::size_t>(reason)];
     if (call.answer_begun_) {
       outcome = "cut";
       ++dispatcher.counters_.cut_;
     } else if (call.run_state_ == RunState::kNotRun) {
+      const bool is_final = reason == core::Reason::kUnauthorised;
       refuse.verdict_.retry_after_ =
-          call.retry_after_.count() > 0
+          is_final ? Milliseconds(0)
+          : call.retry_after_.count() > 0
               ? AddJitter(step, call.retry_after_, kNeverEarlier)
               : AddJitter(step, RetryAfterFor(reason), kAround);
       ++dispatcher.counters_.refused_not_run_;
@@ -390,6 +395,8 @@
   start.incarnation_ = server.info_.incarnation_;
   start.decided_at_ = step.now_;
   start.deadline_ = call.deadline_;
+  start.organisation_ = call.organisation_;
+  start.removes_key_ = HasOrganisations(step.dispatcher_.configuration_);
   return start;
 }
 
@@ -404,6 +411,7 @@
        {"attempt", std::to_string(start.attempt_)},
        {"stage", ToString(start.stage_)},
        {"pool", call.pool_},
+       {"organisation", start.organisation_},
        {"server", start.server_},
        {"rule_line", std::to_string(call.rule_->line_)},
        {"revision", std::to_string(call.configuration_->revision_)},
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -14,30 +14,11 @@
   return found == dispatcher.calls_.end() ? nullptr : &found->second;
 }
 
-void AddDecision(Dispatcher& dispatcher, const ActiveCall& call) {
-  core::DecisionRecord record;
-  record.request_ = call.id_;
-  record.configuration_ = call.configuration_;
-  record.rule_ = call.rule_;
-  record.shape_ = call.call_.shape_;
-  record.home_ = dispatcher.options_.name_;
-  const std::string& label = call.call_.label_;
-  if (!dispatcher.decisions_.contains(label)) {
-    dispatcher.decision_order_.push_back(label);
-  }
-  dispatcher.decisions_[label] = std::move(record);
-  if (dispatcher.decision_order_.size() > kMaxDecisionRecords) {
-    dispatcher.decisions_.erase(dispatcher.decision_order_.front());
-    dispatcher.decision_order_.pop_front();
-  }
-}
-
 void RouteCall(Step& step, ActiveCall& call) {
   const core::RuleOutcome& outcome = call.rule_->outcome_;
   call.pool_ = core::PickPool(outcome, step.dispatcher_.random_());
   RecordCall(step.dispatcher_.budget_, step.dispatcher_.options_.repeats_,
              call.pool_, step.now_);
-  AddDecision(step.dispatcher_, call);
   if (outcome.kind_ == core::BackendKind::kPlain) {
     SendPlain(step, call);
   } else if (!RefuseNewQuarantined(step, call)) {
@@ -70,6 +51,7 @@
     FailCall(step, call, core::Reason::kNotReady, "no configuration yet");
     return;
   }
+  ReadOrganisation(step, call);
   call.rule_ = core::MatchRule(call.configuration_->rules_, call.call_.shape_);
   if (call.rule_ == nullptr) {
     FailCall(step, call, core::Reason::kNoRule, "");
@@ -79,6 +61,10 @@
     FailCall(step, call, core::Reason::kRefusedByRule, "");
     return;
   }
+  AddDecision(dispatcher, call);
+  if (RefuseKey(step, call)) {
+    return;
+  }
   Milliseconds limit = call.rule_->outcome_.timeout_;
   if (call.call_.time_left_.count() > 0) {
     limit = std::min(limit, call.call_.time_left_);
@@ -268,6 +254,7 @@
   if (offer == core::OfferOutcome::kTaken) {
     step.actions_.emplace_back(
         SetCallerLimits{event.configuration_->rules_.callers_});
+    ReportAccess(step);
   }
   UpdateReady(step);
 }
@@ -345,6 +332,24 @@
 
 }  // namespace
 
+void AddDecision(Dispatcher& dispatcher, const ActiveCall& call) {
+  core::DecisionRecord record;
+  record.request_ = call.id_;
+  record.configuration_ = call.configuration_;
+  record.rule_ = call.rule_;
+  record.shape_ = call.call_.shape_;
+  record.home_ = dispatcher.options_.name_;
+  const std::string& label = call.call_.label_;
+  if (!dispatcher.decisions_.contains(label)) {
+    dispatcher.decision_order_.push_back(label);
+  }
+  dispatcher.decisions_[label] = std::move(record);
+  if (dispatcher.decision_order_.size() > kMaxDecisionRecords) {
+    dispatcher.decisions_.erase(dispatcher.decision_order_.front());
+    dispatcher.decision_order_.pop_front();
+  }
+}
+
 void OnListChanges(Step& step,
                    const ListChanges& changes,
                    const std::string& source) {
@@ -435,10 +440,8 @@
           [&](const ListSeen& e) { OnListChanges(step, e.changes_, "store"); },
           [&](const PeerMessageReceived& e) { OnPeerMessage(step, e); },
           [&](const ConfigurationRead& e) { OnConfiguration(step, e); },
-          [&](const ConfigurationConfirmed& e) {
-            dispatcher.configuration_confirmed_at_ = std::max(
-                dispatcher.configuration_confirmed_at_, e.confirmed_at_);
-          },
+          [&](const ConfigurationConfirmed& e) { OnConfirmed(step, e); },
+          [&](const RefusedAtHead& e) { OnRefusedAtHead(step, e); },
           [&](const RetainedPromptsListed& e) { OnRetainedPrompts(step, e); },
           [&](const ServerNoticeReceived& e) { OnServerNotice(step, e); },
           [&](const SettingsRead& e) {
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -73,6 +73,23 @@
                           ServerState& server,
                           bool misdirected);
 
+// keys.cc: keys of callers.
+
+// Sets the organisation and the rank of a new request by its key. Requires: the
+// request has a configuration.
+void ReadOrganisation(const Step& step, ActiveCall& call);
+// Refuses the request if its key must not be served now, or cannot be decided
+// on; else updates its organisation and rank, which may have changed while it
+// waited. Call before each send. Returns whether it was refused; `call` is then
+// destroyed.
+bool RefuseKey(Step& step, ActiveCall& call);
+void OnConfirmed(Step& step, const ConfigurationConfirmed& event);
+void OnRefusedAtHead(Step& step, const RefusedAtHead& event);
+// Returns whether the current configuration has organisations.
+bool HasOrganisations(const core::ConfigurationState& configuration);
+// Reports to the network thread what decides on keys.
+void ReportAccess(Step& step);
+
 // plain_call.cc
 void SendPlain(Step& step, ActiveCall& call);
 void OnPlainDone(Step& step, ActiveCall& call, const AttemptDone& event);
@@ -158,6 +175,7 @@
 void SendUsage(Step& step);
 
 // dispatcher.cc
+void AddDecision(Dispatcher& dispatcher, const ActiveCall& call);
 // Applies changes of the server list unless the known version is newer.
 void OnListChanges(Step& step,
                    const ListChanges& changes,
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -73,7 +73,7 @@
     AssignDecodeEngine(step, call);
     return;
   }
-  if (RefuseQuarantined(step, call)) {
+  if (RefuseKey(step, call) || RefuseQuarantined(step, call)) {
     return;
   }
   std::string denied;
@@ -121,7 +121,7 @@
 
 // Starts the stage that follows the choice of a decode engine.
 void SendPrefillOrDecode(Step& step, ActiveCall& call) {
-  if (RefuseQuarantined(step, call)) {
+  if (RefuseKey(step, call) || RefuseQuarantined(step, call)) {
     return;
   }
   if (!call.handle_.empty() || call.direct_) {
@@ -173,7 +173,7 @@
 }  // namespace
 
 void AssignDecodeEngine(Step& step, ActiveCall& call) {
-  if (RefuseQuarantined(step, call)) {
+  if (RefuseKey(step, call) || RefuseQuarantined(step, call)) {
     return;
   }
   const PlacementRequest request = MakePlacementRequest(step, call);
--- a/packages/dispatch/src/plain_call.cc
+++ b/packages/dispatch/src/plain_call.cc
@@ -3,6 +3,9 @@
 namespace siskindrum::dispatch {
 
 void SendPlain(Step& step, ActiveCall& call) {
+  if (RefuseKey(step, call)) {
+    return;
+  }
   const std::string name = PlacePlain(
       step.dispatcher_.pool_, MakePlacementRequest(step, call), step.now_);
   ServerState* server = FindServer(step.dispatcher_.pool_, name);
--- a/packages/gateway/include/siskindrum/gateway/dialect.h
+++ b/packages/gateway/include/siskindrum/gateway/dialect.h
@@ -71,6 +71,9 @@
   // Reads the fields that decisions need; the error names the invalid field.
   tl::expected<dispatch::CallerCall, std::string> (*read_call_)(
       const http::Head& head) = nullptr;
+  // Reads the key of the caller's organisation; empty: none. Null: callers send
+  // no keys.
+  std::string (*read_key_)(const http::Head& head) = nullptr;
   // Makes the head for a server, without the fields that frame the body.
   http::Head (*make_server_head_)(const http::Head& caller_head,
                                   const AttemptFields& fields) = nullptr;
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -1,5 +1,6 @@
 #include "siskindrum/gateway/gateway.h"
 
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -88,6 +89,7 @@
                      core::RequestIdHash>
       by_id_;
   std::uint64_t next_sequence_ = 0;
+  dispatch::AccessChanged access_;  // Last one of the dispatcher.
   int sweeps_ = 0;
   bool ready_ = false;
   bool draining_ = false;
@@ -102,6 +104,9 @@
 
   http::CallerHandlers CallerHandlers() {
     http::CallerHandlers handlers;
+    handlers.on_head_ = [this](const http::Head& head) {
+      return RefuseByHead(head);
+    };
     handlers.on_request_ =
         [this](const std::shared_ptr<http::CallerConnection>& caller,
                http::CallerRequest request) {
@@ -163,6 +168,42 @@
     }
   }
 
+  // Refuses a request that certainly needs a key that it does not have. The
+  // dispatcher decides on all others.
+  std::optional<http::Head> RefuseByHead(const http::Head& head) {
+    const auto& configuration = access_.configuration_;
+    if (configuration == nullptr ||
+        configuration->rules_.organisations_.empty() ||
+        options_.dialect_.read_key_ == nullptr ||
+        access::FindOrganisation(configuration->rules_,
+                                 options_.dialect_.read_key_(head)) !=
+            nullptr) {
+      return std::nullopt;
+    }
+    const auto call = options_.dialect_.read_call_(head);
+    const core::Rule* rule =
+        call.has_value() ? core::MatchRule(configuration->rules_, call->shape_)
+                         : nullptr;
+    if (rule == nullptr || rule->outcome_.action_ == core::Action::kRefuse) {
+      return std::nullopt;
+    }
+    const core::TimePoint now = http::MonotonicNow();
+    const access::Decision decision =
+        access::Decide({&configuration->rules_, access_.confirmation_,
+                        options_.decisions_.revocation_limit_},
+                       call->key_, rule->outcome_.public_, now);
+    if (decision.reason_ != core::Reason::kUnauthorised) {
+      return std::nullopt;
+    }
+    const core::RequestId id{options_.decisions_.incarnation_,
+                             ++next_sequence_};
+    Post(dispatch::RefusedAtHead{id, *call, now, configuration, rule,
+                                 decision.reason_, decision.detail_});
+    core::Verdict verdict;
+    verdict.reason_ = decision.reason_;
+    return options_.dialect_.make_refusal_(verdict, call->label_);
+  }
+
   void OnRequest(const std::shared_ptr<http::CallerConnection>& caller,
                  http::CallerRequest request) {
     by_caller_.erase(caller.get());
@@ -245,6 +286,7 @@
     limits.idle_time_ = change.settings_.idle_time_;
     callers_.SetLimits(limits);
   }
+  void Execute(const dispatch::AccessChanged& changed) { access_ = changed; }
   void Execute(const dispatch::ReadyChanged& changed) {
     ready_ = changed.ready_;
   }
--- a/packages/gateway/src/operators.cc
+++ b/packages/gateway/src/operators.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
+#include "siskindrum/rules/encoding.h"
 #include "siskindrum/rules/explain.h"
 
 namespace siskindrum::gateway {
@@ -54,6 +55,7 @@
 nlohmann::json DumpCall(const dispatch::ActiveCall& call, core::TimePoint now) {
   return {{"request", call.call_.label_},
           {"pool", call.pool_},
+          {"organisation", call.organisation_},
           {"rule_line", call.rule_ == nullptr ? 0 : call.rule_->line_},
           {"stage", dispatch::ToString(call.stage_)},
           {"server", call.server_},
@@ -70,7 +72,7 @@
                         const http::PoolCounters& pool,
                         const peer::NodeCounters& peers) {
   const dispatch::DispatchCounters& counters = dispatcher.counters_;
-  return metrics.ToText(std::vector<telemetry::NamedCount>{
+  std::vector<telemetry::NamedCount> counts{
       {"requests_total", counters.arrived_},
       {"delivered_total", counters.delivered_},
       {"server_errors_total", counters.server_errors_},
@@ -103,7 +105,14 @@
       {"peer_messages_failed_total", peers.failed_},
       {"peer_bytes_sent_total", peers.bytes_out_},
       {"peer_bytes_received_total", peers.bytes_in_},
-  });
+  };
+  std::vector<std::string> names(counters.failed_by_reason_.size());
+  for (std::size_t i = 1; i < names.size(); ++i) {
+    names[i] = absl::StrCat(
+        "failed_", core::ToString(static_cast<core::Reason>(i)), "_total");
+    counts.push_back({names[i].c_str(), counters.failed_by_reason_[i]});
+  }
+  return metrics.ToText(counts);
 }
 
 std::string DumpText(const dispatch::Dispatcher& dispatcher,
@@ -117,7 +126,15 @@
       {"draining", dispatcher.drain_.has_value()},
       {"revision", configuration == nullptr ? 0 : configuration->revision_},
       {"list_version", dispatcher.list_version_},
-      {"rules", configuration == nullptr ? "" : configuration->rules_.text_}};
+      {"rules", configuration == nullptr
+                    ? ""
+                    : rules::HideKeys(configuration->rules_.text_)},
+      {"organisations", configuration == nullptr
+                            ? 0
+                            : configuration->rules_.organisations_.size()},
+      {"confirmed_ms", dispatcher.confirmation_.at_ == core::TimePoint{}
+                           ? -1
+                           : AgeMs(now, dispatcher.confirmation_.at_)}};
   for (const auto& [name, member] : dispatcher.peers_.membership_.members_) {
     dump["entries"][name] = {{"address", member.row_.address_},
                              {"revision", member.row_.revision_},
--- a/packages/gateway/test/gateway_fixture.h
+++ b/packages/gateway/test/gateway_fixture.h
@@ -32,8 +32,14 @@
     call.shape_.path_ = head.target_;
     call.shape_.prompt_tokens_ = 100;
     call.shared_parts_ = {7};
+    const std::string* key = http::FindField(head, "Key");
+    call.key_ = key == nullptr ? "" : *key;
     return call;
   };
+  dialect.read_key_ = [](const http::Head& head) {
+    const std::string* key = http::FindField(head, "Key");
+    return key == nullptr ? std::string() : *key;
+  };
   dialect.make_server_head_ = [](const http::Head& caller,
                                  const AttemptFields& fields) {
     http::Head head = caller;
@@ -74,7 +80,9 @@
   dialect.read_reservation_ = dialect.read_prefill_;
   dialect.make_refusal_ = [](const core::Verdict& verdict, const std::string&) {
     http::Head head;
-    head.status_ = verdict.run_state_ == core::RunState::kNotRun ? 503 : 502;
+    head.status_ = verdict.reason_ == core::Reason::kUnauthorised  ? 401
+                   : verdict.run_state_ == core::RunState::kNotRun ? 503
+                                                                   : 502;
     return head;
   };
   dialect.make_free_handle_request_ = [](const std::string& handle) {
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -61,6 +61,45 @@
   BOOST_TEST(absl::StrContains(text, "Outcome: delivered after 1 attempt"));
 }
 
+// K1, K2: a request without a valid key is refused before its body is read, and
+// operators see why, but no key.
+BOOST_AUTO_TEST_CASE(Head_WhenItsKeyIsUnknown_IsRefusedBeforeTheBody) {
+  const auto configuration = *rules::MakeConfiguration(
+      2,
+      absl::StrCat("organisation one keys=secret1 # asked by Ann\n", kRules));
+  gateway_->Post(dispatch::ConfigurationRead{configuration, "test"});
+  // Does not expire during the test.
+  const core::TimePoint confirmed_at =
+      http::MonotonicNow() + std::chrono::hours(1);
+  gateway_->Post(dispatch::ConfigurationConfirmed{
+      confirmed_at, 2, configuration->digest_, nullptr});
+  BOOST_REQUIRE(AwaitOperatorText("/dump", "\"confirmed_ms\": -3"));
+  const auto send = [this](int id, const std::string& key) {
+    test::Peer peer = test::Peer::Connect(port_);
+    peer.Send(absl::StrCat("POST /once HTTP/1.1\r\nHost: h\r\nId: ", id,
+                           "\r\nKey: ", key, "\r\nContent-Length: 4\r\n\r\n"));
+    if (key == "secret1") {
+      peer.Send("body");
+    }
+    return peer.ReadUntil("\r\n\r\n");
+  };
+  // A known key is decided on by the dispatcher, after the body. Its answer
+  // comes after the network thread was told of the confirmation.
+  BOOST_TEST(absl::StartsWith(send(8, "secret1"), "HTTP/1.1 503"));
+  BOOST_TEST(absl::StartsWith(send(7, "secret2"), "HTTP/1.1 401"));
+  BOOST_TEST(AwaitOperatorText("/explain?request=7",
+                               "refused: unauthorised: no organisation"));
+  BOOST_TEST(AwaitOperatorText("/metrics", "failed_unauthorised_total 1"));
+  BOOST_TEST(AwaitOperatorText("/dump", "keys=(hidden)"));
+  for (const char* page :
+       {"/dump", "/metrics", "/explain?request=7", "/explain?request=8"}) {
+    test::Peer peer = test::Peer::Connect(operators_port_);
+    peer.Send(absl::StrCat("GET ", page, " HTTP/1.1\r\nHost: h\r\n",
+                           "Connection: close\r\n\r\n"));
+    BOOST_TEST(!absl::StrContains(peer.ReadAll(), "secret"));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(NonRepeatableCall_WhenTheConnectionIsLost_IsNotRetried) {
   std::atomic<int> requests{0};
   test::ScriptedServer server([&requests](test::Peer& peer, int) {
--- a/packages/http/test/caller_connection_test.cc
+++ b/packages/http/test/caller_connection_test.cc
@@ -144,6 +144,37 @@
   BOOST_TEST(requests_ == 0);
 }
 
+// A refusal by the head must not wait for the body, nor leave the body to be
+// read as the next request.
+BOOST_AUTO_TEST_CASE(Request_WhenRefusedByItsHead_GetsNoFurther) {
+  handlers_.on_head_ = [](const Head& head) -> std::optional<Head> {
+    if (head.target_ != "/refused") {
+      return std::nullopt;
+    }
+    Head refusal;
+    refusal.status_ = 401;
+    return refusal;
+  };
+  // The body is outstanding: refused at once, without 100 Continue, and closed.
+  const core::TimePoint began = MonotonicNow();
+  const std::string closed =
+      Ask("POST /refused HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+          "Content-Length: 60\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n");
+  BOOST_TEST(closed.starts_with("HTTP/1.1 401 "));
+  BOOST_TEST(closed.find("Connection: close") != std::string::npos);
+  BOOST_TEST(closed.find("HTTP/1.1", 1) == std::string::npos);
+  BOOST_TEST((MonotonicNow() - began < core::Milliseconds(test::kWaitMs)));
+  BOOST_TEST(requests_ == 0);
+  // The whole request has arrived: the connection goes on with the next one.
+  const std::string open =
+      Ask("POST /refused HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
+          "POST /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+          "Content-Length: 4\r\n\r\nnext");
+  BOOST_TEST(open.starts_with("HTTP/1.1 401 "));
+  BOOST_TEST(open.ends_with("\r\n\r\nnext"));
+  BOOST_TEST(requests_ == 1);
+}
+
 BOOST_AUTO_TEST_CASE(Request_WhenAChunkHeaderDoesNotEnd_IsRefused) {
   const std::string answer =
       Ask("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
