--- a/fuzz/fuzz_platform.cc
+++ b/fuzz/fuzz_platform.cc
@@ -21,6 +21,7 @@
       std::abort();
     }
   }
+  (void)siskindrum::adapter::ReadListedKeys(text);
   (void)siskindrum::adapter::ParseServer("i-1", text);
   (void)siskindrum::adapter::ParseSettings(text);
   (void)siskindrum::adapter::MakeDialect().read_prefill_(text);
