A silent answer stays where it is if its key allows no new send

An answer that was left because its engine fell silent would have been cut off once its key is revoked, since nothing new is sent for it.

--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -78,6 +78,8 @@
 // Sets the organisation and the rank of a new request by its key. Requires: the
 // request has a configuration.
 void ReadOrganisation(const Step& step, ActiveCall& call);
+// Returns whether the request's key allows a new send.
+bool MayServeKey(const Step& step, const ActiveCall& call);
 // Refuses the request if its key must not be served now, or cannot be decided
 // on; else updates its organisation and rank, which may have changed while it
 // waited. Call before each send. Returns whether it was refused; `call` is then
--- a/packages/dispatch/src/keys.cc
+++ b/packages/dispatch/src/keys.cc
@@ -17,6 +17,11 @@
           dispatcher.confirmation_, dispatcher.options_.revocation_limit_};
 }
 
+access::Decision DecideKey(const Step& step, const ActiveCall& call) {
+  return access::Decide(MakeView(step.dispatcher_), call.call_.key_,
+                        call.rule_->outcome_.public_, step.now_);
+}
+
 void SetOrganisation(ActiveCall& call, const core::Organisation* organisation) {
   call.organisation_ = organisation == nullptr ? "" : organisation->name_;
   const std::uint32_t rank =
@@ -51,10 +56,12 @@
   }
 }
 
+bool MayServeKey(const Step& step, const ActiveCall& call) {
+  return DecideKey(step, call).reason_ == core::Reason::kNone;
+}
+
 bool RefuseKey(Step& step, ActiveCall& call) {
-  const access::Decision decision =
-      access::Decide(MakeView(step.dispatcher_), call.call_.key_,
-                     call.rule_->outcome_.public_, step.now_);
+  const access::Decision decision = DecideKey(step, call);
   if (decision.reason_ == core::Reason::kNone) {
     SetOrganisation(call, decision.organisation_);
     return false;
--- a/packages/dispatch/src/silence.cc
+++ b/packages/dispatch/src/silence.cc
@@ -34,6 +34,9 @@
   if (!prefills && !HasOtherServer(step, call)) {
     return "no_server";
   }
+  if (!MayServeKey(step, call)) {
+    return "no_key";
+  }
   return GrantRepeat(step, call) ? nullptr : "no_repeat";
 }
 
--- a/packages/dispatch/test/keys_test.cc
+++ b/packages/dispatch/test/keys_test.cc
@@ -134,6 +134,18 @@
   BOOST_TEST(AllStarts(id) == before);
 }
 
+// Failure: the engine falls silent for a while after the key was revoked. To
+// leave it would cut the answer off, as nothing new may be sent.
+BOOST_AUTO_TEST_CASE(SilentAnswer_WhenKeyIsRevoked_IsNotAbandoned) {
+  const RequestId id = ArriveWithKey("/resume/1", "k1");
+  Reserve(id, true);
+  Prefill(id, true);
+  Begin(id);
+  Publish(3, kNone);
+  Handle(AttemptSilent{id, Last(id).attempt_});
+  BOOST_TEST(abandoned_.empty());
+}
+
 BOOST_AUTO_TEST_CASE(Retry_WhenKeyIsRevoked_IsNotSent) {
   const RequestId id = ArriveWithKey("/read/1", "k1");
   Publish(3, kNone);
