--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -6,12 +6,14 @@
 #include <string>
 #include <vector>
 
+#include "siskindrum/core/fade.h"
 #include "siskindrum/core/fleet.h"
 #include "siskindrum/core/types.h"
 #include "siskindrum/dispatch/server_notices.h"
 
 namespace siskindrum::dispatch {
 
+using core::Fade;
 using core::Milliseconds;
 using core::TimePoint;
 
@@ -149,13 +151,6 @@
 // Returns a duration in milliseconds. Thread-safe: yes.
 double ToMs(core::Nanoseconds duration);
 
-// Returns what is left of `value`, measured at `measured_at`, when it halves
-// with each `half_life`. Thread-safe: yes.
-double Fade(double value,
-            TimePoint measured_at,
-            core::Nanoseconds half_life,
-            TimePoint now);
-
 // Returns the exponential moving average after `sample`. A mean of zero stands
 // for no samples yet and yields `sample`.
 // Thread-safe: yes.
--- a/packages/dispatch/src/server_pool.cc
+++ b/packages/dispatch/src/server_pool.cc
@@ -187,13 +187,6 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-double Fade(double value,
-            TimePoint measured_at,
-            core::Nanoseconds half_life,
-            TimePoint now) {
-  return value * std::exp2(-ToMs(now - measured_at) / ToMs(half_life));
-}
-
 double Smooth(double mean, double sample, double weight) {
   return mean == 0 ? sample : mean + weight * (sample - mean);
 }
