--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -69,6 +69,7 @@
     log.fields_.push_back(
         {"answer_tokens", absl::StrCat(call.call_.answer_tokens_)});
   }
+  AddUrgency(step, call, log);
   if (!detail.empty()) {
     log.fields_.push_back({"detail", detail});
   }
@@ -231,6 +232,7 @@
 
 void ReleaseDecode(Step& step, ActiveCall& call) {
   ServerState* server = FindServer(step.dispatcher_.pool_, call.decode_server_);
+  RecordCapacityRelease(step, call);
   if (server != nullptr) {
     server->held_tokens_ -=
         std::min(server->held_tokens_, call.counted_decode_);
@@ -397,6 +399,7 @@
   start.deadline_ = call.deadline_;
   start.organisation_ = call.organisation_;
   start.removes_key_ = HasOrganisations(step.dispatcher_.configuration_);
+  start.priority_ = EnginePriority(step, call);
   return start;
 }
 
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -23,7 +23,7 @@
     SendPlain(step, call);
   } else if (!RefuseNewQuarantined(step, call)) {
     UseRetainedPrompt(step, call);
-    AssignDecodeEngine(step, call);
+    AdmitEngineCall(step, call);
   }
 }
 
@@ -252,6 +252,8 @@
        {"source", event.source_},
        {"outcome", core::ToString(offer)}}});
   if (offer == core::OfferOutcome::kTaken) {
+    dispatcher.ranked_pools_ =
+        admission::FindRankedPools(event.configuration_->rules_);
     step.actions_.emplace_back(
         SetCallerLimits{event.configuration_->rules_.callers_});
     ReportAccess(step);
