--- a/packages/core/include/siskindrum/core/router.h
+++ b/packages/core/include/siskindrum/core/router.h
@@ -100,6 +100,7 @@
   std::vector<Candidate> candidates_;
   std::uint32_t attempts_ = 0;
   std::string outcome_ = "in_progress";
+  std::string reason_;  // Of a refusal or failure; empty: none.
   Milliseconds first_token_{0};
   Milliseconds total_{0};
 };
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -75,12 +75,16 @@
   step.actions_.push_back(std::move(log));
 }
 
-void RecordEnd(Step& step, const ActiveCall& call, const std::string& outcome) {
+void RecordEnd(Step& step,
+               const ActiveCall& call,
+               const std::string& outcome,
+               const std::string& reason) {
   const auto found = step.dispatcher_.decisions_.find(call.call_.label_);
   if (found == step.dispatcher_.decisions_.end()) {
     return;
   }
   found->second.outcome_ = outcome;
+  found->second.reason_ = reason;
   found->second.attempts_ = call.attempt_;
   found->second.total_ =
       std::chrono::duration_cast<Milliseconds>(step.now_ - call.arrived_at_);
@@ -92,7 +96,7 @@
                const std::string& outcome,
                const std::string& detail) {
   LogEnd(step, call, outcome, detail);
-  RecordEnd(step, call, outcome);
+  RecordEnd(step, call, outcome, detail);
   ReleaseAttempt(step, call);
   ReleaseDecode(step, call);
   ReleaseHandle(step, call);
--- a/packages/dispatch/test/overload_fixture.h
+++ b/packages/dispatch/test/overload_fixture.h
@@ -2,6 +2,7 @@
 #define SISKINDRUM_DISPATCH_TEST_OVERLOAD_FIXTURE_H_
 
 #include <map>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
@@ -21,7 +22,7 @@
   struct Stream {
     std::string path_;
     double per_second_ = 0;
-    std::string organisation_;  // Empty: none.
+    std::string organisation_{};  // Empty: none.
     Milliseconds target_ = kTarget;
   };
   struct Request {
@@ -46,7 +47,9 @@
     double Share() const { return 1.0 * in_time_ / arrived_; }
   };
 
-  std::map<std::string, std::size_t> used_;
+  // Slots in use, by engine; several entries may share it.
+  std::shared_ptr<std::map<std::string, std::size_t>> used_ =
+      std::make_shared<std::map<std::string, std::size_t>>();
   std::map<RequestId, Request> arrivals_;
   std::map<RequestId, std::size_t> seen_starts_;
   std::vector<RunningAnswer> running_;
@@ -81,9 +84,9 @@
           continue;
         }
         const std::string server = found->second.back().server_;
-        const bool granted = used_[server] < kSlotsPerEngine;
+        const bool granted = (*used_)[server] < kSlotsPerEngine;
         if (granted) {
-          ++used_[server];
+          ++(*used_)[server];
           running_.push_back({id, server, now_ + Milliseconds(100),
                               now_ + Milliseconds(100) + AnswerTime()});
         }
@@ -110,7 +113,7 @@
       if (now_ >= running_[i].ends_at_) {
         const RunningAnswer ended = running_[i];
         running_.erase(running_.begin() + static_cast<std::ptrdiff_t>(i));
-        --used_[ended.server_];
+        --(*used_)[ended.server_];
         arrivals_.erase(ended.id_);
         Done(ended.id_, AttemptOutcome::kDelivered, RunState::kRan);
       } else {
@@ -144,24 +147,35 @@
           std::chrono::duration<double>(1.0 / one.per_second_));
     }
   }
-  void SimulateLoad(const std::vector<Stream>& streams,
-                    std::chrono::seconds length) {
+  void BeginLoad(const std::vector<Stream>& streams,
+                 std::chrono::seconds length) {
     streams_ = streams;
     results_.assign(streams.size(), {});
-    const TimePoint until = now_ + length;
-    std::vector<TimePoint> next(streams.size(), now_);
-    while (now_ < until + std::chrono::seconds(5)) {
-      for (std::size_t i = 0; i < streams.size(); ++i) {
-        Send(i, next[i], until);
-      }
-      AnswerReservations();
-      AdvanceAnswers();
-      AnswerReservations();
-      CountRefusals();
-      now_ += Milliseconds(10);
-      Handle(Ticked{});
+    until_ = now_ + length;
+    next_.assign(streams.size(), now_);
+  }
+  bool IsLoadOver() const { return now_ >= until_ + std::chrono::seconds(5); }
+  void AdvanceLoad() {
+    for (std::size_t i = 0; i < streams_.size(); ++i) {
+      Send(i, next_[i], until_);
     }
+    AnswerReservations();
+    AdvanceAnswers();
+    AnswerReservations();
+    CountRefusals();
+    now_ += Milliseconds(10);
+    Handle(Ticked{});
   }
+  void SimulateLoad(const std::vector<Stream>& streams,
+                    std::chrono::seconds length) {
+    BeginLoad(streams, length);
+    while (!IsLoadOver()) {
+      AdvanceLoad();
+    }
+  }
+
+  TimePoint until_{};
+  std::vector<TimePoint> next_;
 };
 
 }  // namespace siskindrum::dispatch
--- a/packages/dispatch/test/urgency_test.cc
+++ b/packages/dispatch/test/urgency_test.cc
@@ -118,6 +118,27 @@
   BOOST_TEST(TotalInTime() >= 0.9 * 9.7 * 20);
 }
 
+// Two entries without contact share the engines. One gets urgent requests and
+// others, one only less urgent ones, for which it keeps no headroom. The urgent
+// ones must still be served more than the others at the same entry, and at
+// least half of them in time.
+BOOST_AUTO_TEST_CASE(Burst_AtTwoEntriesWithoutContact_StillServesUrgentMore) {
+  UrgencyFixture other;
+  other.used_ = used_;
+  Configure(2, kRankedRules);
+  other.Configure(2, kRankedRules);
+  BeginLoad({Urgent(4), Slack(6)}, std::chrono::seconds(20));
+  other.BeginLoad({Slack(10)}, std::chrono::seconds(20));
+  while (!IsLoadOver()) {
+    AdvanceLoad();
+    other.AdvanceLoad();
+  }
+  BOOST_TEST(results_[0].Share() >= 0.5);
+  BOOST_TEST(results_[0].Share() > results_[1].Share());
+  BOOST_TEST(results_[1].in_time_ > 0U);
+  BOOST_TEST(TotalInTime() + other.TotalInTime() >= 0.8 * 9.7 * 20);
+}
+
 BOOST_AUTO_TEST_CASE(Load_WithThreeRanks_WhenItFits_IsServedWithoutRefusals) {
   Configure(2, kRankedRules);
   SimulateLoad({Urgent(1), Usual(2), Slack(3)}, std::chrono::seconds(20));
@@ -167,6 +188,8 @@
   BOOST_TEST(Verdict(id).detail_ ==
              "pool engines has no free decode capacity for rank 2: it would "
              "begin late, and others can still begin in time");
+  BOOST_TEST(FindDecision(dispatcher_, "r1")->reason_ ==
+             "overloaded: " + Verdict(id).detail_);
 }
 
 // Deployments with one rank and no organisations are served as before.
--- a/packages/gateway/src/operators.cc
+++ b/packages/gateway/src/operators.cc
@@ -1,5 +1,6 @@
 #include "operators_p.h"
 
+#include <array>
 #include <chrono>
 
 #include <nlohmann/json.hpp>
@@ -63,6 +64,17 @@
           {"age_ms", AgeMs(now, call.arrived_at_)}};
 }
 
+// Appends a counter with one value for each rank.
+void AppendByRank(std::string& text,
+                  const char* name,
+                  const std::array<std::uint64_t, admission::kRanks>& values) {
+  absl::StrAppend(&text, "# TYPE siskindrum_", name, " counter\n");
+  for (std::size_t rank = 0; rank < values.size(); ++rank) {
+    absl::StrAppend(&text, "siskindrum_", name, "{rank=\"", rank, "\"} ",
+                    values[rank], "\n");
+  }
+}
+
 }  // namespace
 
 std::string MetricsText(const telemetry::Metrics& metrics,
@@ -70,7 +82,7 @@
                         const http::PoolCounters& pool,
                         const peer::NodeCounters& peers) {
   const dispatch::DispatchCounters& counters = dispatcher.counters_;
-  return metrics.ToText(std::vector<telemetry::NamedCount>{
+  std::string text = metrics.ToText(std::vector<telemetry::NamedCount>{
       {"requests_total", counters.arrived_},
       {"delivered_total", counters.delivered_},
       {"server_errors_total", counters.server_errors_},
@@ -104,6 +116,10 @@
       {"peer_bytes_sent_total", peers.bytes_out_},
       {"peer_bytes_received_total", peers.bytes_in_},
   });
+  AppendByRank(text, "ranked_waits_total", counters.waits_by_rank_);
+  AppendByRank(text, "ranked_grants_total", counters.granted_by_rank_);
+  AppendByRank(text, "ranked_refusals_total", counters.refused_by_rank_);
+  return text;
 }
 
 std::string DumpText(const dispatch::Dispatcher& dispatcher,
--- a/packages/rules/src/explain.cc
+++ b/packages/rules/src/explain.cc
@@ -97,8 +97,10 @@
                                           : record.shape_.organisation_,
       " (", record.shape_.prompt_tokens_, " prompt tokens), rules revision ",
       record.configuration_->revision_, ".\n", DescribeRule(*record.rule_),
-      DescribeServers(record), "Outcome: ", record.outcome_, " after ",
-      record.attempts_, record.attempts_ == 1 ? " attempt, " : " attempts, ",
+      DescribeServers(record), "Outcome: ", record.outcome_,
+      record.reason_.empty() ? "" : absl::StrCat(" (", record.reason_, ")"),
+      " after ", record.attempts_,
+      record.attempts_ == 1 ? " attempt, " : " attempts, ",
       record.total_.count(), " ms.\n");
 }
 
