--- a/packages/dispatch/test/dispatcher_fixture.h
+++ b/packages/dispatch/test/dispatcher_fixture.h
@@ -79,15 +79,12 @@
   void Configure(std::uint64_t revision,
                  const std::string& rules,
                  const std::vector<std::string>& organisations) {
-    auto configuration = std::make_shared<core::Configuration>(
-        **rules::MakeConfiguration(revision, rules));
+    std::string lines;
     for (const std::string& name : organisations) {
-      core::Organisation organisation;
-      organisation.name_ = name;
-      organisation.keys_ = {KeyOf(name)};
-      configuration->rules_.organisations_.push_back(organisation);
+      lines +=
+          "organisation " + name + " keys=" + KeyOf(name) + " # asked by Ann\n";
     }
-    Handle(ConfigurationRead{configuration, "test"});
+    Configure(revision, lines + rules);
   }
   void List(const std::vector<core::ServerInfo>& seen, bool whole) {
     Handle(ListSeen{{seen, {}, whole}});
@@ -132,7 +129,6 @@
     arrived.arrived_at_ = now_;
     if (!organisation.empty()) {
       arrived.call_.key_ = KeyOf(organisation);
-      dispatcher_.calls_[arrived.request_].organisation_ = organisation;
     }
     Handle(arrived);
     return arrived.request_;
--- a/packages/dispatch/test/keys_test.cc
+++ b/packages/dispatch/test/keys_test.cc
@@ -69,8 +69,9 @@
   BOOST_TEST(IsRefusedWith(id, core::Reason::kUnauthorised));
   BOOST_TEST(AllStarts(id) == 0U);
   BOOST_TEST(Verdict(id).retry_after_.count() == 0);
-  const std::string outcome = FindDecision(dispatcher_, "r1")->outcome_;
-  BOOST_TEST(outcome == "refused: unauthorised: no organisation holds the key");
+  const core::DecisionRecord& decision = *FindDecision(dispatcher_, "r1");
+  BOOST_TEST(decision.outcome_ == "refused");
+  BOOST_TEST(decision.reason_ == "unauthorised: no organisation holds the key");
   BOOST_TEST(dispatcher_.counters_.failed_by_reason_[static_cast<std::size_t>(
                  core::Reason::kUnauthorised)] == 1U);
   for (const core::LogEvent& log : logs_) {
@@ -189,8 +190,8 @@
   refused.reason_ = core::Reason::kUnauthorised;
   refused.detail_ = "no key";
   Handle(refused);
-  BOOST_TEST(FindDecision(dispatcher_, "head")->outcome_ ==
-             "refused: unauthorised: no key");
+  BOOST_TEST(FindDecision(dispatcher_, "head")->reason_ ==
+             "unauthorised: no key");
   BOOST_TEST(dispatcher_.calls_.empty());
 }
 
--- a/packages/gateway/src/operators.cc
+++ b/packages/gateway/src/operators.cc
@@ -1,5 +1,6 @@
 #include "operators_p.h"
 
+#include <array>
 #include <chrono>
 
 #include <nlohmann/json.hpp>
@@ -65,6 +66,17 @@
           {"age_ms", AgeMs(now, call.arrived_at_)}};
 }
 
+// Appends a counter with one value for each rank.
+void AppendByRank(std::string& text,
+                  const char* name,
+                  const std::array<std::uint64_t, admission::kRanks>& values) {
+  absl::StrAppend(&text, "# TYPE siskindrum_", name, " counter\n");
+  for (std::size_t rank = 0; rank < values.size(); ++rank) {
+    absl::StrAppend(&text, "siskindrum_", name, "{rank=\"", rank, "\"} ",
+                    values[rank], "\n");
+  }
+}
+
 }  // namespace
 
 std::string MetricsText(const telemetry::Metrics& metrics,
@@ -112,7 +124,11 @@
         "failed_", core::ToString(static_cast<core::Reason>(i)), "_total");
     counts.push_back({names[i].c_str(), counters.failed_by_reason_[i]});
   }
-  return metrics.ToText(counts);
+  std::string text = metrics.ToText(counts);
+  AppendByRank(text, "ranked_waits_total", counters.waits_by_rank_);
+  AppendByRank(text, "ranked_grants_total", counters.granted_by_rank_);
+  AppendByRank(text, "ranked_refusals_total", counters.refused_by_rank_);
+  return text;
 }
 
 std::string DumpText(const dispatch::Dispatcher& dispatcher,
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -88,7 +88,7 @@
   BOOST_TEST(absl::StartsWith(send(8, "secret1"), "HTTP/1.1 503"));
   BOOST_TEST(absl::StartsWith(send(7, "secret2"), "HTTP/1.1 401"));
   BOOST_TEST(AwaitOperatorText("/explain?request=7",
-                               "refused: unauthorised: no organisation"));
+                               "refused (unauthorised: no organisation"));
   BOOST_TEST(AwaitOperatorText("/metrics", "failed_unauthorised_total 1"));
   BOOST_TEST(AwaitOperatorText("/dump", "keys=(hidden)"));
   for (const char* page :
