Quotas that entries divide by loans

Entries had no common limit on the requests of an organisation. Tokens for a waiting request move without a share; shares move for the demand of some seconds. Nothing calls it yet.

--- a/packages/core/include/siskindrum/core/peer_message.h
+++ b/packages/core/include/siskindrum/core/peer_message.h
@@ -172,6 +172,53 @@
   std::vector<QuarantinedParts> quarantined_;
 };
 
+// Wish for a larger share of the quota of an organisation, given by the hash of
+// its name. Shares and demand are parts per million of the quota.
+struct QuotaAskRow {
+  std::uint64_t organisation_ = 0;
+  std::uint32_t want_ppm_ = 0;  // Including what the receiver lends already.
+  // Tokens that waiting requests lack, in thousandths; zero: the sender wants a
+  // share and not tokens.
+  std::int64_t want_milli_ = 0;
+  std::uint32_t share_ppm_ = 0;   // That the sender has.
+  std::uint32_t demand_ppm_ = 0;  // Of the requests that the sender gets.
+};
+
+// Asks a peer to lend idle shares. Every ask is answered with a QuotaLoan.
+struct QuotaAsk {
+  std::uint64_t number_ = 0;  // Increases with each ask of a process.
+  Milliseconds term_{0};      // Counted by the sender from the ask.
+  std::vector<QuotaAskRow> rows_;
+};
+
+// A share that the sender has given up until the term ends, and tokens. A share
+// replaces the sender's earlier loan of the kind to the same process. A row
+// with neither says that there are no tokens until the term ends.
+struct QuotaLoanRow {
+  std::uint64_t organisation_ = 0;
+  std::uint32_t share_ppm_ = 0;
+  Milliseconds term_{0};           // From the time of the ask.
+  std::int64_t tokens_milli_ = 0;  // In thousandths.
+};
+
+// Answers an ask; organisations without a row get nothing.
+struct QuotaLoan {
+  std::uint64_t number_ = 0;  // Of the ask.
+  Incarnation to_incarnation_ = 0;
+  std::vector<QuotaLoanRow> rows_;
+};
+
+struct QuotaReturnRow {
+  std::uint64_t organisation_ = 0;
+  std::int64_t tokens_milli_ = 0;
+};
+
+// Ends loans early. The sender has given up share and tokens.
+struct QuotaReturn {
+  std::uint64_t number_ = 0;  // Of the ask that they answered.
+  std::vector<QuotaReturnRow> rows_;
+};
+
 using PeerBody = std::variant<Gossip,
                               ConfigurationRequest,
                               ConfigurationBody,
@@ -189,7 +236,10 @@
                               SeatHandover,
                               SeatHandoverRequest,
                               EngineUseReport,
-                              QuarantineReport>;
+                              QuarantineReport,
+                              QuotaAsk,
+                              QuotaLoan,
+                              QuotaReturn>;
 
 struct PeerMessage {
   std::string from_;
--- a/packages/core/src/router.cc
+++ b/packages/core/src/router.cc
@@ -40,6 +40,9 @@
           },
           [](const EngineUseReport&) {},   // Unused: homes count slots.
           [](const QuarantineReport&) {},  // Unused: it knows no parts.
+          [](const QuotaAsk&) {},          // Unused: it has no quotas.
+          [](const QuotaLoan&) {},
+          [](const QuotaReturn&) {},
       },
       message.body_);
 }
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -71,6 +71,12 @@
 void Take(const Json& json, HarmlessPart& row);
 Json Put(const QuarantinedParts& row);
 void Take(const Json& json, QuarantinedParts& row);
+Json Put(const QuotaAskRow& row);
+void Take(const Json& json, QuotaAskRow& row);
+Json Put(const QuotaLoanRow& row);
+void Take(const Json& json, QuotaLoanRow& row);
+Json Put(const QuotaReturnRow& row);
+void Take(const Json& json, QuotaReturnRow& row);
 
 // Every struct is written as an array of its fields in order of declaration.
 
@@ -479,6 +485,70 @@
   TakeRows(json.at(2), m.quarantined_);
 }
 
+Json Put(const QuotaAskRow& row) {
+  return Json::array({row.organisation_, row.want_ppm_, row.want_milli_,
+                      row.share_ppm_, row.demand_ppm_});
+}
+void Take(const Json& json, QuotaAskRow& row) {
+  row.organisation_ = json.at(0).get<std::uint64_t>();
+  row.want_ppm_ = json.at(1).get<std::uint32_t>();
+  row.want_milli_ = json.at(2).get<std::int64_t>();
+  row.share_ppm_ = json.at(3).get<std::uint32_t>();
+  row.demand_ppm_ = json.at(4).get<std::uint32_t>();
+}
+
+// Terms stay far from the limits of a duration.
+Milliseconds TakeTerm(const Json& json) {
+  constexpr std::int64_t kMostMs = 3'600'000;
+  return Milliseconds(
+      std::clamp<std::int64_t>(json.get<std::int64_t>(), 0, kMostMs));
+}
+
+Json Put(const QuotaAsk& m) {
+  return Json::array({m.number_, m.term_.count(), PutRows(m.rows_)});
+}
+void Take(const Json& json, QuotaAsk& m) {
+  m.number_ = json.at(0).get<std::uint64_t>();
+  m.term_ = TakeTerm(json.at(1));
+  TakeRows(json.at(2), m.rows_);
+}
+
+Json Put(const QuotaLoanRow& row) {
+  return Json::array({row.organisation_, row.share_ppm_, row.term_.count(),
+                      row.tokens_milli_});
+}
+void Take(const Json& json, QuotaLoanRow& row) {
+  row.organisation_ = json.at(0).get<std::uint64_t>();
+  row.share_ppm_ = json.at(1).get<std::uint32_t>();
+  row.term_ = TakeTerm(json.at(2));
+  row.tokens_milli_ = json.at(3).get<std::int64_t>();
+}
+
+Json Put(const QuotaLoan& m) {
+  return Json::array({m.number_, m.to_incarnation_, PutRows(m.rows_)});
+}
+void Take(const Json& json, QuotaLoan& m) {
+  m.number_ = json.at(0).get<std::uint64_t>();
+  m.to_incarnation_ = json.at(1).get<Incarnation>();
+  TakeRows(json.at(2), m.rows_);
+}
+
+Json Put(const QuotaReturnRow& row) {
+  return Json::array({row.organisation_, row.tokens_milli_});
+}
+void Take(const Json& json, QuotaReturnRow& row) {
+  row.organisation_ = json.at(0).get<std::uint64_t>();
+  row.tokens_milli_ = json.at(1).get<std::int64_t>();
+}
+
+Json Put(const QuotaReturn& m) {
+  return Json::array({m.number_, PutRows(m.rows_)});
+}
+void Take(const Json& json, QuotaReturn& m) {
+  m.number_ = json.at(0).get<std::uint64_t>();
+  TakeRows(json.at(1), m.rows_);
+}
+
 template <std::size_t Index = 0>
 PeerBody TakeBody(std::size_t kind, const Json& json) {
   if constexpr (Index < std::variant_size_v<PeerBody>) {
--- a/packages/peer/test/peer_test.cc
+++ b/packages/peer/test/peer_test.cc
@@ -79,7 +79,10 @@
           EngineUseReport{8, {{"d1", 9000}, {"d2", 400}}},
           QuarantineReport{{{"d1", 9, Milliseconds(40), true, {1, UINT64_MAX}}},
                            {{3, Milliseconds(50)}},
-                           {{{4, 5}, 2, Milliseconds(60)}}}};
+                           {{{4, 5}, 2, Milliseconds(60)}}},
+          QuotaAsk{9, Milliseconds(6000), {{UINT64_MAX, 500000, 6, 7, 8}}},
+          QuotaLoan{9, 7, {{3, 40000, Milliseconds(5900), 1'000'000'000}}},
+          QuotaReturn{9, {{3, 250}}}};
 }
 
 BOOST_AUTO_TEST_SUITE(Peer)
--- /dev/null
+++ b/packages/quota/test/main_test.cc
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE quota
+#include <boost/test/unit_test.hpp>
