Requests are charged to the quota of their organisation

A request of an organisation with a limit is charged on arrival, after the rule and deadline checks. If the entry is short, the request waits up to 50 ms (a tenth of its target at most) for what peers lend, else it is refused with organisation_limit and the time at which there is room. The charge is given back unless the request may have run.

--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -20,6 +20,7 @@
 #include "siskindrum/dispatch/repeat_budget.h"
 #include "siskindrum/dispatch/server_pool.h"
 #include "siskindrum/dispatch/use_view.h"
+#include "siskindrum/quota/quota.h"
 
 namespace siskindrum::dispatch {
 
@@ -35,6 +36,9 @@
   std::uint64_t draw_ = 0;     // As in PlacementRequest.
   std::string organisation_;   // Holder of its key; empty: none.
   std::uint32_t urgency_ = 0;  // Rank; lowest is served first.
+  double quota_cost_ = 0;      // Charged to the organisation, or to be charged.
+  bool quota_charged_ = false;
+  TimePoint quota_wait_until_{};  // For loans; epoch: it does not wait.
 
   // Current attempt.
   std::uint32_t attempt_ = 0;
@@ -154,6 +158,8 @@
   PeerUsage use_;
   Quarantine quarantine_;
   QuarantineNews quarantine_news_;
+  quota::QuotaState quota_;
+  std::vector<RequestId> quota_waiting_;  // For loans, in arrival order.
   double release_draw_ = 0;  // In [0, 1); of this entry's release delay.
   // Addresses of engines that retained a prompt from before this process
   // started, by prompt identity.
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -219,6 +219,12 @@
 inline constexpr double kNewsMessagesPerSecond = 6;
 inline constexpr double kNewsBurst = 60;
 
+// Longest wait of a request for a share of its organisation's quota that other
+// entries lend: two round trips between failure domains, and a margin for busy
+// entries; and the same as a fraction of the request's target.
+inline constexpr Milliseconds kMaxQuotaWait{50};
+inline constexpr int kQuotaWaitDivisor = 10;
+
 inline constexpr Milliseconds kTickInterval{20};
 inline constexpr std::size_t kMaxDecisionRecords = 2000;
 // Candidate servers listed in a decision record.
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -92,6 +92,7 @@
                const std::string& detail) {
   LogEnd(step, call, outcome, detail);
   RecordEnd(step, call, outcome);
+  SettleQuota(step, call);
   ReleaseAttempt(step, call);
   ReleaseDecode(step, call);
   ReleaseHandle(step, call);
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -32,20 +32,6 @@
   }
 }
 
-void RouteCall(Step& step, ActiveCall& call) {
-  const core::RuleOutcome& outcome = call.rule_->outcome_;
-  call.pool_ = core::PickPool(outcome, step.dispatcher_.random_());
-  RecordCall(step.dispatcher_.budget_, step.dispatcher_.options_.repeats_,
-             call.pool_, step.now_);
-  AddDecision(step.dispatcher_, call);
-  if (outcome.kind_ == core::BackendKind::kPlain) {
-    SendPlain(step, call);
-  } else if (!RefuseNewQuarantined(step, call)) {
-    UseRetainedPrompt(step, call);
-    AssignDecodeEngine(step, call);
-  }
-}
-
 // Returns whether the entry may shut down before the request is answered,
 // although it came when no more requests were due.
 bool CameTooLate(const std::optional<DrainBegan>& drain,
@@ -92,7 +78,9 @@
     FailCall(step, call, core::Reason::kDraining, "it came late in the drain");
     return;
   }
-  RouteCall(step, call);
+  if (AdmitByQuota(step, call)) {
+    RouteCall(step, call);
+  }
 }
 
 void OnCallerLeft(Step& step, const CallerLeft& event) {
@@ -268,6 +256,7 @@
   if (offer == core::OfferOutcome::kTaken) {
     step.actions_.emplace_back(
         SetCallerLimits{event.configuration_->rules_.callers_});
+    ConfigureQuotas(step);
   }
   UpdateReady(step);
 }
@@ -336,6 +325,7 @@
   }
   UpdateQuarantine(step);
   QueryRetainedPrompts(step);
+  UpdateQuotas(step);
   RetryWaiting(step);
   GossipWithPeers(step);
   SendUsage(step);
@@ -345,6 +335,20 @@
 
 }  // namespace
 
+void RouteCall(Step& step, ActiveCall& call) {
+  const core::RuleOutcome& outcome = call.rule_->outcome_;
+  call.pool_ = core::PickPool(outcome, step.dispatcher_.random_());
+  RecordCall(step.dispatcher_.budget_, step.dispatcher_.options_.repeats_,
+             call.pool_, step.now_);
+  AddDecision(step.dispatcher_, call);
+  if (outcome.kind_ == core::BackendKind::kPlain) {
+    SendPlain(step, call);
+  } else if (!RefuseNewQuarantined(step, call)) {
+    UseRetainedPrompt(step, call);
+    AssignDecodeEngine(step, call);
+  }
+}
+
 void OnListChanges(Step& step,
                    const ListChanges& changes,
                    const std::string& source) {
@@ -391,6 +395,8 @@
   dispatcher.release_draw_ =
       std::uniform_real_distribution<double>(0, 1)(dispatcher.random_);
   dispatcher.peers_.seeds_ = options.seeds_;
+  dispatcher.quota_ = quota::MakeQuotaState(
+      {options.quota_bounds_, options.incarnation_, !options.restarted_});
   core::MemberRow& self = dispatcher.peers_.membership_.self_;
   self.name_ = options.name_;
   self.address_ = options.peers_address_;
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -122,6 +122,28 @@
 // comes in time, else it is refused with that end as retry-after advice.
 void HandleNoServer(Step& step, ActiveCall& call, core::ServerRole role);
 
+// quota_calls.cc: quotas of organisations.
+
+// Charges a new request to its organisation. Returns false if it waits for a
+// loan or was refused; `call` is destroyed in the second case.
+bool AdmitByQuota(Step& step, ActiveCall& call);
+// Ends the request's wait, and gives back its charge unless it may have run.
+// Call before its attempt is released.
+void SettleQuota(Step& step, ActiveCall& call);
+void OnQuotaAsk(Step& step,
+                const core::PeerMessage& message,
+                const core::QuotaAsk& ask);
+void OnQuotaLoan(Step& step,
+                 const core::PeerMessage& message,
+                 const core::QuotaLoan& loan);
+void OnQuotaReturn(Step& step,
+                   const core::PeerMessage& message,
+                   const core::QuotaReturn& returned);
+// Applies the quotas of the current configuration.
+void ConfigureQuotas(Step& step);
+// Periodic work: entry count, requests that wait too long, asks and returns.
+void UpdateQuotas(Step& step);
+
 // quarantined_calls.cc: requests whose prompt may crash engines.
 
 // Refuses a new request whose prompt parts are quarantined. Returns true if so;
@@ -149,6 +171,9 @@
                                  const core::QuarantineReport& report);
 
 void OnPeerMessage(Step& step, const PeerMessageReceived& event);
+void SendToPeer(Step& step, const std::string& address, core::PeerBody body);
+// Returns the address of a peer by its name, or an empty string.
+std::string AddressOf(const Dispatcher& dispatcher, const std::string& name);
 // Sends gossip to some peers once per round, and requests newer versions from a
 // peer that has them.
 void GossipWithPeers(Step& step);
@@ -158,6 +183,8 @@
 void SendUsage(Step& step);
 
 // dispatcher.cc
+// Sends an admitted request to its pool.
+void RouteCall(Step& step, ActiveCall& call);
 // Applies changes of the server list unless the known version is newer.
 void OnListChanges(Step& step,
                    const ListChanges& changes,
--- a/packages/dispatch/src/peers.cc
+++ b/packages/dispatch/src/peers.cc
@@ -21,13 +21,6 @@
   return OwnRevision(dispatcher) == 0 || !dispatcher.list_read_;
 }
 
-void SendToPeer(Step& step, const std::string& address, core::PeerBody body) {
-  const MemberRow& self = step.dispatcher_.peers_.membership_.self_;
-  step.actions_.emplace_back(SendPeerMessage{
-      address,
-      core::PeerMessage{self.name_, self.incarnation_, std::move(body)}});
-}
-
 void UpdateOwnRow(Step& step) {
   Dispatcher& dispatcher = step.dispatcher_;
   MemberRow& self = dispatcher.peers_.membership_.self_;
@@ -228,13 +221,6 @@
   RequestNewerData(step);
 }
 
-// Returns the address of a peer by its name, or an empty string.
-std::string AddressOf(const Dispatcher& dispatcher, const std::string& name) {
-  const auto& members = dispatcher.peers_.membership_.members_;
-  const auto found = members.find(name);
-  return found == members.end() ? "" : found->second.row_.address_;
-}
-
 void OnConfigurationRequest(Step& step,
                             const std::string& from,
                             const core::ConfigurationRequest& request) {
@@ -297,6 +283,19 @@
 
 }  // namespace
 
+void SendToPeer(Step& step, const std::string& address, core::PeerBody body) {
+  const MemberRow& self = step.dispatcher_.peers_.membership_.self_;
+  step.actions_.emplace_back(SendPeerMessage{
+      address,
+      core::PeerMessage{self.name_, self.incarnation_, std::move(body)}});
+}
+
+std::string AddressOf(const Dispatcher& dispatcher, const std::string& name) {
+  const auto& members = dispatcher.peers_.membership_.members_;
+  const auto found = members.find(name);
+  return found == members.end() ? "" : found->second.row_.address_;
+}
+
 void SendUsage(Step& step) {
   Dispatcher& dispatcher = step.dispatcher_;
   Peers& peers = dispatcher.peers_;
@@ -343,36 +342,43 @@
 
 void OnPeerMessage(Step& step, const PeerMessageReceived& event) {
   const core::PeerMessage& message = event.message_;
-  std::visit(core::Overloaded{
-                 [&](const core::Gossip& body) {
-                   OnGossip(step, message.from_, body);
-                 },
-                 [&](const core::ConfigurationRequest& body) {
-                   OnConfigurationRequest(step, message.from_, body);
-                 },
-                 [&](const core::ListRequest& body) {
-                   OnListRequest(step, message.from_, body);
-                 },
-                 [&](const core::ListBody& body) {
-                   // The store may have delivered the same version meanwhile.
-                   if (body.version_ > step.dispatcher_.list_version_) {
-                     OnListChanges(step,
-                                   {body.servers_, {}, true, body.version_},
-                                   message.from_);
-                   }
-                 },
-                 [&](const core::EngineUseReport& body) {
-                   OnUsageReport(step, message, body);
-                 },
-                 [&](const core::QuarantineReport& body) {
-                   OnQuarantineReport(step, message.from_, body);
-                 },
-                 [&](const auto&) {
-                   step.actions_.emplace_back(core::LogEvent{
-                       "peer_message_ignored", {{"from", message.from_}}});
-                 },
-             },
-             message.body_);
+  std::visit(
+      core::Overloaded{
+          [&](const core::Gossip& body) {
+            OnGossip(step, message.from_, body);
+          },
+          [&](const core::ConfigurationRequest& body) {
+            OnConfigurationRequest(step, message.from_, body);
+          },
+          [&](const core::ListRequest& body) {
+            OnListRequest(step, message.from_, body);
+          },
+          [&](const core::ListBody& body) {
+            // The store may have delivered the same version meanwhile.
+            if (body.version_ > step.dispatcher_.list_version_) {
+              OnListChanges(step, {body.servers_, {}, true, body.version_},
+                            message.from_);
+            }
+          },
+          [&](const core::EngineUseReport& body) {
+            OnUsageReport(step, message, body);
+          },
+          [&](const core::QuarantineReport& body) {
+            OnQuarantineReport(step, message.from_, body);
+          },
+          [&](const core::QuotaAsk& body) { OnQuotaAsk(step, message, body); },
+          [&](const core::QuotaLoan& body) {
+            OnQuotaLoan(step, message, body);
+          },
+          [&](const core::QuotaReturn& body) {
+            OnQuotaReturn(step, message, body);
+          },
+          [&](const auto&) {
+            step.actions_.emplace_back(core::LogEvent{
+                "peer_message_ignored", {{"from", message.from_}}});
+          },
+      },
+      message.body_);
 }
 
 void GossipWithPeers(Step& step) {
--- a/packages/dispatch/test/fleet.h
+++ b/packages/dispatch/test/fleet.h
@@ -39,6 +39,7 @@
     options.seeds_ = {AddressOf(0), AddressOf(1), AddressOf(2)};
     options.restarted_ = restarted;
     options.repeats_ = repeats_;
+    options.quota_bounds_ = quota_bounds_;
     Entry& entry = entries_[options.peers_address_];
     entry.dispatcher_ = MakeDispatcher(options);
     entry.domain_ = domain;
@@ -91,6 +92,7 @@
 
   TimePoint now_{std::chrono::hours(1)};
   RepeatLimits repeats_{};
+  core::QuotaBounds quota_bounds_{};
   std::map<std::string, Entry> entries_;
   std::vector<SendPeerMessage> in_flight_;
   std::size_t messages_ = 0;
--- a/packages/quota/src/loans.cc
+++ b/packages/quota/src/loans.cc
@@ -224,8 +224,8 @@
         !CanAsk(planner, account, peer)) {
       continue;
     }
-    row.want_milli_ = static_cast<std::int64_t>(
-        std::ceil(kMilli * std::min(missing, kShortWantFactor * per_ask)));
+    row.want_milli_ = static_cast<std::int64_t>(std::ceil(
+        kMilli * std::clamp(missing, per_ask, kShortWantFactor * per_ask)));
     if (!AddRow(planner, account, peer, row)) {
       return;
     }
