--- /dev/null
+++ b/packages/quota/test/bound_test.cc
@@ -0,0 +1,182 @@
+#include <rapidcheck.h>
+#include <boost/test/unit_test.hpp>
+
+#include "quota_fleet.h"
+
+namespace siskindrum::quota {
+namespace {
+
+core::Quota Requests(double rate, double burst) {
+  return {rate, burst, core::QuotaUnit::kRequests, 0};
+}
+
+// Steps in which every entry spends all that it gets.
+void SpendAll(QuotaFleet& fleet, Milliseconds time, std::size_t entries) {
+  for (const TimePoint end = fleet.now_ + time; fleet.now_ < end;) {
+    fleet.Step();
+    for (std::size_t i = 0; i < entries; ++i) {
+      while (fleet.entries_[i].running_ && fleet.Spend(i, 1)) {
+      }
+    }
+  }
+}
+
+double SpentSince(const QuotaFleet& fleet, TimePoint since) {
+  double sum = 0;
+  for (const auto& spent : fleet.spent_) {
+    sum += spent.at_ >= since ? spent.cost_ : 0;
+  }
+  return sum;
+}
+
+BOOST_AUTO_TEST_SUITE(Bound)
+
+// The bound is that of one bucket, with a debt of one request an entry. Slack
+// beyond that, and overshoot, are left out so that any doubled share shows.
+BOOST_AUTO_TEST_CASE(Spending_UnderAnyFaults_StaysWithinOneBucket) {
+  BOOST_TEST(rc::check("spending in any window", [] {
+    const auto entries = *rc::gen::inRange<std::size_t>(2, 6);
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    QuotaFleet fleet(entries, Requests(50, 100));
+    fleet.bounds_ = {Milliseconds(8000), 0, static_cast<double>(entries)};
+    for (std::size_t i = 0; i < entries; ++i) {
+      fleet.Start(i, true);
+      SetEntryCount(fleet.entries_[i].state_, entries, fleet.now_);
+    }
+    std::mt19937 random(seed);
+    const auto draw = [&random](std::size_t below) {
+      return std::uniform_int_distribution<std::size_t>(0, below - 1)(random);
+    };
+    bool cut = false;
+    fleet.copies_ = [&](std::size_t a, std::size_t b) {
+      return cut && a % 2 != b % 2 ? 0 : static_cast<int>(draw(3));
+    };
+    // Some messages are delivered after every term has ended.
+    fleet.delay_ = [&] {
+      return Milliseconds(draw(8) == 0 ? draw(9000) : draw(20));
+    };
+    std::vector<TimePoint> owns_at(entries, TimePoint{});
+    for (int step = 0; step < 60; ++step) {
+      const std::size_t who = draw(entries);
+      switch (draw(6)) {
+        case 0:  // Killed and started again.
+          fleet.Start(who, false);
+          owns_at[who] = fleet.now_ + Milliseconds(8000);
+          break;
+        case 1:  // Paused, or woken.
+          fleet.entries_[who].running_ = !fleet.entries_[who].running_;
+          break;
+        case 2:
+          cut = !cut;
+          break;
+        default:
+          break;
+      }
+      const std::size_t busy = draw(entries);
+      for (const TimePoint end = fleet.now_ + Milliseconds(400);
+           fleet.now_ < end;) {
+        fleet.Step();
+        for (std::size_t i = 0; i < entries; ++i) {
+          if (fleet.entries_[i].running_ && owns_at[i] != TimePoint{} &&
+              fleet.now_ >= owns_at[i]) {
+            SetEntryCount(fleet.entries_[i].state_, entries, fleet.now_);
+          }
+        }
+        if (fleet.entries_[busy].running_) {
+          while (fleet.Spend(busy, 1)) {
+          }
+        }
+      }
+      RC_ASSERT(fleet.SharesInUse() <= kWholePpm);
+    }
+    // What is on its way when a window begins comes on top of the bucket: at
+    // most what entries gain in the term of a short loan.
+    const double moving =
+        fleet.quota_.rate_per_second_ * kShortLoanTerm.count() / 1000.0;
+    RC_ASSERT(fleet.MostInAWindow() <= fleet.Bound() + moving);
+  }));
+}
+
+// The quota of a part is what its entries own; nothing is used twice.
+BOOST_AUTO_TEST_CASE(Fleet_WhenCutInTwo_KeepsTheBoundAndServesBothParts) {
+  QuotaFleet fleet(6, Requests(60, 60));
+  fleet.bounds_.slack_ = 0;
+  SpendAll(fleet, Milliseconds(10'000), 1);
+  fleet.copies_ = [](std::size_t a, std::size_t b) {
+    return (a < 3) == (b < 3) ? 1 : 0;
+  };
+  SpendAll(fleet, Milliseconds(8'000), 6);
+  const TimePoint parted = fleet.now_;
+  SpendAll(fleet, Milliseconds(10'000), 6);
+  BOOST_TEST(SpentSince(fleet, parted) >= 0.97 * 600);
+  BOOST_TEST(fleet.MostInAWindow() <= fleet.Bound() + 6);
+}
+
+// A lender that was restarted has forgotten its loans.
+BOOST_AUTO_TEST_CASE(Entry_WhenRestarted_BorrowsBeforeItOwnsItsShare) {
+  QuotaFleet fleet(4, Requests(40, 40));
+  SpendAll(fleet, Milliseconds(10'000), 1);
+  fleet.Start(0, false);
+  BOOST_TEST(!fleet.Spend(0, 1));
+  SpendAll(fleet, Milliseconds(7'000), 1);
+  const TimePoint borrowed = fleet.now_;
+  SpendAll(fleet, Milliseconds(1'000), 1);
+  BOOST_TEST(SpentSince(fleet, borrowed) >= 20);
+  BOOST_TEST(fleet.SharesInUse() <= kWholePpm);
+}
+
+BOOST_AUTO_TEST_CASE(Limit_WhenLoweredAndRaised_BindsAtOnce) {
+  QuotaFleet fleet(4, Requests(400, 400));
+  SpendAll(fleet, Milliseconds(5'000), 1);
+  fleet.Limit(Requests(40, 40));
+  const TimePoint lowered = fleet.now_;
+  SpendAll(fleet, Milliseconds(8'000), 4);
+  BOOST_TEST(SpentSince(fleet, lowered) <=
+             fleet.Bound() - fleet.bounds_.slack_);
+  fleet.Limit(Requests(400, 400));
+  const TimePoint raised = fleet.now_;
+  SpendAll(fleet, Milliseconds(8'000), 4);
+  BOOST_TEST(SpentSince(fleet, raised) >= 0.97 * 3200);
+}
+
+BOOST_AUTO_TEST_CASE(Charge_WhenRefunded_CanBeUsedAgain) {
+  QuotaFleet fleet(1, Requests(1, 3));
+  fleet.bounds_ = {};
+  fleet.Start(0, true);
+  SetEntryCount(fleet.entries_[0].state_, 1, fleet.now_);
+  while (fleet.Spend(0, 1)) {
+  }
+  Refund(fleet.entries_[0].state_, QuotaFleet::kName, 1, fleet.now_);
+  BOOST_TEST(fleet.Spend(0, 1));
+  BOOST_TEST(!fleet.Spend(0, 1));
+}
+
+// Such a request fits no base share.
+BOOST_AUTO_TEST_CASE(Request_AsLargeAsTheBurst_IsAdmittedAtALoneEntry) {
+  QuotaFleet fleet(26, {1000, 30'000, core::QuotaUnit::kTokens, 0});
+  fleet.bounds_ = {Milliseconds(8000), 0, 0};
+  for (std::size_t i = 0; i < 26; ++i) {
+    fleet.Start(i, true);
+    SetEntryCount(fleet.entries_[i].state_, 26, fleet.now_);
+  }
+  bool admitted = false;
+  for (int attempt = 0; attempt < 100 && !admitted; ++attempt) {
+    admitted = fleet.Spend(0, 30'000, attempt == 0);
+    AddWaiting(fleet.entries_[0].state_, QuotaFleet::kName, 30'000);
+    for (int ms = 0; ms < 50 && !admitted; ++ms) {
+      fleet.Ask(0);
+      fleet.Step();
+      admitted = fleet.Spend(0, 30'000, false);
+    }
+    AddWaiting(fleet.entries_[0].state_, QuotaFleet::kName, -30'000);
+    for (int ms = 0; ms < 1000; ++ms) {
+      fleet.Step();
+    }
+  }
+  BOOST_TEST(admitted);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace siskindrum::quota
