--- a/tools/model_check.sh
+++ b/tools/model_check.sh
@@ -46,5 +46,9 @@
 done
 check orders good
 for guard in ANY_START ANY_SEED; do check orders bad "$guard"; done
+check quota good
+for guard in NO_WAIT FROM_LOAN NO_NUMBER NO_INCARNATION GIVE_LATE ABSOLUTE; do
+  check quota bad "$guard"
+done
 echo "model checks: $passed passed, $failed failed"
 [ "$failed" = 0 ]
