--- a/packages/quota/src/account.cc
+++ b/packages/quota/src/account.cc
@@ -136,9 +136,11 @@
 double DebtLimit(const QuotaState& state) {
   // An earlier process may have left a debt of the same size; it lies outside
   // the window once this one owns its base share.
-  return HasBase(state) ? state.options_.bounds_.slack_ /
-                              static_cast<double>(state.entries_)
-                        : 0;
+  if (!HasBase(state)) {
+    return 0;
+  }
+  const auto entries = static_cast<double>(state.entries_);
+  return state.options_.bounds_.slack_ / entries;
 }
 
 std::int64_t DemandPpm(const Account& account, TimePoint now) {
--- a/packages/quota/test/bound_test.cc
+++ b/packages/quota/test/bound_test.cc
@@ -82,9 +82,14 @@
             SetEntryCount(fleet.entries_[i].state_, entries, fleet.now_);
           }
         }
+        QuotaState& state = fleet.entries_[busy].state_;
         if (fleet.entries_[busy].running_) {
-          while (fleet.Spend(busy, 1)) {
+          fleet.Spend(busy, 1);
+          while (fleet.Spend(busy, 1, false)) {
           }
+          AddWaiting(state, QuotaFleet::kName, 1);
+          fleet.Ask(busy);
+          AddWaiting(state, QuotaFleet::kName, -1);
         }
       }
       RC_ASSERT(fleet.SharesInUse() <= kWholePpm);
@@ -97,6 +102,62 @@
   }));
 }
 
+// Spends all that entry 0 gets, with a request that waits all the time.
+void DrainAtOne(QuotaFleet& fleet, Milliseconds time) {
+  for (const TimePoint end = fleet.now_ + time; fleet.now_ < end;) {
+    fleet.Step();
+    while (fleet.Spend(0, 1)) {
+    }
+    AddWaiting(fleet.entries_[0].state_, QuotaFleet::kName, 1);
+    fleet.Ask(0);
+    AddWaiting(fleet.entries_[0].state_, QuotaFleet::kName, -1);
+    BOOST_REQUIRE(fleet.SharesInUse() <= kWholePpm);
+  }
+}
+
+QuotaFleet WithoutSlack(std::size_t entries) {
+  QuotaFleet fleet(entries, Requests(100, 100));
+  fleet.bounds_ = {Milliseconds(8000), 0, 0};
+  for (std::size_t i = 0; i < entries; ++i) {
+    fleet.Start(i, true);
+    SetEntryCount(fleet.entries_[i].state_, entries, fleet.now_);
+  }
+  return fleet;
+}
+
+BOOST_AUTO_TEST_CASE(Loans_WhenDeliveredTwice_CountOnce) {
+  QuotaFleet fleet = WithoutSlack(4);
+  fleet.copies_ = [](std::size_t, std::size_t) { return 2; };
+  DrainAtOne(fleet, Milliseconds(10'000));
+  BOOST_TEST(fleet.MostInAWindow() <= fleet.Bound() + 4);
+}
+
+BOOST_AUTO_TEST_CASE(Loans_WhenTheyArriveLate_EndWithTheTermOfTheirAsk) {
+  QuotaFleet fleet = WithoutSlack(4);
+  fleet.delay_ = [] { return Milliseconds(2000); };
+  DrainAtOne(fleet, Milliseconds(30'000));
+  BOOST_TEST(fleet.MostInAWindow() <= fleet.Bound() + 4);
+}
+
+// Both processes number their asks from one.
+BOOST_AUTO_TEST_CASE(Loan_ForAnEarlierProcess_IsDropped) {
+  QuotaFleet fleet = WithoutSlack(2);
+  fleet.delay_ = [] { return Milliseconds(500); };
+  DrainAtOne(fleet, Milliseconds(900));
+  fleet.Start(0, false);
+  for (int i = 0; i < 100; ++i) {
+    fleet.Spend(0, 1);
+  }
+  fleet.Ask(0);
+  BOOST_REQUIRE(fleet.entries_[0].state_.pending_.contains(1));
+  for (int ms = 0; ms < 300; ++ms) {
+    fleet.Step();
+  }
+  BOOST_TEST(fleet.entries_[0].state_.counters_.loans_late_ >= 1U);
+  BOOST_TEST(
+      FindAccount(fleet.entries_[0].state_, QuotaFleet::kName)->taken_.empty());
+}
+
 // The quota of a part is what its entries own; nothing is used twice.
 BOOST_AUTO_TEST_CASE(Fleet_WhenCutInTwo_KeepsTheBoundAndServesBothParts) {
   QuotaFleet fleet(6, Requests(60, 60));
