Shares of quotas in dump, metrics and explanations

The dump lists up to 64 organisations with share, loans and tokens left, metrics count requests and loans of all organisations together, an explanation of a 429 names the share, the cost and what was left. A log line tells a change of the number of entries that share the quotas. dispatch_test passes; gateway compiled, its tests not run.

--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -14,24 +14,6 @@
   return found == dispatcher.calls_.end() ? nullptr : &found->second;
 }
 
-void AddDecision(Dispatcher& dispatcher, const ActiveCall& call) {
-  core::DecisionRecord record;
-  record.request_ = call.id_;
-  record.configuration_ = call.configuration_;
-  record.rule_ = call.rule_;
-  record.shape_ = call.call_.shape_;
-  record.home_ = dispatcher.options_.name_;
-  const std::string& label = call.call_.label_;
-  if (!dispatcher.decisions_.contains(label)) {
-    dispatcher.decision_order_.push_back(label);
-  }
-  dispatcher.decisions_[label] = std::move(record);
-  if (dispatcher.decision_order_.size() > kMaxDecisionRecords) {
-    dispatcher.decisions_.erase(dispatcher.decision_order_.front());
-    dispatcher.decision_order_.pop_front();
-  }
-}
-
 // Returns whether the entry may shut down before the request is answered,
 // although it came when no more requests were due.
 bool CameTooLate(const std::optional<DrainBegan>& drain,
@@ -335,6 +317,27 @@
 
 }  // namespace
 
+void AddDecision(Dispatcher& dispatcher, const ActiveCall& call) {
+  core::DecisionRecord record;
+  record.request_ = call.id_;
+  record.configuration_ = call.configuration_;
+  record.rule_ = call.rule_;
+  record.shape_ = call.call_.shape_;
+  if (!call.organisation_.empty()) {
+    record.shape_.organisation_ = call.organisation_;
+  }
+  record.home_ = dispatcher.options_.name_;
+  const std::string& label = call.call_.label_;
+  if (!dispatcher.decisions_.contains(label)) {
+    dispatcher.decision_order_.push_back(label);
+  }
+  dispatcher.decisions_[label] = std::move(record);
+  if (dispatcher.decision_order_.size() > kMaxDecisionRecords) {
+    dispatcher.decisions_.erase(dispatcher.decision_order_.front());
+    dispatcher.decision_order_.pop_front();
+  }
+}
+
 void RouteCall(Step& step, ActiveCall& call) {
   const core::RuleOutcome& outcome = call.rule_->outcome_;
   call.pool_ = core::PickPool(outcome, step.dispatcher_.random_());
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -183,6 +183,8 @@
 void SendUsage(Step& step);
 
 // dispatcher.cc
+// Keeps a record of the request for explanations.
+void AddDecision(Dispatcher& dispatcher, const ActiveCall& call);
 // Sends an admitted request to its pool.
 void RouteCall(Step& step, ActiveCall& call);
 // Applies changes of the server list unless the known version is newer.
--- a/packages/dispatch/src/quota_calls.cc
+++ b/packages/dispatch/src/quota_calls.cc
@@ -121,7 +121,11 @@
                          static_cast<std::int64_t>(
                              quota::TokensLeft(state, *account, step.now_)),
                          " left");
+  AddDecision(step.dispatcher_, call);
+  const std::string label = call.call_.label_;
   FailCall(step, call, core::Reason::kOrganisationLimit, detail);
+  step.dispatcher_.decisions_.at(label).outcome_ = absl::StrCat(
+      "refused, over the quota of its organisation (", detail, ")");
 }
 
 // Tries a waiting request again; refuses it when no loan can come in time.
@@ -226,7 +230,14 @@
   if (dispatcher.quota_.quotas_.empty()) {
     return;
   }
-  quota::SetEntryCount(dispatcher.quota_, QuotaSharers(step), step.now_);
+  const std::size_t entries = QuotaSharers(step);
+  if (entries != dispatcher.quota_.entries_) {
+    step.actions_.emplace_back(core::LogEvent{
+        "quota_share_changed",
+        {{"entries", std::to_string(entries)},
+         {"before", std::to_string(dispatcher.quota_.entries_)}}});
+  }
+  quota::SetEntryCount(dispatcher.quota_, entries, step.now_);
   quota::Tick(dispatcher.quota_, step.now_);
   AskForLoans(step);
   ReturnLoans(step);
--- a/packages/gateway/src/operators.cc
+++ b/packages/gateway/src/operators.cc
@@ -1,5 +1,6 @@
 #include "operators_p.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include <nlohmann/json.hpp>
@@ -63,6 +64,48 @@
           {"age_ms", AgeMs(now, call.arrived_at_)}};
 }
 
+// Accounts listed in a dump: those with the most refused requests.
+constexpr std::size_t kMaxDumpedAccounts = 64;
+
+nlohmann::json DumpAccount(const quota::QuotaState& state,
+                           const quota::Account& account,
+                           core::TimePoint now) {
+  std::int64_t lent = 0;
+  for (const auto& [borrower, loan] : account.given_) {
+    lent += now < loan.expires_at_ ? loan.share_ppm_ : 0;
+  }
+  std::int64_t borrowed = 0;
+  for (const auto& [lender, loan] : account.taken_) {
+    borrowed += now < loan.expires_at_ ? loan.share_ppm_ : 0;
+  }
+  return {{"share_ppm", quota::SharePpm(state, account, now)},
+          {"lent_ppm", lent},
+          {"borrowed_ppm", borrowed},
+          {"tokens_left", quota::TokensLeft(state, account, now)},
+          {"admitted", account.admitted_},
+          {"refused", account.refused_}};
+}
+
+nlohmann::json DumpQuotas(const quota::QuotaState& state, core::TimePoint now) {
+  std::vector<const quota::Account*> accounts;
+  for (const auto& [key, account] : state.accounts_) {
+    if (!account.name_.empty()) {
+      accounts.push_back(&account);
+    }
+  }
+  std::sort(accounts.begin(), accounts.end(), [](const auto* a, const auto* b) {
+    return a->refused_ > b->refused_;
+  });
+  accounts.resize(std::min(accounts.size(), kMaxDumpedAccounts));
+  nlohmann::json dump = {{"entries", state.entries_},
+                         {"base_ppm", state.base_ppm_},
+                         {"limited_organisations", state.quotas_.size()}};
+  for (const quota::Account* account : accounts) {
+    dump["organisations"][account->name_] = DumpAccount(state, *account, now);
+  }
+  return dump;
+}
+
 }  // namespace
 
 std::string MetricsText(const telemetry::Metrics& metrics,
@@ -95,6 +138,15 @@
       {"orders_total", counters.orders_},
       {"leaving_announced_total", counters.leaving_announced_},
       {"pauses_asked_total", counters.pauses_asked_},
+      {"quota_admitted_total", dispatcher.quota_.counters_.admitted_},
+      {"quota_short_total", dispatcher.quota_.counters_.short_},
+      {"quota_refused_total", dispatcher.quota_.counters_.refused_},
+      {"quota_refunded_total", dispatcher.quota_.counters_.refunded_},
+      {"quota_asks_sent_total", dispatcher.quota_.counters_.asks_sent_},
+      {"quota_loans_given_total", dispatcher.quota_.counters_.loans_given_},
+      {"quota_loans_taken_total", dispatcher.quota_.counters_.loans_taken_},
+      {"quota_loans_late_total", dispatcher.quota_.counters_.loans_late_},
+      {"quota_loans_returned_total", dispatcher.quota_.counters_.returned_},
       {"connections_opened_total", pool.opened_},
       {"connections_reused_total", pool.reused_},
       {"foreign_answers_total", pool.mismatched_answers_},
@@ -127,6 +179,9 @@
   for (const auto& [name, server] : dispatcher.pool_.servers_) {
     dump["servers"][name] = DumpServer(dispatcher.pool_, server, now);
   }
+  if (!dispatcher.quota_.quotas_.empty()) {
+    dump["quotas"] = DumpQuotas(dispatcher.quota_, now);
+  }
   for (const auto& [id, call] : dispatcher.calls_) {
     dump["requests"].push_back(DumpCall(call, now));
   }
