--- a/packages/quota/src/account.cc
+++ b/packages/quota/src/account.cc
@@ -229,12 +229,13 @@
     if (known == state.quotas_.end() || known->second == account.quota_) {
       continue;
     }
+    const core::Quota& limits = known->second;
     Refresh(state, account, now);
-    if (known->second.unit_ != account.quota_.unit_) {
+    if (limits.unit_ != account.quota_.unit_) {
       account.tokens_ = 0;  // They counted something else.
       account.demand_ = {};
     }
-    account.quota_ = known->second;
+    account.quota_ = limits;
     ApplyCap(state, account, now);
   }
 }
--- a/packages/quota/src/loans.cc
+++ b/packages/quota/src/loans.cc
@@ -557,8 +557,7 @@
     ++state.counters_.loans_late_;
     return;
   }
-  PendingAsk pending = std::move(found->second);
-  state.pending_.erase(found);
+  PendingAsk pending = state.pending_.extract(found).mapped();
   for (const core::QuotaLoanRow& row : loan.rows_) {
     if (pending.organisations_.erase(row.organisation_) > 0) {
       TakeRow(state, pending.lender_, loan.number_, pending.sent_at_, row, now);
--- a/packages/quota/test/bound_test.cc
+++ b/packages/quota/test/bound_test.cc
@@ -200,6 +200,20 @@
   BOOST_TEST(SpentSince(fleet, raised) >= 0.97 * 3200);
 }
 
+// Each entry could else owe the whole slack.
+BOOST_AUTO_TEST_CASE(Debt_OfAllEntries_StaysWithinTheSlack) {
+  QuotaFleet fleet(4, {1000, 1000, core::QuotaUnit::kTokens, 0});
+  fleet.bounds_ = {Milliseconds(8000), 0, 8000};
+  for (std::size_t i = 0; i < 4; ++i) {
+    fleet.Start(i, true);
+    SetEntryCount(fleet.entries_[i].state_, 4, fleet.now_);
+    fleet.Spend(i, 5000);
+    fleet.Spend(i, 2000);
+  }
+  BOOST_TEST(fleet.spent_.size() == 4U);
+  BOOST_TEST(fleet.MostInAWindow() <= 9000);
+}
+
 BOOST_AUTO_TEST_CASE(Charge_WhenRefunded_CanBeUsedAgain) {
   QuotaFleet fleet(1, Requests(1, 3));
   fleet.bounds_ = {};
