--- a/packages/quota/test/quota_fleet.h
+++ b/packages/quota/test/quota_fleet.h
@@ -142,7 +142,7 @@
     }
   }
 
-  // One request without a wait. Asks peers if it is short.
+  // One request, without a wait.
   bool Spend(std::size_t i, double cost, bool is_new = true) {
     QuotaState& state = entries_[i].state_;
     const bool admitted =
