--- a/packages/quota/include/siskindrum/quota/limits.h
+++ b/packages/quota/include/siskindrum/quota/limits.h
@@ -44,11 +44,11 @@
 inline constexpr double kMinPartOfBase = 1.0;
 // The same limit where base shares are large.
 inline constexpr std::int64_t kMaxMinPartPpm = 20'000;
-// Parts of the allowed overshoot by which buckets are larger than the burst, and
-// by which they fill faster than the quota. The second makes up for tokens that
-// are lost when loans end or a bucket overflows while another entry is short: up
-// to a tenth, if all of many entries have a few callers each. The rest covers
-// requests that are sent some time after they were charged.
+// Parts of the allowed overshoot by which buckets are larger than the burst,
+// and by which they fill faster than the quota. The second makes up for tokens
+// that are lost when loans end or a bucket overflows while another entry is
+// short: up to a tenth, if all of many entries have a few callers each. The
+// rest covers requests that are sent some time after they were charged.
 inline constexpr double kOvershootInBuckets = 0.45;
 inline constexpr double kOvershootInRate = 0.3;
 
@@ -86,9 +86,9 @@
 inline constexpr double kRowBytes = 28;
 // Limits on the bytes of asks that this entry sends: of those for waiting
 // requests, of those for steady loans, and of the latter of those that are no
-// renewal and bring nothing. If all entries reach the first and third, they send
-// just under 2 KB/s each with the answers. Only as many entries can reach the
-// second as their peers have shares to lend.
+// renewal and bring nothing. If all entries reach the first and third, they
+// send just under 2 KB/s each with the answers. Only as many entries can reach
+// the second as their peers have shares to lend.
 inline constexpr double kShortBytesPerSecond = 1'000;
 inline constexpr double kSteadyBytesPerSecond = 4'000;
 inline constexpr double kFruitlessBytesPerSecond = 300;
