--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -25,6 +25,7 @@
 #include "siskindrum/dispatch/repeat_budget.h"
 #include "siskindrum/dispatch/server_pool.h"
 #include "siskindrum/dispatch/use_view.h"
+#include "siskindrum/quota/quota.h"
 
 namespace siskindrum::dispatch {
 
@@ -37,9 +38,13 @@
   std::string pool_;
   TimePoint arrived_at_{};
   TimePoint deadline_{};
-  std::uint64_t draw_ = 0;     // As in PlacementRequest.
-  std::string organisation_;   // Holder of its key; empty: none.
-  std::uint32_t urgency_ = 0;  // Rank; lowest is served first.
+  std::uint64_t draw_ = 0;          // As in PlacementRequest.
+  std::string organisation_;        // Holder of its key; empty: none.
+  std::uint32_t urgency_ = 0;       // Rank; lowest is served first.
+  std::string quota_organisation_;  // Charged, even if its key moves later.
+  double quota_cost_ = 0;  // Charged to the organisation, or to be charged.
+  bool quota_charged_ = false;
+  TimePoint quota_wait_until_{};  // For loans; epoch: it does not wait.
 
   // Current attempt.
   std::uint32_t attempt_ = 0;
@@ -167,6 +172,8 @@
   PeerUsage use_;
   Quarantine quarantine_;
   QuarantineNews quarantine_news_;
+  quota::QuotaState quota_;
+  std::vector<RequestId> quota_waiting_;  // For loans, in arrival order.
   double release_draw_ = 0;  // In [0, 1); of this entry's release delay.
   // Addresses of engines that retained a prompt from before this process
   // started, by prompt identity.
