Text that is not UTF-8 cannot end the process

Cause: /dump serialised labels with json::dump(), which throws on a string that is not UTF-8, and nothing caught it on the network thread. The same bytes could come from peers (names, addresses), whose messages are CBOR and not checked.

Change: core/text.h holds one rule for such bytes (shown as \xHH) and for control characters on a line. Log lines used to write such bytes as they came, and quoted values as octal. A page that cannot be written is a 500 and is logged; a step of the network, decision or log thread that throws is logged and dropped.

--- a/packages/gateway/include/siskindrum/gateway/decision_thread.h
+++ b/packages/gateway/include/siskindrum/gateway/decision_thread.h
@@ -14,7 +14,7 @@
 
 // Runs a dispatcher on its own thread. Events arrive through a bounded ring
 // buffer; actions are passed to a sink, which must be thread-safe and must not
-// block.
+// block. An event whose handling throws is logged and dropped.
 class DecisionThread {
  public:
   using Sink = std::function<void(std::vector<dispatch::Action>)>;
@@ -24,7 +24,8 @@
   DecisionThread(const DecisionThread&) = delete;
   DecisionThread& operator=(const DecisionThread&) = delete;
 
-  void Start(Sink sink);
+  // `log` must be thread-safe.
+  void Start(Sink sink, std::function<void(core::LogEvent)> log);
   void Stop();
 
   // Queues an event; returns false when the ring buffer is full.
@@ -43,6 +44,7 @@
   absl::Mutex mutex_;
   dispatch::Dispatcher dispatcher_;  // Guarded by mutex_.
   Sink sink_;
+  std::function<void(core::LogEvent)> log_;
   std::thread thread_;
 };
 
--- a/packages/gateway/src/decision_thread.cc
+++ b/packages/gateway/src/decision_thread.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "siskindrum/core/guard.h"
 #include "siskindrum/dispatch/limits.h"
 #include "siskindrum/http/clock.h"
 
@@ -22,8 +23,9 @@
   Stop();
 }
 
-void DecisionThread::Start(Sink sink) {
+void DecisionThread::Start(Sink sink, std::function<void(core::LogEvent)> log) {
   sink_ = std::move(sink);
+  log_ = std::move(log);
   thread_ = std::thread([this] { Run(); });
 }
 
@@ -46,12 +48,12 @@
 
 void DecisionThread::Handle(const dispatch::Event& event) {
   std::vector<dispatch::Action> actions;
-  {
+  core::RunGuarded("decision", log_, [&] {
     absl::MutexLock lock(&mutex_);
     dispatch::HandleEvent(dispatcher_, event, http::MonotonicNow(), actions);
-  }
+  });
   if (!actions.empty()) {
-    sink_(std::move(actions));
+    core::RunGuarded("actions", log_, [&] { sink_(std::move(actions)); });
   }
 }
 
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -13,6 +13,7 @@
 #include "listener_p.h"
 #include "operators_p.h"
 #include "peer_link_p.h"
+#include "siskindrum/core/guard.h"
 #include "siskindrum/gateway/decision_thread.h"
 #include "siskindrum/http/clock.h"
 #include "siskindrum/peer/incarnation.h"
@@ -53,16 +54,16 @@
         pool_(context_),
         decisions_(options_.decisions_),
         logs_(metrics_),
-        peers_({options_.decisions_.peers_address_, options_.fleet_},
-               {[this](dispatch::Event event) { Post(std::move(event)); },
-                [this](core::LogEvent event) { logs_.Add(std::move(event)); }}),
+        log_([this](core::LogEvent event) { logs_.Add(std::move(event)); }),
+        peers_(
+            {options_.decisions_.peers_address_, options_.fleet_},
+            {[this](dispatch::Event event) { Post(std::move(event)); }, log_}),
         exchange_context_{
             options_.dialect_, pool_, metrics_,
             [this](dispatch::Event event) { Post(std::move(event)); }},
         control_client_(
             {options_.dialect_, pool_, options_.decisions_.name_,
-             [this](dispatch::Event event) { Post(std::move(event)); },
-             [this](core::LogEvent event) { logs_.Add(std::move(event)); }}),
+             [this](dispatch::Event event) { Post(std::move(event)); }, log_}),
         callers_(context_, CallerHandlers()),
         probes_(context_, ProbeHandlers()),
         operators_(context_, OperatorHandlers()),
@@ -74,6 +75,7 @@
   telemetry::Metrics metrics_;
   DecisionThread decisions_;
   telemetry::LogWriter logs_;
+  const std::function<void(core::LogEvent)> log_;
   PeerLink peers_;
   ExchangeContext exchange_context_;
   ControlClient control_client_;
@@ -105,7 +107,11 @@
     handlers.on_request_ =
         [this](const std::shared_ptr<http::CallerConnection>& caller,
                http::CallerRequest request) {
-          OnRequest(caller, std::move(request));
+          const bool done = core::RunGuarded(
+              "request", log_, [&] { OnRequest(caller, std::move(request)); });
+          if (!done) {
+            caller->Abort();
+          }
         };
     handlers.on_disconnect_ = [this](http::CallerConnection& caller) {
       OnCallerGone(caller);
@@ -141,8 +147,8 @@
     return handlers;
   }
 
-  void OnOperatorRequest(http::CallerConnection& caller,
-                         const std::string& target) {
+  // Returns the page that an operator asked for; empty: there is none.
+  std::string OperatorText(const std::string& target) {
     std::string text;
     absl::string_view label = target;
     decisions_.Read([&](const dispatch::Dispatcher& dispatcher) {
@@ -155,12 +161,15 @@
         text = ExplainText(dispatcher, std::string(label));
       }
     });
-    if (text.empty()) {
-      caller.Respond(TextHead(404),
-                     "expected /metrics, /dump or /explain?request=ID\n");
-    } else {
-      caller.Respond(TextHead(200), text);
-    }
+    return text;
+  }
+
+  void OnOperatorRequest(http::CallerConnection& caller,
+                         const std::string& target) {
+    const OperatorPage page = MakeOperatorPage(
+        target, [this](const std::string& each) { return OperatorText(each); },
+        log_);
+    caller.Respond(TextHead(page.status_), page.text_);
   }
 
   void OnRequest(const std::shared_ptr<http::CallerConnection>& caller,
@@ -269,7 +278,9 @@
     }
     boost::asio::post(context_, [this, rest = std::move(rest)] {
       for (const dispatch::Action& action : rest) {
-        std::visit([this](const auto& each) { Execute(each); }, action);
+        core::RunGuarded("action", log_, [&] {
+          std::visit([this](const auto& each) { Execute(each); }, action);
+        });
       }
     });
   }
@@ -278,7 +289,7 @@
     timer_.expires_after(kSweepInterval);
     timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) {
-        Sweep();
+        core::RunGuarded("sweep", log_, [this] { Sweep(); });
         ArmTimer();
       }
     });
@@ -357,15 +368,20 @@
         {"domain", options.decisions_.domain_},
         {"incarnation", std::to_string(options.decisions_.incarnation_)},
         {"callers", options.callers_address_}}});
-  state.decisions_.Start([&state](std::vector<dispatch::Action> actions) {
-    state.ExecuteAll(std::move(actions));
-  });
+  state.decisions_.Start(
+      [&state](std::vector<dispatch::Action> actions) {
+        state.ExecuteAll(std::move(actions));
+      },
+      state.log_);
   state.ArmTimer();
   return {};
 }
 
 void Gateway::Run() {
-  state_->context_.run();
+  // A handler that throws ends run(), although more work is waiting.
+  while (!core::RunGuarded("network", state_->log_,
+                           [this] { state_->context_.run(); })) {
+  }
   state_->decisions_.Stop();
   state_->peers_.Stop();
   state_->logs_.Add(
--- a/packages/gateway/src/operators.cc
+++ b/packages/gateway/src/operators.cc
@@ -5,6 +5,9 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
+#include "siskindrum/core/guard.h"
+#include "siskindrum/core/json_text.h"
+#include "siskindrum/core/text.h"
 #include "siskindrum/rules/explain.h"
 
 namespace siskindrum::gateway {
@@ -130,7 +133,7 @@
   for (const auto& [id, call] : dispatcher.calls_) {
     dump["requests"].push_back(DumpCall(call, now));
   }
-  return dump.dump(2) + "\n";
+  return core::ToJsonText(std::move(dump), 2) + "\n";
 }
 
 std::string ExplainText(const dispatch::Dispatcher& dispatcher,
@@ -138,9 +141,27 @@
   const core::DecisionRecord* record =
       dispatch::FindDecision(dispatcher, label);
   if (record == nullptr) {
-    return absl::StrCat("Request ", label, " is not known here.\n");
+    return absl::StrCat("Request ", core::ToLine(label),
+                        " is not known here.\n");
   }
   return rules::ExplainDecision(*record);
 }
 
+OperatorPage MakeOperatorPage(
+    const std::string& target,
+    const std::function<std::string(const std::string&)>& write,
+    const std::function<void(core::LogEvent)>& log) {
+  std::string text;
+  const bool written =
+      core::RunGuarded("operator_call", log, [&] { text = write(target); });
+  if (!written) {
+    log({"operator_call_failed", {{"target", target}}});
+    return {500, "the page cannot be written; see the log\n"};
+  }
+  if (text.empty()) {
+    return {404, "expected /metrics, /dump or /explain?request=ID\n"};
+  }
+  return {200, std::move(text)};
+}
+
 }  // namespace siskindrum::gateway
--- a/packages/gateway/src/operators_p.h
+++ b/packages/gateway/src/operators_p.h
@@ -1,6 +1,7 @@
 #ifndef SISKINDRUM_GATEWAY_OPERATORS_P_H_
 #define SISKINDRUM_GATEWAY_OPERATORS_P_H_
 
+#include <functional>
 #include <string>
 
 #include "siskindrum/dispatch/dispatcher.h"
@@ -26,6 +27,20 @@
 std::string ExplainText(const dispatch::Dispatcher& dispatcher,
                         const std::string& label);
 
+// An answer to an operator.
+struct OperatorPage {
+  int status_ = 0;
+  std::string text_;
+};
+
+// Returns the page that `write` writes, or 404 if its text is empty. If it
+// throws, the page is a 500 and the failure is logged. Thread-safe: yes, if
+// `write` and `log` are.
+OperatorPage MakeOperatorPage(
+    const std::string& target,
+    const std::function<std::string(const std::string&)>& write,
+    const std::function<void(core::LogEvent)>& log);
+
 }  // namespace siskindrum::gateway
 
 #endif  // SISKINDRUM_GATEWAY_OPERATORS_P_H_
--- a/packages/gateway/test/gateway_fixture.h
+++ b/packages/gateway/test/gateway_fixture.h
@@ -2,6 +2,7 @@
 #define SISKINDRUM_GATEWAY_TEST_GATEWAY_FIXTURE_H_
 
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
@@ -27,6 +28,9 @@
     if (id == nullptr) {
       return tl::unexpected(std::string("expected an Id"));
     }
+    if (http::FindField(head, "Throw") != nullptr) {
+      throw std::runtime_error("a request that throws");
+    }
     dispatch::CallerCall call;
     call.label_ = *id;
     call.shape_.path_ = head.target_;
--- a/packages/rules/src/explain.cc
+++ b/packages/rules/src/explain.cc
@@ -1,6 +1,7 @@
 #include "siskindrum/rules/explain.h"
 
 #include "absl/strings/str_cat.h"
+#include "siskindrum/core/text.h"
 
 namespace siskindrum::rules {
 
@@ -8,12 +9,14 @@
 
 using core::Rule;
 using core::RuleOutcome;
+using core::ToLine;
 
 std::string DescribeOutcome(const RuleOutcome& outcome) {
   if (outcome.action_ == core::Action::kRefuse) {
     return "the request is refused";
   }
-  std::string text = absl::StrCat("it goes to the servers of ", outcome.pool_);
+  std::string text =
+      absl::StrCat("it goes to the servers of ", ToLine(outcome.pool_));
   if (outcome.first_token_.count() > 0) {
     absl::StrAppend(&text, ", first token within ",
                     outcome.first_token_.count(), " ms");
@@ -38,9 +41,10 @@
 }
 
 std::string DescribeRule(const Rule& rule) {
-  return absl::StrCat("Line ", rule.line_, " decides (\"", rule.comment_,
+  return absl::StrCat("Line ", rule.line_, " decides (\"",
+                      ToLine(rule.comment_),
                       "\"): ", DescribeOutcome(rule.outcome_), ".\n  ",
-                      rule.text_, "\n");
+                      ToLine(rule.text_), "\n");
 }
 
 std::string DescribeServers(const core::DecisionRecord& record) {
@@ -50,25 +54,26 @@
   }
   std::string text;
   if (plain) {
-    text = absl::StrCat("Server ", record.decode_,
+    text = absl::StrCat("Server ", ToLine(record.decode_),
                         " received it: it had the fewest calls in progress");
   } else {
-    text = record.prefill_.empty()
-               ? absl::StrCat("Prefill and answer ran on ", record.decode_,
-                              ", which had the most free places")
-               : absl::StrCat(
-                     "Prefill ran on ", record.prefill_,
-                     ", which would be ready first; the answer came from ",
-                     record.decode_, ", which had the most free places");
+    text =
+        record.prefill_.empty()
+            ? absl::StrCat("Prefill and answer ran on ", ToLine(record.decode_),
+                           ", which had the most free places")
+            : absl::StrCat(
+                  "Prefill ran on ", ToLine(record.prefill_),
+                  ", which would be ready first; the answer came from ",
+                  ToLine(record.decode_), ", which had the most free places");
   }
-  absl::StrAppend(&text, "; counted by entry ", record.home_,
-                  record.cell_.empty() ? "" : " for cell ", record.cell_,
-                  ".\n");
+  absl::StrAppend(&text, "; counted by entry ", ToLine(record.home_),
+                  record.cell_.empty() ? "" : " for cell ",
+                  ToLine(record.cell_), ".\n");
   for (const core::Candidate& candidate : record.candidates_) {
     const bool chosen = candidate.server_ == record.decode_ ||
                         candidate.server_ == record.prefill_;
     absl::StrAppend(&text, "  weighed ", candidate.role_, " ",
-                    candidate.server_, ": ", candidate.note_,
+                    ToLine(candidate.server_), ": ", ToLine(candidate.note_),
                     chosen ? " (chosen)" : "", "\n");
   }
   return text;
@@ -94,10 +99,10 @@
   return absl::StrCat(
       "Request ", core::ToString(record.request_), " of ",
       record.shape_.organisation_.empty() ? "an unnamed organisation"
-                                          : record.shape_.organisation_,
+                                          : ToLine(record.shape_.organisation_),
       " (", record.shape_.prompt_tokens_, " prompt tokens), rules revision ",
       record.configuration_->revision_, ".\n", DescribeRule(*record.rule_),
-      DescribeServers(record), "Outcome: ", record.outcome_, " after ",
+      DescribeServers(record), "Outcome: ", ToLine(record.outcome_), " after ",
       record.attempts_, record.attempts_ == 1 ? " attempt, " : " attempts, ",
       record.total_.count(), " ms.\n");
 }
--- a/packages/telemetry/src/dump.cc
+++ b/packages/telemetry/src/dump.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "siskindrum/core/json_text.h"
+
 namespace siskindrum::telemetry {
 
 namespace {
@@ -136,7 +138,7 @@
       {"pending_cancels", router.cancels_.size()},
       {"retry_budget", router.retry_budget_.tokens_},
   };
-  return dump.dump(2, ' ', false, Json::error_handler_t::replace) + "\n";
+  return core::ToJsonText(std::move(dump), 2) + "\n";
 }
 
 }  // namespace siskindrum::telemetry
--- a/packages/telemetry/src/log.cc
+++ b/packages/telemetry/src/log.cc
@@ -2,8 +2,8 @@
 
 #include <easylogging++.h>
 
-#include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
+#include "siskindrum/core/text.h"
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -12,14 +12,15 @@
 namespace {
 
 bool NeedsQuotes(const std::string& value) {
-  return value.empty() ||
-         value.find_first_of(" \t\r\n\"=\\") != std::string::npos;
+  return value.empty() || value.find_first_of(" \"=\\") != std::string::npos ||
+         core::ToLine(value) != value;
 }
 
 bool IsFailure(const std::string& event) {
   return event == "attempt_failed" || event == "configuration_refused" ||
          event == "process_was_paused" || event == "ring_full" ||
-         event == "hold_swept" || event == "drain_cut";
+         event == "hold_swept" || event == "exception_caught" ||
+         event == "operator_call_failed" || event == "drain_cut";
 }
 
 }  // namespace
@@ -47,7 +48,7 @@
   for (const core::LogField& field : event.fields_) {
     if (NeedsQuotes(field.value_)) {
       absl::StrAppend(&line, " ", field.key_, "=\"",
-                      absl::CEscape(field.value_), "\"");
+                      core::ToQuoted(field.value_), "\"");
     } else {
       absl::StrAppend(&line, " ", field.key_, "=", field.value_);
     }
--- a/packages/telemetry/src/log_writer.cc
+++ b/packages/telemetry/src/log_writer.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <utility>
 
+#include "siskindrum/core/guard.h"
 #include "siskindrum/telemetry/log.h"
 
 namespace siskindrum::telemetry {
@@ -42,7 +43,7 @@
   while (true) {
     const auto event = ring_.Pop(kIdle);
     if (event.has_value()) {
-      WriteEvent(*event);
+      core::RunGuarded("log", WriteEvent, [&event] { WriteEvent(*event); });
       continue;
     }
     ReportDropped();
