--- a/packages/entry/src/core_thread.cc
+++ b/packages/entry/src/core_thread.cc
@@ -2,7 +2,9 @@
 
 #include <memory>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/synchronization/notification.h"
+#include "siskindrum/core/guard.h"
 #include "siskindrum/core/limits.h"
 
 namespace siskindrum::entry {
@@ -62,8 +64,10 @@
   pending->query_ = std::move(query);
   const bool posted = inputs_.Push(
       RouterQuery([pending](const core::Router& router, const core::Now& now) {
+        // The asking thread goes on even if the query throws.
+        const auto notify =
+            absl::MakeCleanup([&pending] { pending->done_.Notify(); });
         pending->query_(router, now);
-        pending->done_.Notify();
       }));
   return posted && pending->done_.WaitForNotificationWithTimeout(kAskLimit);
 }
@@ -84,23 +88,28 @@
 }
 
 void CoreThread::Run() {
+  const auto log = [this](core::LogEvent event) {
+    dispatch_(std::move(event));
+  };
   core::TimePoint next_tick = std::chrono::steady_clock::now();
   while (!stopping_) {
     const core::TimePoint now = std::chrono::steady_clock::now();
     if (now >= next_tick) {
       next_tick = now + core::kRouterTickInterval;
-      Handle(core::Tick{});
+      core::RunGuarded("decision", log, [this] { Handle(core::Tick{}); });
     }
     std::optional<CoreInput> input =
         inputs_.Pop(std::max(core::Nanoseconds(0), next_tick - now));
     if (!input.has_value()) {
       continue;
     }
-    if (const auto* event = std::get_if<core::Event>(&*input)) {
-      Handle(*event);
-    } else {
-      std::get<RouterQuery> (*input)(router_, ReadClocks());
-    }
+    core::RunGuarded("decision", log, [&] {
+      if (const auto* event = std::get_if<core::Event>(&*input)) {
+        Handle(*event);
+      } else {
+        std::get<RouterQuery> (*input)(router_, ReadClocks());
+      }
+    });
   }
 }
 
--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -47,7 +47,8 @@
             {[this](const std::string& bytes) { return OnReceived(bytes); },
              [this](std::uint64_t tag, core::Verdict verdict) {
                OnSendFailed(tag, std::move(verdict));
-             }}),
+             },
+             [this](core::LogEvent event) { logs_.Add(std::move(event)); }}),
         poller_(context_),
         canceller_(context_),
         calls_(context_),
--- a/packages/entry/src/operators.cc
+++ b/packages/entry/src/operators.cc
@@ -1,5 +1,7 @@
 #include "operators_p.h"
 
+#include <optional>
+
 #include "absl/strings/str_cat.h"
 #include "siskindrum/rules/explain.h"
 #include "siskindrum/telemetry/dump.h"
@@ -38,7 +40,7 @@
     const char* content_type,
     const std::function<std::string(const core::Router&, const core::Now&)>&
         write) {
-  auto text = std::make_shared<std::string>();
+  auto text = std::make_shared<std::optional<std::string>>();
   const bool asked = context_.core_.Ask(
       [text, write](const core::Router& router, const core::Now& now) {
         *text = write(router, now);
@@ -48,7 +50,12 @@
     response.set_content("the core did not answer\n", kText);
     return;
   }
-  response.set_content(*text, content_type);
+  if (!text->has_value()) {
+    response.status = 500;
+    response.set_content("the page cannot be written; see the log\n", kText);
+    return;
+  }
+  response.set_content(**text, content_type);
 }
 
 void Operators::Metrics(httplib::Response& response) {
--- a/packages/gateway/src/peer_link.cc
+++ b/packages/gateway/src/peer_link.cc
@@ -28,7 +28,7 @@
           [this](const std::string& bytes) { return OnMessage(bytes); },
           // Failed messages are not resent: the next periodic round of messages
           // replaces them.
-          [](std::uint64_t, const core::Verdict&) {}});
+          [](std::uint64_t, const core::Verdict&) {}, handlers_.log_});
   auto started = node_->Start();
   running_ = started.has_value();
   return started;
--- a/packages/peer/include/siskindrum/peer/node.h
+++ b/packages/peer/include/siskindrum/peer/node.h
@@ -8,6 +8,7 @@
 
 #include <tl/expected.hpp>
 
+#include "siskindrum/core/event.h"
 #include "siskindrum/core/verdict.h"
 
 namespace siskindrum::peer {
@@ -24,6 +25,8 @@
   std::function<bool(std::string bytes)> received_;
   // A message could not be delivered, or may not have been.
   std::function<void(std::uint64_t tag, core::Verdict verdict)> failed_;
+  // Receives the exceptions of the node's thread. Optional.
+  std::function<void(core::LogEvent)> log_ = nullptr;
 };
 
 struct NodeCounters {
--- a/packages/peer/src/connection.cc
+++ b/packages/peer/src/connection.cc
@@ -6,6 +6,7 @@
 #include <cstring>
 
 #include "connection_p.h"
+#include "siskindrum/core/guard.h"
 #include "siskindrum/peer/codec.h"
 
 namespace siskindrum::peer {
@@ -112,8 +113,14 @@
   connection.incoming_.erase(it);
   const bool known =
       incoming.path_good_ && incoming.fleet_good_ && !incoming.too_long_;
-  const bool good = known && connection.shared_->handlers_.received_(
-                                 std::move(incoming.bytes_));
+  bool good = false;
+  if (known) {
+    // The caller is C code, through which no exception may pass.
+    core::RunGuarded("peer_message", connection.shared_->handlers_.log_, [&] {
+      good =
+          connection.shared_->handlers_.received_(std::move(incoming.bytes_));
+    });
+  }
   ++(good ? connection.shared_->counters_.received_
           : connection.shared_->counters_.refused_);
   Answer(connection, frame->hd.stream_id, good);
--- a/packages/peer/src/node.cc
+++ b/packages/peer/src/node.cc
@@ -20,6 +20,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
 #include "connection_p.h"
+#include "siskindrum/core/guard.h"
 
 namespace siskindrum::peer {
 
@@ -269,15 +270,21 @@
     }
   }
 
+  template <class State>
+  static void RunOnce(State& state) {
+    Posted posted;
+    while (TakePosted(state, &posted)) {
+      Dispatch(state, std::move(posted));
+    }
+    PollOnce(state);
+    RemoveBroken(state);
+  }
+
   template <class State>
   static void Run(State& state) {
     while (!state.stopping_ || (Clock() < state.stop_by_ && !IsQuiet(state))) {
-      Posted posted;
-      while (TakePosted(state, &posted)) {
-        Dispatch(state, std::move(posted));
-      }
-      PollOnce(state);
-      RemoveBroken(state);
+      core::RunGuarded("peers", state.handlers_.log_,
+                       [&state] { RunOnce(state); });
     }
     for (Connection& connection : state.connections_) {
       CloseConnection(connection);
