--- a/fuzz/fuzz_platform.cc
+++ b/fuzz/fuzz_platform.cc
@@ -8,6 +8,7 @@
 #include "documents.h"
 #include "settings.h"
 #include "siskindrum/rules/rules.h"
+#include "store_answer.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
@@ -22,6 +23,7 @@
     }
   }
   (void)siskindrum::adapter::ParseServer("i-1", text);
+  (void)siskindrum::adapter::ReadStoreAnswer(text, "items");
   (void)siskindrum::adapter::ParseSettings(text);
   (void)siskindrum::adapter::MakeDialect().read_prefill_(text);
   (void)siskindrum::adapter::MakeDialect().read_reservation_(text);
