Fuzz target for the text that operators read

The build of tools/fuzz.sh, with sanitizers in the libraries, was not run, nor were the 10 minutes by hand.

--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Fuzzes rules, settings, peer frames, backend answers, connections and what the
-# platform's store holds, from the kept corpus.
+# Fuzzes rules, settings, peer frames, backend answers, connections, what the
+# platform's store holds, and the text that operators read, from the kept corpus.
 # Usage: tools/fuzz.sh [SECONDS_EACH]   (--keep as the second word adds what was
 # found to the corpus)
 set -euo pipefail
@@ -8,7 +8,7 @@
 seconds=${1:-15}
 build="$root/build-fuzz"
 work=$(mktemp -d)
-targets=(rules settings peer backend http platform)
+targets=(rules settings peer backend http platform text)
 trap 'rm -rf "$work"' EXIT
 cmake -S "$root" -B "$build" -G Ninja -DSISKINDRUM_FUZZ=ON \
   -DCMAKE_CXX_COMPILER=clang++ >/dev/null
