--- a/packages/dispatch/test/quota_calls_test.cc
+++ b/packages/dispatch/test/quota_calls_test.cc
@@ -59,7 +59,6 @@
   }
   void Calls(std::size_t entry, int count) {
     for (int i = 0; i < count; ++i) {
-      Dispatcher& dispatcher = entries_.at(AddressOf(entry)).dispatcher_;
       Handle(AddressOf(entry), MakeCall(++requests_, now_));
     }
   }
