Quotas: a restarted entry owns its share once no peer holds its loans

A restarted entry now asks its peers to end such loans and owns its share as soon as all have answered and the number of entries has settled. Debt is limited by the quota that was not used meanwhile, so that the bound holds.

--- a/packages/core/include/siskindrum/core/peer_message.h
+++ b/packages/core/include/siskindrum/core/peer_message.h
@@ -206,6 +206,9 @@
   std::uint64_t number_ = 0;  // Of the ask.
   Incarnation to_incarnation_ = 0;
   std::vector<QuotaLoanRow> rows_;
+  // The sender holds no loan of an earlier process of the receiver, and will
+  // take none.
+  bool holds_no_earlier_ = false;
 };
 
 struct QuotaReturnRow {
--- a/packages/dispatch/src/quota_calls.cc
+++ b/packages/dispatch/src/quota_calls.cc
@@ -17,31 +17,44 @@
   return tokens > 0 ? tokens : quota.plain_tokens_;
 }
 
-// Number of entries that share the quotas; zero while it is unknown, or while
-// an earlier process of this entry may have lent its share or owe tokens. Seeds
-// count as entries, since one that starts in a partition hears only a part.
-std::size_t QuotaSharers(const Step& step) {
-  const Dispatcher& dispatcher = step.dispatcher_;
+// Number of entries known. Seeds count as entries, since one that starts in a
+// partition hears only a part.
+std::size_t CountQuotaEntries(const Dispatcher& dispatcher) {
   const Peers& peers = dispatcher.peers_;
+  const auto other_seeds = static_cast<std::size_t>(std::count_if(
+      peers.seeds_.begin(), peers.seeds_.end(), [&peers](const auto& seed) {
+        return seed != peers.membership_.self_.address_;
+      }));
+  return std::max({dispatcher.quota_.entries_, peers.max_entries_seen_,
+                   KnownEntryCount(peers), other_seeds + 1});
+}
+
+// Returns whether peers may still use loans of an earlier process of this
+// entry. No loan outlives its term, and peers that answered have none.
+bool InheritsLoans(const Step& step) {
+  const Dispatcher& dispatcher = step.dispatcher_;
   const core::Nanoseconds inherited = std::max<core::Nanoseconds>(
       std::chrono::duration_cast<core::Nanoseconds>(quota::kLoanTerm *
                                                     quota::kLenderTermFactor),
       dispatcher.options_.quota_bounds_.window_);
-  const bool inherits = dispatcher.options_.restarted_ &&
-                        step.now_ - dispatcher.started_at_ < inherited;
+  return dispatcher.options_.restarted_ &&
+         step.now_ - dispatcher.started_at_ < inherited &&
+         !quota::IsReleased(dispatcher.quota_, CountQuotaEntries(dispatcher));
+}
+
+// Number of entries that share the quotas; zero while it is unknown, or while
+// an earlier process of this entry may have lent its share.
+std::size_t QuotaSharers(const Step& step) {
+  const Dispatcher& dispatcher = step.dispatcher_;
+  const Peers& peers = dispatcher.peers_;
   const bool settled = step.now_ - std::max(peers.entry_count_grew_at_,
                                             dispatcher.started_at_) >=
                        kEntryCountSettleTime;
   if (dispatcher.quota_.entries_ == 0 &&
-      (inherits || (!peers.seeds_.empty() && !settled))) {
+      (InheritsLoans(step) || (!peers.seeds_.empty() && !settled))) {
     return 0;
   }
-  const auto other_seeds = static_cast<std::size_t>(std::count_if(
-      peers.seeds_.begin(), peers.seeds_.end(), [&peers](const auto& seed) {
-        return seed != peers.membership_.self_.address_;
-      }));
-  return std::max({dispatcher.quota_.entries_, peers.max_entries_seen_,
-                   KnownEntryCount(peers), other_seeds + 1});
+  return CountQuotaEntries(dispatcher);
 }
 
 std::vector<std::string> ReachablePeers(const Step& step) {
@@ -69,6 +82,20 @@
   }
 }
 
+// Asks peers to end loans of an earlier process, so that this one owns its
+// share before they run out.
+void AskForRelease(Step& step) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  if (!dispatcher.options_.restarted_ || dispatcher.quota_.entries_ > 0) {
+    return;
+  }
+  for (quota::OutgoingAsk& asked : quota::PlanReleaseAsks(
+           dispatcher.quota_, ReachablePeers(step), step.now_)) {
+    SendToPeer(step, AddressOf(dispatcher, asked.lender_),
+               std::move(asked.ask_));
+  }
+}
+
 void ReturnLoans(Step& step) {
   for (quota::OutgoingReturn& returned :
        quota::PlanReturns(step.dispatcher_.quota_, step.now_)) {
@@ -205,7 +232,8 @@
 void OnQuotaLoan(Step& step,
                  const core::PeerMessage& message,
                  const core::QuotaLoan& loan) {
-  quota::HandleLoan(step.dispatcher_.quota_, message.from_, loan, step.now_);
+  quota::HandleLoan(step.dispatcher_.quota_, message.from_,
+                    message.from_incarnation_, loan, step.now_);
   RetryQuotaWaiting(step);
   AskForLoans(step);
 }
@@ -238,6 +266,7 @@
   }
   quota::SetEntryCount(dispatcher.quota_, entries, step.now_);
   quota::Tick(dispatcher.quota_, step.now_);
+  AskForRelease(step);
   AskForLoans(step);
   ReturnLoans(step);
   RetryQuotaWaiting(step);
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -525,12 +525,14 @@
 }
 
 Json Put(const QuotaLoan& m) {
-  return Json::array({m.number_, m.to_incarnation_, PutRows(m.rows_)});
+  return Json::array(
+      {m.number_, m.to_incarnation_, PutRows(m.rows_), m.holds_no_earlier_});
 }
 void Take(const Json& json, QuotaLoan& m) {
   m.number_ = json.at(0).get<std::uint64_t>();
   m.to_incarnation_ = json.at(1).get<Incarnation>();
   TakeRows(json.at(2), m.rows_);
+  m.holds_no_earlier_ = json.at(3).get<bool>();
 }
 
 Json Put(const QuotaReturnRow& row) {
--- a/packages/quota/include/siskindrum/quota/quota.h
+++ b/packages/quota/include/siskindrum/quota/quota.h
@@ -62,6 +62,7 @@
 // Share borrowed from a peer, usable until `expires_at_`.
 struct LoanTaken {
   std::uint64_t number_ = 0;  // Of this entry's ask.
+  Incarnation lender_incarnation_ = 0;
   std::int64_t share_ppm_ = 0;
   TimePoint expires_at_{};
 };
@@ -143,7 +144,16 @@
 struct QuotaState {
   QuotaOptions options_;
   std::size_t entries_ = 0;  // Zero: not settled.
-  TimePoint base_since_{};   // This entry owns its base share since then.
+  TimePoint started_at_{};   // First call of SetEntryCount.
+  // Time without a base share after a restart. An earlier process may have left
+  // a debt, which the quota that was not used meanwhile makes up for.
+  core::Nanoseconds forgone_{0};
+  // Latest known process of each peer; loans of earlier ones are not taken.
+  std::map<std::string, Incarnation> peer_incarnations_;
+  // Peers that hold no loan of an earlier process of this entry.
+  std::set<std::string> released_by_;
+  TimePoint next_release_ask_at_{};
+  TimePoint base_since_{};  // This entry owns its base share since then.
   std::int64_t base_ppm_ = 0;
   // By hash of the name: the limits, and the accounts in use.
   std::unordered_map<std::uint64_t, core::Quota> quotas_;
@@ -190,7 +200,7 @@
 
 // Sets the number of entries that share each quota. Requires: zero until the
 // number has settled and no loan of an earlier process of this entry can still
-// run; afterwards it never decreases.
+// run, because of its age or IsReleased(); afterwards it never decreases.
 void SetEntryCount(QuotaState& state, std::size_t entries, TimePoint now);
 
 // Charges a request of the organisation. Admits everything of an organisation
@@ -241,6 +251,16 @@
                                   TimePoint now,
                                   std::mt19937_64& random);
 
+// After a restart: asks the peers that may still hold loans of an earlier
+// process of this entry to end them. Repeated until each has answered.
+std::vector<OutgoingAsk> PlanReleaseAsks(QuotaState& state,
+                                         const std::vector<std::string>& peers,
+                                         TimePoint now);
+
+// Returns true when none of `entries` entries holds a loan of an earlier
+// process of this one.
+bool IsReleased(const QuotaState& state, std::size_t entries);
+
 // Returns the loans to give back because they are idle, at most one a call.
 std::vector<OutgoingReturn> PlanReturns(QuotaState& state, TimePoint now);
 
@@ -256,6 +276,7 @@
 // has been taken before or has expired.
 void HandleLoan(QuotaState& state,
                 const std::string& from,
+                Incarnation from_incarnation,
                 const core::QuotaLoan& loan,
                 TimePoint now);
 
--- a/packages/quota/src/account.cc
+++ b/packages/quota/src/account.cc
@@ -129,18 +129,29 @@
          kOvershootInBuckets * bounds.overshoot_ * (window + quota.burst_);
 }
 
-double NeededTokens(const QuotaState& state, double cost) {
-  return std::max(0.0, cost - DebtLimit(state));
+double NeededTokens(const QuotaState& state,
+                    const core::Quota& quota,
+                    double cost) {
+  return std::max(0.0, cost - DebtLimit(state, quota));
 }
 
-double DebtLimit(const QuotaState& state) {
-  // An earlier process may have left a debt of the same size; it lies outside
-  // the window once this one owns its base share.
+double DebtLimit(const QuotaState& state, const core::Quota& quota) {
   if (!HasBase(state)) {
     return 0;
   }
   const auto entries = static_cast<double>(state.entries_);
-  return state.options_.bounds_.slack_ / entries;
+  const double limit = state.options_.bounds_.slack_ / entries;
+  const bool outlasts_window =
+      state.forgone_ >= state.options_.bounds_.window_ ||
+      state.options_.is_first_start_;
+  if (outlasts_window) {
+    return limit;
+  }
+  // An earlier process may have left a debt of the same size within the window.
+  const double forgone = quota.rate_per_second_ * Seconds(state.forgone_) *
+                         static_cast<double>(state.base_ppm_) /
+                         static_cast<double>(kWholePpm);
+  return std::min(limit, forgone);
 }
 
 std::int64_t DemandPpm(const Account& account, TimePoint now) {
@@ -241,6 +252,9 @@
 }
 
 void SetEntryCount(QuotaState& state, std::size_t entries, TimePoint now) {
+  if (state.started_at_ == TimePoint{}) {
+    state.started_at_ = now;
+  }
   if (entries == state.entries_) {
     return;
   }
@@ -253,6 +267,7 @@
       entries == 0 ? 0 : kWholePpm / static_cast<std::int64_t>(entries);
   if (gains_base) {
     state.base_since_ = now;
+    state.forgone_ = now - state.started_at_;
   }
   for (auto& [key, account] : state.accounts_) {
     if (gains_base && state.options_.is_first_start_) {
@@ -276,7 +291,7 @@
   if (is_new) {
     RecordDemand(account->demand_, cost, now);
   }
-  const double needed = NeededTokens(state, cost);
+  const double needed = NeededTokens(state, account->quota_, cost);
   const bool has_quota = HasBase(state) || SharePpm(state, *account, now) > 0;
   if (has_quota && account->tokens_ >= needed) {
     account->tokens_ -= cost;
--- a/packages/quota/src/account_p.h
+++ b/packages/quota/src/account_p.h
@@ -26,7 +26,9 @@
 
 // Tokens that the bucket must hold before a request is admitted: the rest
 // becomes debt. Never below zero, so that each entry owes one request at most.
-double NeededTokens(const QuotaState& state, double cost);
+double NeededTokens(const QuotaState& state,
+                    const core::Quota& quota,
+                    double cost);
 
 // Time at which the bucket holds `needed` tokens, at the share it has now or,
 // without any, once the loans it gave have ended.
@@ -36,7 +38,7 @@
                  TimePoint now);
 
 // Debt that this entry may take on for one organisation.
-double DebtLimit(const QuotaState& state);
+double DebtLimit(const QuotaState& state, const core::Quota& quota);
 
 }  // namespace siskindrum::quota
 
--- a/packages/quota/src/loans.cc
+++ b/packages/quota/src/loans.cc
@@ -76,9 +76,10 @@
 double MissingTokens(const QuotaState& state,
                      const Account& account,
                      TimePoint now) {
-  return account.waiting_ <= 0 ? 0
-                               : NeededTokens(state, account.waiting_) -
-                                     TokensLeft(state, account, now);
+  return account.waiting_ <= 0
+             ? 0
+             : NeededTokens(state, account.quota_, account.waiting_) -
+                   TokensLeft(state, account, now);
 }
 
 // Plans the asks of one moment and kind.
@@ -211,8 +212,8 @@
                    per_ask * static_cast<double>(UnansweredAsks(planner, key));
   core::QuotaAskRow row = MakeRow(planner, account, key);
   // The share that holds the tokens until they are spent.
-  const double held =
-      NeededTokens(state, account.waiting_) / WholeCap(state, account.quota_);
+  const double held = NeededTokens(state, account.quota_, account.waiting_) /
+                      WholeCap(state, account.quota_);
   row.want_ppm_ = ToRowPpm(ScalePpm(kWholePpm, std::min(1.0, held)) + 1 -
                            SharePpm(state, account, planner.now_));
   for (const std::string& peer : planner.peers_) {
@@ -424,6 +425,7 @@
 
 void TakeRow(QuotaState& state,
              const Lender& lender,
+             Incarnation lender_incarnation,
              std::uint64_t number,
              TimePoint sent_at,
              const core::QuotaLoanRow& row,
@@ -444,7 +446,8 @@
   }
   // A loan contains the earlier ones of the same lender.
   if (row.share_ppm_ > 0 && account->taken_[lender].number_ < number) {
-    account->taken_[lender] = {number, row.share_ppm_, expires_at};
+    account->taken_[lender] = {number, lender_incarnation, row.share_ppm_,
+                               expires_at};
   }
   PutTokens(state, *account, row.tokens_milli_, now);
   account->lenders_[lender] = {now, 0};
@@ -472,8 +475,61 @@
   return nullptr;
 }
 
+// Ends the loans of earlier processes of a lender, since its present process
+// does not know of them. Returns false while one must go on because it was lent
+// on.
+bool EndEarlierLoans(QuotaState& state,
+                     const std::string& lender,
+                     Incarnation incarnation,
+                     TimePoint now) {
+  Incarnation& known = state.peer_incarnations_[lender];
+  if (incarnation < known) {
+    return false;
+  }
+  known = incarnation;
+  bool ended = true;
+  for (auto& [key, account] : state.accounts_) {
+    Refresh(state, account, now);
+    const auto is_earlier = [&](const auto& entry) {
+      return entry.first.first == lender &&
+             entry.second.lender_incarnation_ != incarnation;
+    };
+    if (GivenPpm(account) <= state.base_ppm_) {
+      std::erase_if(account.taken_, is_earlier);
+      ApplyCap(state, account, now);
+    } else if (std::any_of(account.taken_.begin(), account.taken_.end(),
+                           is_earlier)) {
+      ended = false;
+    }
+  }
+  return ended;
+}
+
 }  // namespace
 
+std::vector<OutgoingAsk> PlanReleaseAsks(QuotaState& state,
+                                         const std::vector<std::string>& peers,
+                                         TimePoint now) {
+  std::vector<OutgoingAsk> asks;
+  if (now < state.next_release_ask_at_) {
+    return asks;
+  }
+  state.next_release_ask_at_ = now + kAskBackoff;
+  for (const std::string& peer : peers) {
+    if (!state.released_by_.contains(peer)) {
+      const std::uint64_t number = ++state.last_number_;
+      state.pending_[number] = {{peer, LoanKind::kSteady}, now, 0, {}};
+      asks.push_back({peer, {number, Milliseconds(0), {}}});
+      ++state.counters_.asks_sent_;
+    }
+  }
+  return asks;
+}
+
+bool IsReleased(const QuotaState& state, std::size_t entries) {
+  return state.released_by_.size() + 1 >= entries;
+}
+
 bool NeedsLoans(const QuotaState& state, TimePoint now) {
   return !state.urgent_.empty() ||
          (now >= state.next_plan_at_ && !state.active_.empty());
@@ -540,6 +596,7 @@
                           const core::QuotaAsk& ask,
                           TimePoint now) {
   core::QuotaLoan loan{ask.number_, from_incarnation, {}};
+  loan.holds_no_earlier_ = EndEarlierLoans(state, from, from_incarnation, now);
   const std::size_t rows = std::min(ask.rows_.size(), kMaxRows);
   for (std::size_t i = 0; i < rows; ++i) {
     LendRow(state, from, from_incarnation, ask, ask.rows_[i], now, loan);
@@ -549,18 +606,25 @@
 
 void HandleLoan(QuotaState& state,
                 const std::string& from,
+                Incarnation from_incarnation,
                 const core::QuotaLoan& loan,
                 TimePoint now) {
   const auto found = state.pending_.find(loan.number_);
   if (found == state.pending_.end() || found->second.lender_.first != from ||
-      loan.to_incarnation_ != state.options_.incarnation_) {
+      loan.to_incarnation_ != state.options_.incarnation_ ||
+      from_incarnation < state.peer_incarnations_[from]) {
     ++state.counters_.loans_late_;
     return;
   }
+  state.peer_incarnations_[from] = from_incarnation;
+  if (loan.holds_no_earlier_) {
+    state.released_by_.insert(from);
+  }
   PendingAsk pending = state.pending_.extract(found).mapped();
   for (const core::QuotaLoanRow& row : loan.rows_) {
     if (pending.organisations_.erase(row.organisation_) > 0) {
-      TakeRow(state, pending.lender_, loan.number_, pending.sent_at_, row, now);
+      TakeRow(state, pending.lender_, from_incarnation, loan.number_,
+              pending.sent_at_, row, now);
     }
   }
   if (pending.lender_.second == LoanKind::kSteady && !loan.rows_.empty()) {
--- a/packages/quota/test/quota_fleet.h
+++ b/packages/quota/test/quota_fleet.h
@@ -83,7 +83,7 @@
                      now_));
     } else if (const auto* loan =
                    std::get_if<core::QuotaLoan>(&message.body_)) {
-      HandleLoan(state, message.from_, *loan, now_);
+      HandleLoan(state, message.from_, message.from_incarnation_, *loan, now_);
     } else if (const auto* returned =
                    std::get_if<core::QuotaReturn>(&message.body_)) {
       HandleReturn(state, message.from_, message.from_incarnation_, *returned,
