Memory: one byte budget for what an entry holds for requests

Change: packages/memory counts bytes by use against a budget derived from limits.memoryMb, and decides (pure functions) what may be admitted. A body is held once, in blocks, and shared by all attempts. A request that finds no room is refused by its head (503, Retry-After), or as its chunks grow; the rest of it is discarded and the connection stays open. Part of the budget is for small requests, part for requests in progress. Answers that must be buffered, connections, and the kernel's socket buffers are bounded too. A whole answer waits for a slow caller while the caller has time left; pipelined answers that nobody reads stop further requests. Without memoryMb nothing is bounded.

--- a/packages/gateway/include/siskindrum/gateway/gateway.h
+++ b/packages/gateway/include/siskindrum/gateway/gateway.h
@@ -1,6 +1,7 @@
 #ifndef SISKINDRUM_GATEWAY_GATEWAY_H_
 #define SISKINDRUM_GATEWAY_GATEWAY_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -11,6 +12,7 @@
 #include "siskindrum/dispatch/dispatcher.h"
 #include "siskindrum/gateway/dialect.h"
 #include "siskindrum/http/backend_pool.h"
+#include "siskindrum/memory/budget.h"
 
 namespace siskindrum::gateway {
 
@@ -25,6 +27,9 @@
   // Maximum duration of a drain. Shortly before, requests whose answer has not
   // begun are refused or failed; answers still in progress are then aborted.
   core::Milliseconds drain_limit_{7000};
+  // Bytes of memory above which the platform ends this process; zero: unknown,
+  // and what is held for requests is counted but not bounded.
+  std::uint64_t memory_limit_ = 0;
   Dialect dialect_;
 };
 
@@ -55,6 +60,8 @@
   // adapter's own calls.
   boost::asio::io_context& Context();
   http::BackendPool& Pool();
+  // Counts what this process holds for requests. Thread-safe: yes.
+  memory::Budget& MemoryBudget();
 
   // Queues an event for the dispatcher. Thread-safe: yes.
   void Post(dispatch::Event event);
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "siskindrum/dispatch/limits.h"
 #include "siskindrum/http/clock.h"
+#include "siskindrum/memory/decision.h"
 
 namespace siskindrum::gateway {
 
@@ -21,9 +22,6 @@
 constexpr std::size_t kMaxEventBytes = 256 * 1024;
 // Limit of the answer to a reservation or a prefill, which names a handle.
 constexpr std::uint64_t kMaxHandleAnswerBytes = 64 * 1024;
-// Reading from the server is paused while more than this number of bytes waits
-// to be written to the caller.
-constexpr std::size_t kMaxWriteBacklog = 128 * 1024;
 // Time between two reports of the same silence.
 constexpr core::Milliseconds kSilenceReportInterval{100};
 constexpr char kSilenceDetail[] = "timeout: no data from the server";
@@ -60,7 +58,10 @@
       label_(label),
       caller_(std::move(caller)),
       request_(std::move(request)),
-      context_(context) {}
+      request_body_(
+          std::make_shared<const http::Body>(std::move(request_.body_))),
+      context_(context),
+      answer_charge_(context.budget_, memory::Use::kCallerAnswer) {}
 
 std::optional<dispatch::ServerNoticeReceived> ReadNotice(
     const AnswerFields& fields,
@@ -102,13 +103,33 @@
   fields.removes_key_ = start.removes_key_;
   fields.priority_ = start.priority_;
   http::Head head = context_.dialect_.make_server_head_(request_.head_, fields);
-  const bool has_body = !request_.body_.empty() || head.method_ == "POST" ||
+  const bool has_body = request_body_->Size() > 0 || head.method_ == "POST" ||
                         head.method_ == "PUT" || head.method_ == "PATCH";
   if (has_body) {
     head.fields_.push_back(
-        {"Content-Length", std::to_string(request_.body_.size())});
+        {"Content-Length", std::to_string(request_body_->Size())});
   }
-  return http::FormatRequestHead(head) + request_.body_;
+  return http::FormatRequestHead(head);
+}
+
+bool Exchange::HoldAnswer() {
+  const std::size_t stored =
+      stored_error_.has_value() ? stored_error_->body_.size() : 0;
+  const std::uint64_t held =
+      body_.capacity() + events_.partial_.capacity() + stored;
+  const std::uint64_t charged = answer_charge_.Size();
+  if (held > charged &&
+      memory::DecideWholeAnswer(context_.budget_, charged, held - charged) !=
+          memory::Decision::kAdmit) {
+    return false;
+  }
+  answer_charge_.Resize(held);
+  return true;
+}
+
+void Exchange::Finish() {
+  done_ = true;
+  request_body_.reset();
 }
 
 void Exchange::Start(const dispatch::StartAttempt& start) {
@@ -135,6 +156,9 @@
   http::BackendCall call;
   call.address_ = start.address_;
   call.bytes_ = RequestBytes(start);
+  if (start.stage_ != Stage::kReserve) {
+    call.body_ = request_body_;
+  }
   call.head_only_ =
       start.stage_ != Stage::kReserve && request_.head_.method_ == "HEAD";
   call.use_new_connection_ =
@@ -230,16 +254,19 @@
     if (!answer_begun_) {
       BeginAnswer();
     }
-    caller_->RespondData(body_);
-    body_.clear();
+    caller_->RespondData(std::exchange(body_, {}));
+    HoldAnswer();
     ApplyBackpressure();
   } else if (body_.size() > kMaxBodyBytes) {
     FailAttempt(Reason::kBadAnswer, "the body exceeds the size limit");
+  } else if (!HoldAnswer()) {
+    FailAttempt(Reason::kBadAnswer, "no memory is left to buffer the body");
   }
 }
 
 void Exchange::ApplyBackpressure() {
-  if (caller_->WriteBacklog() > kMaxWriteBacklog) {
+  if (memory::DecideAnswerRead(context_.budget_, caller_->WriteBacklog()) ==
+      memory::Decision::kPause) {
     paused_ = true;
     call_.Pause();
   }
@@ -264,6 +291,7 @@
     FailAttempt(Reason::kBadAnswer, "an event exceeds the size limit");
     return;
   }
+  HoldAnswer();
   if (whole.empty()) {
     return;
   }
@@ -384,9 +412,10 @@
     if (!answer_begun_) {
       BeginAnswer();
     }
-    done_ = true;
+    Finish();
     RecordTiming(telemetry::Timing::kRequest);
-    caller_->RespondData(body_);
+    caller_->RespondData(std::exchange(body_, {}));
+    HoldAnswer();
     caller_->RespondEnd();
     Report(AttemptOutcome::kDelivered, RunState::kRan, Reason::kNone, "");
     return;
@@ -400,7 +429,8 @@
     return;
   }
   if (is_error) {
-    stored_error_ = StoredAnswer{*answer_, body_};
+    stored_error_ = StoredAnswer{*answer_, std::exchange(body_, {})};
+    HoldAnswer();
     Report(AttemptOutcome::kServerError, RunState::kRan, Reason::kServerError,
            "");
     return;
@@ -410,10 +440,10 @@
            "the answer does not continue the stream that has begun");
     return;
   }
-  done_ = true;
+  Finish();
   RecordTiming(start_.stage_ == Stage::kPlain ? telemetry::Timing::kPlainCall
                                               : telemetry::Timing::kRequest);
-  caller_->Respond(*answer_, body_);
+  RespondWhole(*answer_, std::move(body_));
   Report(AttemptOutcome::kDelivered, RunState::kRan, Reason::kNone, "");
 }
 
@@ -462,7 +492,7 @@
   if (done_) {
     return;
   }
-  done_ = true;
+  Finish();
   attempt_open_ = false;
   call_.Cancel();
   if (answer_begun_) {
@@ -472,22 +502,28 @@
   caller_->Respond(context_.dialect_.make_refusal_(verdict, label_), "");
 }
 
+// The connection now charges the body, as long as it waits for the caller.
+void Exchange::RespondWhole(const http::Head& head, std::string body) {
+  answer_charge_.Resize(0);
+  caller_->Respond(head, std::move(body));
+}
+
 void Exchange::DeliverStoredError() {
   if (done_) {
     return;
   }
-  done_ = true;
+  Finish();
   attempt_open_ = false;
   call_.Cancel();
   if (answer_begun_) {
     caller_->Abort();
     return;
   }
-  caller_->Respond(stored_error_->head_, stored_error_->body_);
+  RespondWhole(stored_error_->head_, std::move(stored_error_->body_));
 }
 
 void Exchange::Cancel() {
-  done_ = true;
+  Finish();
   attempt_open_ = false;
   call_.Cancel();
 }
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -12,6 +12,7 @@
 #include "siskindrum/gateway/event_splitter.h"
 #include "siskindrum/http/backend_pool.h"
 #include "siskindrum/http/caller_connection.h"
+#include "siskindrum/memory/budget.h"
 #include "siskindrum/telemetry/metrics.h"
 
 namespace siskindrum::gateway {
@@ -39,6 +40,7 @@
   http::BackendPool& pool_;
   telemetry::Metrics& metrics_;
   std::function<void(dispatch::Event)> post_;
+  memory::Budget* budget_ = nullptr;  // Null: nothing is counted.
 };
 
 // One caller's request and its attempts at servers. It executes the
@@ -117,13 +119,21 @@
   // Returns whether an earlier attempt sent the request to this address. A
   // connection kept since then could still bring the answer to that attempt.
   bool SentBefore(const std::string& address) const;
+  // Returns the request without the caller's body.
   std::string RequestBytes(const dispatch::StartAttempt& start) const;
+  // Charges what is buffered of the answer. Returns false when the budget has
+  // no room for it.
+  bool HoldAnswer();
+  void RespondWhole(const http::Head& head, std::string body);
+  // Marks the exchange as done and frees the request's body.
+  void Finish();
   bool IsStreaming() const;
 
   core::RequestId id_;
   std::string label_;
   std::shared_ptr<http::CallerConnection> caller_;
-  http::CallerRequest request_;
+  http::CallerRequest request_;                     // Without the body.
+  std::shared_ptr<const http::Body> request_body_;  // Shared by all attempts.
   ExchangeContext& context_;
   dispatch::StartAttempt start_;
   std::vector<std::string> sent_to_;  // Addresses of all attempts.
@@ -133,6 +143,7 @@
   AnswerFields answer_fields_;
   std::string body_;  // Buffered body of the current attempt.
   EventSplitter events_;
+  memory::Charge answer_charge_;  // For all that is buffered of answers.
   std::optional<StoredAnswer> stored_error_;
   bool answer_begun_ = false;
   bool is_event_stream_ = false;
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -32,6 +32,19 @@
 // are answered and connections close.
 constexpr core::Milliseconds kLastAnswersTime{200};
 
+// Least advice on when to come back after a refusal for lack of memory. Most
+// requests end within it.
+constexpr core::Milliseconds kMemoryRetryAfter{700};
+// The advice of consecutive refusals differs by up to this, so that the callers
+// do not return together.
+constexpr std::uint64_t kMemoryRetrySpreadMs = 600;
+constexpr std::uint64_t kMemoryRetryStepMs = 170;
+// Refusals for lack of memory are logged once in this time.
+constexpr core::Milliseconds kMemoryLogInterval{1000};
+constexpr auto kMemoryUses = static_cast<std::size_t>(memory::Use::kCount);
+// Probes and operators send no bodies worth mentioning.
+constexpr std::uint64_t kMaxOperatorBody = 4 * 1024;
+
 GatewayOptions WithNewIncarnation(GatewayOptions options) {
   options.decisions_.incarnation_ = peer::MakeIncarnation();
   options.decisions_.seed_ = options.decisions_.incarnation_;
@@ -50,7 +63,8 @@
 struct Gateway::State {
   explicit State(const GatewayOptions& options)
       : options_(WithNewIncarnation(options)),
-        pool_(context_),
+        budget_(memory::BudgetFor(options.memory_limit_)),
+        pool_(context_, &budget_),
         decisions_(options_.decisions_),
         logs_(metrics_),
         peers_({options_.decisions_.peers_address_, options_.fleet_},
@@ -58,7 +72,8 @@
                 [this](core::LogEvent event) { logs_.Add(std::move(event)); }}),
         exchange_context_{
             options_.dialect_, pool_, metrics_,
-            [this](dispatch::Event event) { Post(std::move(event)); }},
+            [this](dispatch::Event event) { Post(std::move(event)); },
+            &budget_},
         control_client_(
             {options_.dialect_, pool_, options_.decisions_.name_,
              [this](dispatch::Event event) { Post(std::move(event)); },
@@ -66,9 +81,18 @@
         callers_(context_, CallerHandlers()),
         probes_(context_, ProbeHandlers()),
         operators_(context_, OperatorHandlers()),
-        timer_(context_) {}
+        timer_(context_) {
+    http::CallerLimits limits;
+    limits.budget_ = &budget_;
+    callers_.SetLimits(limits);
+    limits = {};
+    limits.parser_.body_bytes_ = kMaxOperatorBody;
+    probes_.SetLimits(limits);
+    operators_.SetLimits(limits);
+  }
 
   GatewayOptions options_;
+  memory::Budget budget_;  // Outlives all that is charged to it.
   boost::asio::io_context context_{1};
   http::BackendPool pool_;
   telemetry::Metrics metrics_;
@@ -88,6 +112,9 @@
                      core::RequestIdHash>
       by_id_;
   std::uint64_t next_sequence_ = 0;
+  std::uint64_t memory_refusals_ = 0;
+  std::uint64_t logged_memory_refusals_ = 0;
+  core::TimePoint memory_logged_at_{};
   int sweeps_ = 0;
   bool ready_ = false;
   bool draining_ = false;
@@ -107,6 +134,9 @@
                http::CallerRequest request) {
           OnRequest(caller, std::move(request));
         };
+    handlers.on_no_memory_ = [this](const http::Head& head) {
+      return RefuseForMemory(head);
+    };
     handlers.on_disconnect_ = [this](http::CallerConnection& caller) {
       OnCallerGone(caller);
     };
@@ -148,7 +178,7 @@
     decisions_.Read([&](const dispatch::Dispatcher& dispatcher) {
       if (target == "/metrics") {
         text = MetricsText(metrics_, dispatcher, pool_.Counters(),
-                           peers_.Counters());
+                           peers_.Counters(), budget_, memory_refusals_);
       } else if (target == "/dump") {
         text = DumpText(dispatcher, http::MonotonicNow());
       } else if (absl::ConsumePrefix(&label, "/explain?request=")) {
@@ -163,6 +193,40 @@
     }
   }
 
+  // Returns the answer to a request that is not read for lack of memory.
+  http::Head RefuseForMemory(const http::Head& head) {
+    ++memory_refusals_;
+    const auto call = options_.dialect_.read_call_(head);
+    core::Verdict verdict;
+    verdict.reason_ = core::Reason::kOverloaded;
+    verdict.retry_after_ =
+        kMemoryRetryAfter +
+        core::Milliseconds(memory_refusals_ * kMemoryRetryStepMs %
+                           kMemoryRetrySpreadMs);
+    return call.has_value()
+               ? options_.dialect_.make_refusal_(verdict, call->label_)
+               : TextHead(400);
+  }
+
+  void LogMemoryRefusals(core::TimePoint now) {
+    const std::uint64_t count = memory_refusals_ - logged_memory_refusals_;
+    if (count == 0 || now - memory_logged_at_ < kMemoryLogInterval) {
+      return;
+    }
+    logged_memory_refusals_ = memory_refusals_;
+    memory_logged_at_ = now;
+    core::LogEvent log{"memory_short",
+                       {{"refused", std::to_string(count)},
+                        {"limit", std::to_string(budget_.Limit())},
+                        {"used", std::to_string(budget_.Used())}}};
+    for (std::size_t i = 0; i < kMemoryUses; ++i) {
+      const auto use = static_cast<memory::Use>(i);
+      log.fields_.push_back(
+          {memory::ToString(use), std::to_string(budget_.Used(use))});
+    }
+    logs_.Add(std::move(log));
+  }
+
   void OnRequest(const std::shared_ptr<http::CallerConnection>& caller,
                  http::CallerRequest request) {
     by_caller_.erase(caller.get());
@@ -175,6 +239,9 @@
     const core::RequestId id{options_.decisions_.incarnation_,
                              ++next_sequence_};
     dispatch::CallArrived arrived{id, *call, request.arrived_at_};
+    if (call->time_left_.count() > 0) {
+      caller->KeepAnswerUntil(request.arrived_at_ + call->time_left_);
+    }
     auto exchange = std::make_shared<Exchange>(
         id, call->label_, caller, std::move(request), exchange_context_);
     by_caller_[caller.get()] = exchange;
@@ -243,6 +310,7 @@
     limits.parser_.body_bytes_ = change.settings_.body_bytes_;
     limits.head_time_ = change.settings_.head_time_;
     limits.idle_time_ = change.settings_.idle_time_;
+    limits.budget_ = &budget_;
     callers_.SetLimits(limits);
   }
   void Execute(const dispatch::ReadyChanged& changed) {
@@ -301,6 +369,7 @@
       callers_.Sweep(now);
       probes_.Sweep(now);
       operators_.Sweep(now);
+      LogMemoryRefusals(now);
       std::erase_if(by_id_,
                     [](const auto& entry) { return entry.second.expired(); });
     }
@@ -396,6 +465,10 @@
   return state_->pool_;
 }
 
+memory::Budget& Gateway::MemoryBudget() {
+  return state_->budget_;
+}
+
 void Gateway::Post(dispatch::Event event) {
   state_->Post(std::move(event));
 }
--- a/packages/gateway/src/operators.cc
+++ b/packages/gateway/src/operators.cc
@@ -63,14 +63,26 @@
           {"age_ms", AgeMs(now, call.arrived_at_)}};
 }
 
+// Names of the metrics of what is held for each use.
+std::vector<std::string> MemoryNames() {
+  std::vector<std::string> names;
+  for (int i = 0; i < static_cast<int>(memory::Use::kCount); ++i) {
+    names.push_back(absl::StrCat(
+        "memory_", memory::ToString(static_cast<memory::Use>(i)), "_bytes"));
+  }
+  return names;
+}
+
 }  // namespace
 
 std::string MetricsText(const telemetry::Metrics& metrics,
                         const dispatch::Dispatcher& dispatcher,
                         const http::PoolCounters& pool,
-                        const peer::NodeCounters& peers) {
+                        const peer::NodeCounters& peers,
+                        const memory::Budget& budget,
+                        std::uint64_t memory_refusals) {
   const dispatch::DispatchCounters& counters = dispatcher.counters_;
-  return metrics.ToText(std::vector<telemetry::NamedCount>{
+  std::vector<telemetry::NamedCount> counts{
       {"requests_total", counters.arrived_},
       {"delivered_total", counters.delivered_},
       {"server_errors_total", counters.server_errors_},
@@ -103,7 +115,17 @@
       {"peer_messages_failed_total", peers.failed_},
       {"peer_bytes_sent_total", peers.bytes_out_},
       {"peer_bytes_received_total", peers.bytes_in_},
-  });
+      {"memory_refusals_total", memory_refusals},
+      {"memory_budget_bytes", budget.Limit(), telemetry::kGauge},
+      {"memory_peak_bytes", budget.Peak(), telemetry::kGauge},
+  };
+  const std::vector<std::string> names = MemoryNames();
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    counts.push_back({names[i].c_str(),
+                      budget.Used(static_cast<memory::Use>(i)),
+                      telemetry::kGauge});
+  }
+  return metrics.ToText(counts);
 }
 
 std::string DumpText(const dispatch::Dispatcher& dispatcher,
--- a/packages/gateway/src/operators_p.h
+++ b/packages/gateway/src/operators_p.h
@@ -1,10 +1,12 @@
 #ifndef SISKINDRUM_GATEWAY_OPERATORS_P_H_
 #define SISKINDRUM_GATEWAY_OPERATORS_P_H_
 
+#include <cstdint>
 #include <string>
 
 #include "siskindrum/dispatch/dispatcher.h"
 #include "siskindrum/http/backend_pool.h"
+#include "siskindrum/memory/budget.h"
 #include "siskindrum/peer/node.h"
 #include "siskindrum/telemetry/metrics.h"
 
@@ -15,7 +17,9 @@
 std::string MetricsText(const telemetry::Metrics& metrics,
                         const dispatch::Dispatcher& dispatcher,
                         const http::PoolCounters& pool,
-                        const peer::NodeCounters& peers);
+                        const peer::NodeCounters& peers,
+                        const memory::Budget& budget,
+                        std::uint64_t memory_refusals);
 
 // State of the dispatcher as JSON; times are given as ages. Thread-safe: no.
 std::string DumpText(const dispatch::Dispatcher& dispatcher,
--- a/packages/http/include/siskindrum/http/backend_pool.h
+++ b/packages/http/include/siskindrum/http/backend_pool.h
@@ -10,7 +10,9 @@
 #include <boost/asio/io_context.hpp>
 
 #include "siskindrum/core/types.h"
+#include "siskindrum/http/body.h"
 #include "siskindrum/http/message.h"
+#include "siskindrum/memory/budget.h"
 
 namespace siskindrum::http {
 
@@ -51,8 +53,10 @@
 // One request to a server. Callbacks run on the network thread and never after
 // `on_end_` or a cancel.
 struct BackendCall {
-  std::string address_;     // "ip:port".
-  std::string bytes_;       // The complete serialized request.
+  std::string address_;  // "ip:port".
+  std::string bytes_;    // The serialized request, without `body_`.
+  // Written after `bytes_`; null: nothing more. Calls may share it.
+  std::shared_ptr<const Body> body_;
   bool head_only_ = false;  // The answer has no body, as for HEAD.
   // Never reuse an idle connection.
   bool use_new_connection_ = false;
@@ -104,7 +108,10 @@
 // Owned by the network thread; no method is thread-safe.
 class BackendPool {
  public:
-  explicit BackendPool(boost::asio::io_context& context);
+  // `budget` counts what connections hold, and bounds the kernel's buffers if
+  // it has a limit; it may be null. Requires: it outlives the pool.
+  explicit BackendPool(boost::asio::io_context& context,
+                       memory::Budget* budget = nullptr);
   ~BackendPool();
   BackendPool(const BackendPool&) = delete;
   BackendPool& operator=(const BackendPool&) = delete;
--- a/packages/http/include/siskindrum/http/caller_connection.h
+++ b/packages/http/include/siskindrum/http/caller_connection.h
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -14,8 +15,10 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "siskindrum/core/types.h"
+#include "siskindrum/http/body.h"
 #include "siskindrum/http/message.h"
 #include "siskindrum/http/parser.h"
+#include "siskindrum/memory/budget.h"
 
 namespace siskindrum::http {
 
@@ -26,11 +29,13 @@
   core::Milliseconds idle_time_{15000};  // Between requests, or within a body.
   // Limit of unparsed bytes that follow a request in progress.
   std::size_t max_pending_bytes_ = 64 * 1024;
+  // Counts and bounds what connections hold; null: neither.
+  memory::Budget* budget_ = nullptr;
 };
 
 struct CallerRequest {
   Head head_;
-  std::string body_;
+  Body body_;                     // Bears the charge for head and body.
   core::TimePoint arrived_at_{};  // Time when its first byte was parsed.
 };
 
@@ -41,6 +46,9 @@
   // The head of a request was read. Returns the head of a refusal, which is
   // then sent before the rest of the request is read, or nothing. Optional.
   std::function<std::optional<Head>(const Head&)> on_head_;
+  // The budget has no room for the request with this head. Returns the head of
+  // the refusal, sent as above. Required if there is a budget.
+  std::function<Head(const Head&)> on_no_memory_;
   // A complete request was read. Answer it with the Respond functions.
   std::function<void(const std::shared_ptr<CallerConnection>&, CallerRequest)>
       on_request_;
@@ -67,7 +75,7 @@
 
   // Writes a complete answer. Requires: a request is in progress and no part of
   // its answer was written.
-  void Respond(Head head, std::string_view body);
+  void Respond(Head head, std::string body);
 
   // Starts a streamed answer of unknown length. Requires: as for Respond.
   void RespondHead(Head head);
@@ -77,6 +85,10 @@
   // Completes a streamed answer. Requires: RespondHead was called.
   void RespondEnd();
 
+  // Sets the time until which the answer to the request in progress may wait
+  // for the caller to read it. Without a call it waits for the idle time.
+  void KeepAnswerUntil(core::TimePoint until) { answer_until_ = until; }
+
   // Resets the connection so that the caller detects a truncated answer.
   void Abort();
 
@@ -104,7 +116,18 @@
   void FailRequest(ParseError error);
   void RefuseAndClose(Head head);
   void EnterRequest();
-  void RefuseAtHead(Head refusal);
+  void RefuseEarly(Head refusal);
+  bool CanDiscardRest() const;
+  void EndDiscard();
+  void CloseAfterWrites();
+  void OnWritten(std::size_t count);
+  void OnAllWritten();
+  void OnRequestHead();
+  void OnRequestBody(std::string_view data);
+  // Charges more bytes to the request that is being read, or refuses it.
+  void Hold(std::uint64_t more);
+  bool MayQueueAnswer() const;
+  bool IsAnswerUnread(core::TimePoint now) const;
   bool IsCallerGone();
   bool HasUnreadBytes() const;
   void FinishAnswer();
@@ -121,6 +144,9 @@
   std::unique_ptr<MessageParser> parser_;
   CallerRequest request_;
   std::optional<Head> refusal_;  // Of the request that is being read.
+  // The request that is being read was refused; the rest of it is discarded.
+  bool discarding_ = false;
+  std::uint64_t announced_ = 0;  // Content-Length; zero: none.
   std::string pending_;          // Read but not yet parsed.
   std::unique_ptr<char[]> read_buffer_;
   bool reading_ = false;
@@ -133,8 +159,13 @@
   bool draining_ = false;
   bool no_more_requests_ = false;  // Close after the current answer.
   std::deque<std::string> writes_;
+  std::size_t front_written_ = 0;  // Bytes of the first write.
   bool writing_ = false;
   std::size_t backlog_ = 0;
+  memory::Charge connection_charge_;
+  memory::Charge backlog_charge_;
+  core::TimePoint answer_until_{};
+  core::TimePoint last_write_{};  // The caller took bytes, or an answer ended.
   core::TimePoint last_activity_{};
   core::TimePoint request_began_{};
 };
--- a/packages/http/include/siskindrum/http/message.h
+++ b/packages/http/include/siskindrum/http/message.h
@@ -1,6 +1,7 @@
 #ifndef SISKINDRUM_HTTP_MESSAGE_H_
 #define SISKINDRUM_HTTP_MESSAGE_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +30,10 @@
 // valid until `head` changes. Thread-safe: yes, for a constant head.
 const std::string* FindField(const Head& head, std::string_view name);
 
+// Returns the memory that a head takes, roughly. Thread-safe: yes, for a
+// constant head.
+std::size_t HeadBytes(const Head& head);
+
 // Removes all fields of that name. Thread-safe: no.
 void RemoveField(Head& head, std::string_view name);
 
--- a/packages/http/src/backend_connection.cc
+++ b/packages/http/src/backend_connection.cc
@@ -1,5 +1,7 @@
 #include "backend_connection_p.h"
 
+#include <vector>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -22,6 +24,11 @@
 // connection while a request is being sent.
 constexpr core::Milliseconds kKeepAliveMargin{700};
 constexpr std::uint32_t kAnswerHeadBytes = 64 * 1024;
+// The kernel drops a server's connection when sent bytes stay unacknowledged
+// for this long.
+constexpr core::Milliseconds kUnacknowledgedTime{3000};
+// Memory of a connection beside its read buffer.
+constexpr std::size_t kConnectionBytes = 2 * 1024;
 
 using boost::system::error_code;
 
@@ -33,10 +40,14 @@
     : socket_(context),
       address_(address),
       owner_(owner),
-      read_buffer_(std::make_unique<char[]>(kReadBytes)) {}
+      read_buffer_(std::make_unique<char[]>(kReadBytes)),
+      connection_charge_(owner.budget_,
+                         memory::Use::kConnection,
+                         kReadBytes + kConnectionBytes),
+      request_charge_(owner.budget_, memory::Use::kServerRequest) {}
 
 void BackendConnection::Connect(BackendCall call) {
-  call_ = std::move(call);
+  SetCall(std::move(call));
   connect_until_ = MonotonicNow() + call_.connect_timeout_;
   const auto endpoint = ParseEndpoint(address_);
   if (!endpoint.has_value()) {
@@ -55,13 +66,21 @@
                       });
     return;
   }
-  PrepareSocket(socket_);
+  PrepareSocket(socket_, kUnacknowledgedTime);
+  if (owner_.budget_ != nullptr && owner_.budget_->Limit() > 0) {
+    BoundKernelBuffers(socket_);
+  }
   socket_.async_connect(*endpoint,
                         [self = shared_from_this()](const error_code& result) {
                           self->OnConnected(result);
                         });
 }
 
+void BackendConnection::SetCall(BackendCall call) {
+  call_ = std::move(call);
+  request_charge_.Resize(call_.bytes_.size());
+}
+
 void BackendConnection::OnConnected(const error_code& error) {
   if (state_ != State::kConnecting) {
     return;
@@ -84,7 +103,7 @@
     CloseIdle();
     return false;
   }
-  call_ = std::move(call);
+  SetCall(std::move(call));
   ++call_number_;
   paused_ = false;
   sent_ = false;
@@ -119,9 +138,14 @@
 
 void BackendConnection::Write() {
   sent_ = true;
-  boost::asio::async_write(socket_, boost::asio::buffer(call_.bytes_),
-                           [self = shared_from_this()](const error_code& error,
-                                                       std::size_t /*count*/) {
+  std::vector<boost::asio::const_buffer> buffers{
+      boost::asio::buffer(call_.bytes_)};
+  if (call_.body_ != nullptr) {
+    call_.body_->AppendBuffers(buffers);
+  }
+  boost::asio::async_write(socket_, buffers,
+                           [self = shared_from_this(), body = call_.body_](
+                               const error_code& error, std::size_t /*count*/) {
                              // Write errors are handled by the read: the
                              // server may have answered before it stopped
                              // reading.
@@ -264,7 +288,7 @@
   const bool reusable = AllowsKeepAlive(head) && written_ && pending_.empty() &&
                         !ended_by_close && keep_alive.count() > 0;
   const auto on_end = std::move(call_.on_end_);
-  call_ = BackendCall();
+  SetCall(BackendCall());
   const auto self = shared_from_this();
   if (reusable) {
     state_ = State::kIdle;
@@ -282,7 +306,7 @@
   }
   const auto on_end = std::move(call_.on_end_);
   const bool sent = sent_;
-  call_ = BackendCall();
+  SetCall(BackendCall());
   Close();
   on_end({failure, sent, detail, false});
 }
--- a/packages/http/src/backend_connection_p.h
+++ b/packages/http/src/backend_connection_p.h
@@ -18,6 +18,7 @@
   std::function<void(const std::shared_ptr<BackendConnection>&)> on_idle_;
   std::function<void(BackendConnection&)> on_closed_;
   PoolCounters* counters_ = nullptr;
+  memory::Budget* budget_ = nullptr;  // Null: nothing is counted.
 };
 
 // One connection to a server: connects, writes a request and reads its answer.
@@ -50,6 +51,7 @@
  private:
   enum class State { kConnecting, kInCall, kIdle, kClosed, kCount };
 
+  void SetCall(BackendCall call);
   void OnConnected(const boost::system::error_code& error);
   void BeginCall();
   void Write();
@@ -73,6 +75,8 @@
   std::string pending_;
   std::uint64_t answer_bytes_ = 0;  // Received in the current call.
   std::unique_ptr<char[]> read_buffer_;
+  memory::Charge connection_charge_;
+  memory::Charge request_charge_;
   bool reading_ = false;
   bool paused_ = false;
   bool sent_ = false;
--- a/packages/http/src/backend_pool.cc
+++ b/packages/http/src/backend_pool.cc
@@ -105,10 +105,12 @@
   }
 };
 
-BackendPool::BackendPool(boost::asio::io_context& context)
+BackendPool::BackendPool(boost::asio::io_context& context,
+                         memory::Budget* budget)
     : state_(std::make_unique<State>(context)) {
   State* state = state_.get();
   state->owner_.counters_ = &state->counters_;
+  state->owner_.budget_ = budget;
   state->owner_.on_idle_ = [state](const ConnectionPtr& connection) {
     state->idle_[connection->Address()].push_back(connection);
   };
--- a/packages/http/src/caller_connection.cc
+++ b/packages/http/src/caller_connection.cc
@@ -3,9 +3,10 @@
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 
+#include "absl/strings/numbers.h"
 #include "siskindrum/http/clock.h"
+#include "siskindrum/memory/decision.h"
 #include "socket_p.h"
 
 namespace siskindrum::http {
@@ -14,6 +15,17 @@
 
 constexpr std::size_t kReadBytes = 16 * 1024;
 constexpr core::Milliseconds kLingerTime{1000};
+// An answer of which a caller reads nothing for this long is dropped, whatever
+// time the caller has left.
+constexpr core::Milliseconds kMaxUnreadTime{30000};
+// The kernel drops a caller's connection when bytes stay unacknowledged, or its
+// receive window stays closed, for this long. Above the time for which sound
+// callers stop reading.
+constexpr core::Milliseconds kUnacknowledgedTime{15000};
+// Larger bodies are not copied behind the head of their answer.
+constexpr std::size_t kMaxCopiedBody = 4 * 1024;
+// Memory of a connection beside its read buffer.
+constexpr std::size_t kConnectionBytes = 2 * 1024;
 
 using boost::system::error_code;
 
@@ -23,6 +35,12 @@
   return head;
 }
 
+std::uint64_t ContentLength(const Head& head) {
+  const std::string* value = FindField(head, "Content-Length");
+  std::uint64_t length = 0;
+  return value != nullptr && absl::SimpleAtoi(*value, &length) ? length : 0;
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket,
@@ -32,10 +50,17 @@
       limits_(limits),
       handlers_(handlers),
       read_buffer_(std::make_unique<char[]>(kReadBytes)),
+      connection_charge_(limits.budget_,
+                         memory::Use::kConnection,
+                         kReadBytes + kConnectionBytes),
+      backlog_charge_(limits.budget_, memory::Use::kCallerAnswer),
       last_activity_(MonotonicNow()) {}
 
 void CallerConnection::Start() {
-  PrepareSocket(socket_);
+  PrepareSocket(socket_, kUnacknowledgedTime);
+  if (limits_.budget_ != nullptr && limits_.budget_->Limit() > 0) {
+    BoundKernelBuffers(socket_);
+  }
   Read();
 }
 
@@ -86,7 +111,7 @@
     return;
   }
   parsing_ = true;
-  while (state_ == State::kReading && !pending_.empty()) {
+  while (state_ == State::kReading && !pending_.empty() && MayQueueAnswer()) {
     if (parser_ == nullptr) {
       BeginRequest();
     }
@@ -97,12 +122,16 @@
       break;
     }
     if (refusal_.has_value()) {
-      RefuseAtHead(*std::exchange(refusal_, std::nullopt));
+      RefuseEarly(*std::exchange(refusal_, std::nullopt));
       continue;
     }
     if (!parser_->IsDone()) {
       break;
     }
+    if (discarding_) {
+      EndDiscard();
+      continue;
+    }
     if (IsCallerGone()) {
       Close(false);
       break;
@@ -124,17 +153,60 @@
   state_ = State::kInRequest;
   answer_begun_ = false;
   chunked_ = false;
+  answer_until_ = {};
   close_after_answer_ = draining_ || !AllowsKeepAlive(request_.head_);
 }
 
-// Refuses a request by its head. The connection stays open only if the whole
-// request has arrived.
-void CallerConnection::RefuseAtHead(Head refusal) {
+// Returns whether another answer may be queued behind those that the caller has
+// not read yet.
+bool CallerConnection::MayQueueAnswer() const {
+  return memory::DecideAnswerRead(limits_.budget_, backlog_) ==
+         memory::Decision::kAdmit;
+}
+
+// Refuses a request that may not have been read completely. The connection
+// stays open, and the rest of the request is discarded, because many callers
+// read an answer only after they have sent the whole request.
+void CallerConnection::RefuseEarly(Head refusal) {
+  request_.body_ = Body();
   if (parser_->IsDone()) {
     EnterRequest();
     Respond(std::move(refusal), "");
-  } else {
+  } else if (!CanDiscardRest()) {
     RefuseAndClose(std::move(refusal));
+  } else {
+    discarding_ = true;
+    RemoveConnectionFields(refusal);
+    refusal.fields_.push_back({"Content-Length", "0"});
+    Write(FormatResponseHead(refusal));
+  }
+}
+
+// Returns false when it is not certain that the rest of the request will come.
+bool CallerConnection::CanDiscardRest() const {
+  const Head& head = parser_->GetHead();
+  return KeepsOpen() && AllowsKeepAlive(head) &&
+         FindField(head, "Expect") == nullptr;
+}
+
+// Makes the connection ready for the next request after a refused one.
+void CallerConnection::EndDiscard() {
+  discarding_ = false;
+  parser_.reset();
+  if (no_more_requests_) {
+    CloseAfterWrites();
+  }
+}
+
+// Closes the connection in an orderly way once all answers are written.
+void CallerConnection::CloseAfterWrites() {
+  state_ = State::kLingering;
+  discarding_ = false;
+  parser_.reset();
+  pending_.clear();
+  last_activity_ = MonotonicNow();
+  if (!writing_) {
+    Linger();
   }
 }
 
@@ -143,26 +215,51 @@
   refusal_.reset();
   request_.arrived_at_ = MonotonicNow();
   request_began_ = request_.arrived_at_;
+  request_.body_ =
+      Body(memory::Charge(limits_.budget_, memory::Use::kCallerRequest));
   ParserSink sink;
-  sink.on_head_ = [this] {
-    if (handlers_.on_head_) {
-      refusal_ = handlers_.on_head_(parser_->GetHead());
-    }
-    if (!refusal_.has_value() &&
-        HasListToken(parser_->GetHead(), "Expect", "100-continue")) {
-      Write("HTTP/1.1 100 Continue\r\n\r\n");
-    }
-  };
-  sink.on_body_ = [this](std::string_view data) {
-    if (refusal_.has_value()) {
-      return;
-    }
-    request_.body_.append(data);
-  };
+  sink.on_head_ = [this] { OnRequestHead(); };
+  sink.on_body_ = [this](std::string_view data) { OnRequestBody(data); };
   parser_ = std::make_unique<MessageParser>(MessageParser::Kind::kRequest,
                                             limits_.parser_, std::move(sink));
 }
 
+void CallerConnection::OnRequestHead() {
+  const Head& head = parser_->GetHead();
+  if (handlers_.on_head_) {
+    refusal_ = handlers_.on_head_(head);
+  }
+  announced_ = ContentLength(head);
+  if (!refusal_.has_value()) {
+    Hold(HeadBytes(head) + announced_);
+  }
+  if (!refusal_.has_value() && HasListToken(head, "Expect", "100-continue")) {
+    Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void CallerConnection::OnRequestBody(std::string_view data) {
+  if (refusal_.has_value() || discarding_) {
+    return;
+  }
+  if (announced_ == 0) {
+    Hold(data.size());
+  }
+  if (!refusal_.has_value()) {
+    request_.body_.Append(data, announced_);
+  }
+}
+
+void CallerConnection::Hold(std::uint64_t more) {
+  memory::Charge& charge = request_.body_.Charge();
+  if (memory::DecideRequest(limits_.budget_, charge.Size(), more) ==
+      memory::Decision::kAdmit) {
+    charge.Resize(charge.Size() + more);
+  } else {
+    refusal_ = handlers_.on_no_memory_(parser_->GetHead());
+  }
+}
+
 // Returns whether the caller has already disconnected. After a pause of this
 // process, a request and the end of its connection may be read together.
 bool CallerConnection::IsCallerGone() {
@@ -188,7 +285,9 @@
 }
 
 void CallerConnection::FailRequest(ParseError error) {
-  if (error == ParseError::kHeadTooLarge) {
+  if (discarding_) {
+    CloseAfterWrites();
+  } else if (error == ParseError::kHeadTooLarge) {
     RefuseAndClose(StatusHead(431));
   } else if (error == ParseError::kBodyTooLarge) {
     RefuseAndClose(StatusHead(413));
@@ -204,6 +303,7 @@
   head.fields_.push_back({"Connection", "close"});
   answer_begun_ = true;
   parser_.reset();
+  request_.body_ = Body();
   pending_.clear();
   state_ = State::kLingering;
   last_activity_ = MonotonicNow();
@@ -214,7 +314,7 @@
   return !close_after_answer_ && !draining_;
 }
 
-void CallerConnection::Respond(Head head, std::string_view body) {
+void CallerConnection::Respond(Head head, std::string body) {
   if (state_ != State::kInRequest) {
     return;
   }
@@ -229,10 +329,17 @@
     head.fields_.push_back({"Connection", "close"});
   }
   std::string text = FormatResponseHead(head);
-  if (allows_body) {
+  if (!allows_body) {
+    body.clear();
+  }
+  if (body.size() <= kMaxCopiedBody) {
     text.append(body);
+    body.clear();
   }
   Write(std::move(text));
+  if (!body.empty()) {
+    Write(std::move(body));
+  }
   FinishAnswer();
 }
 
@@ -273,12 +380,12 @@
 
 void CallerConnection::FinishAnswer() {
   last_activity_ = MonotonicNow();
+  last_write_ = last_activity_;
+  if (answer_until_ == core::TimePoint{}) {
+    answer_until_ = last_activity_ + limits_.idle_time_;
+  }
   if (close_after_answer_ || no_more_requests_) {
-    state_ = State::kLingering;
-    pending_.clear();
-    if (!writing_) {
-      Linger();
-    }
+    CloseAfterWrites();
     return;
   }
   state_ = State::kReading;
@@ -291,6 +398,7 @@
     return;
   }
   backlog_ += data.size();
+  backlog_charge_.Resize(backlog_);
   writes_.push_back(std::move(data));
   WriteNext();
 }
@@ -300,29 +408,48 @@
     return;
   }
   if (writes_.empty()) {
-    if (state_ == State::kLingering) {
-      Linger();
-    } else if (state_ == State::kInRequest && answer_begun_) {
-      handlers_.on_writable_(*this);
-    }
+    OnAllWritten();
     return;
   }
   writing_ = true;
-  boost::asio::async_write(socket_, boost::asio::buffer(writes_.front()),
-                           [self = shared_from_this()](const error_code& error,
-                                                       std::size_t /*count*/) {
-                             self->writing_ = false;
-                             if (self->state_ == State::kClosed) {
-                               return;
-                             }
-                             if (error) {
-                               self->OnReadEnd();
-                               return;
-                             }
-                             self->backlog_ -= self->writes_.front().size();
-                             self->writes_.pop_front();
-                             self->WriteNext();
-                           });
+  const auto rest = boost::asio::buffer(writes_.front()) + front_written_;
+  socket_.async_write_some(
+      rest,
+      [self = shared_from_this()](const error_code& error, std::size_t count) {
+        self->writing_ = false;
+        if (self->state_ == State::kClosed) {
+          return;
+        }
+        if (error) {
+          self->OnReadEnd();
+          return;
+        }
+        self->OnWritten(count);
+        self->WriteNext();
+      });
+}
+
+void CallerConnection::OnWritten(std::size_t count) {
+  last_write_ = MonotonicNow();
+  backlog_ -= count;
+  backlog_charge_.Resize(backlog_);
+  front_written_ += count;
+  if (front_written_ == writes_.front().size()) {
+    writes_.pop_front();
+    front_written_ = 0;
+  }
+}
+
+void CallerConnection::OnAllWritten() {
+  if (state_ == State::kLingering) {
+    Linger();
+  } else if (state_ == State::kInRequest && answer_begun_) {
+    handlers_.on_writable_(*this);
+  } else if (state_ == State::kReading && !parsing_) {
+    last_activity_ = MonotonicNow();
+    ParsePending();
+    Read();
+  }
 }
 
 // Lingering close: shuts down sending and waits for the caller to close.
@@ -354,18 +481,22 @@
   no_more_requests_ = no_more_requests_ || close_idle;
   const bool idle = state_ == State::kReading && parser_ == nullptr;
   if (idle && close_idle && !HasUnreadBytes()) {
-    state_ = State::kLingering;
-    Linger();
+    CloseAfterWrites();
   }
 }
 
 void CallerConnection::Sweep(core::TimePoint now) {
-  if (state_ == State::kLingering) {
-    if (now - last_activity_ > kLingerTime) {
-      Close(backlog_ > 0);
+  const bool is_answered =
+      state_ == State::kLingering || state_ == State::kReading;
+  if (is_answered && backlog_ > 0) {
+    if (IsAnswerUnread(now)) {
+      Close(true);
     }
     return;
   }
+  if (state_ == State::kLingering && now - last_activity_ > kLingerTime) {
+    Close(false);
+  }
   if (state_ != State::kReading) {
     return;
   }
@@ -375,12 +506,19 @@
   if (!expired || HasUnreadBytes()) {
     return;
   }
-  if (parser_ != nullptr) {
+  if (parser_ != nullptr && !discarding_) {
     RefuseAndClose(StatusHead(408));
   } else {
-    state_ = State::kLingering;
-    Linger();
+    CloseAfterWrites();
   }
 }
 
+// Returns whether the caller has stopped reading complete answers and has no
+// time left to read on.
+bool CallerConnection::IsAnswerUnread(core::TimePoint now) const {
+  const core::Nanoseconds unread = now - last_write_;
+  return unread > kMaxUnreadTime ||
+         (unread > kLingerTime && now > answer_until_);
+}
+
 }  // namespace siskindrum::http
--- a/packages/http/src/message.cc
+++ b/packages/http/src/message.cc
@@ -48,6 +48,15 @@
   return nullptr;
 }
 
+std::size_t HeadBytes(const Head& head) {
+  std::size_t bytes = sizeof head + head.method_.size() + head.target_.size() +
+                      head.reason_.size();
+  for (const Field& field : head.fields_) {
+    bytes += sizeof field + field.name_.size() + field.value_.size();
+  }
+  return bytes;
+}
+
 void RemoveField(Head& head, std::string_view name) {
   std::erase_if(head.fields_, [name](const Field& field) {
     return EqualsCaseInsensitive(field.name_, name);
--- a/packages/http/test/caller_connection_test.cc
+++ b/packages/http/test/caller_connection_test.cc
@@ -12,6 +12,7 @@
 #include "loopback.h"
 #include "siskindrum/http/caller_connection.h"
 #include "siskindrum/http/clock.h"
+#include "siskindrum/memory/budget.h"
 
 namespace siskindrum::http {
 namespace {
@@ -71,7 +72,7 @@
       caller->Abort();
       return;
     }
-    caller->Respond(head, request.body_);
+    caller->Respond(head, request.body_.ToString());
   }
   void Accept() {
     acceptor_.async_accept([this](const auto& error, tcp::socket socket) {
@@ -258,6 +259,163 @@
   BOOST_TEST(answer.ends_with("\r\n\r\n"));
 }
 
+// With a budget, of which another holder can take nearly all.
+struct BudgetFixture : CallerFixture {
+  BudgetFixture() {
+    limits_.parser_.body_bytes_ = kLongBody;
+    limits_.idle_time_ = core::Milliseconds(3000);
+    limits_.budget_ = &budget_;
+    handlers_.on_no_memory_ = [](const Head&) {
+      Head head;
+      head.status_ = 503;
+      head.fields_ = {{"Retry-After", "1"}};
+      return head;
+    };
+  }
+  static std::string Post(const std::string& framing) {
+    return "POST /1 HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n\r\n";
+  }
+  // Reads one answer without a body.
+  static std::string ReadHead(test::Peer& peer) {
+    return peer.ReadUntil("\r\n\r\n");
+  }
+  void AwaitEmptyBudget() const {
+    for (int i = 0; i < test::kWaitMs && budget_.Used() > 0; ++i) {
+      std::this_thread::sleep_for(core::Milliseconds(1));
+    }
+  }
+
+  static constexpr std::size_t kLongBody = 1024 * 1024;
+  memory::Budget budget_{kLongBody};
+};
+
+// The body must not be waited for, and the kept connection must not be lost.
+BOOST_FIXTURE_TEST_CASE(Request_WhenItsBodyFindsNoRoom_IsRefusedUnread,
+                        BudgetFixture) {
+  test::Peer peer = Connect();
+  peer.Send(Post("Content-Length: " + std::to_string(kLongBody)));
+  BOOST_TEST(ReadHead(peer).starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(requests_ == 0);
+  peer.Send(std::string(kLongBody, 'x') + Post("Content-Length: 2") + "ab");
+  BOOST_TEST(peer.ReadUntil("ab").starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(requests_ == 1);
+  peer.Close();
+  AwaitEmptyBudget();
+  BOOST_TEST(budget_.Used() == 0);
+}
+
+// Chunks announce no length, so that only their growth shows their size.
+BOOST_FIXTURE_TEST_CASE(Request_WhenItsChunksFindNoRoom_IsRefused,
+                        BudgetFixture) {
+  test::Peer peer = Connect();
+  const std::string chunk = FormatChunk(std::string(kLongBody * 3 / 4, 'x'));
+  peer.Send(Post("Transfer-Encoding: chunked") + chunk);
+  BOOST_TEST(ReadHead(peer).starts_with("HTTP/1.1 503 "));
+  peer.Send(std::string(kLastChunk) + Post("Content-Length: 2") + "ab");
+  BOOST_TEST(peer.ReadUntil("ab").starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(requests_ == 1);
+}
+
+// A caller that waits for 100 (Continue) sends no body after a refusal, so the
+// next request could be taken for the body.
+BOOST_FIXTURE_TEST_CASE(Refusal_WhenTheBodyMayNotCome_ClosesTheConnection,
+                        BudgetFixture) {
+  const std::string answer = Ask(Post(
+      "Expect: 100-continue\r\nContent-Length: " + std::to_string(kLongBody)));
+  BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(Request_WhenOnlySmallOnesFindRoom_IsServedIfSmall,
+                        BudgetFixture) {
+  const memory::Charge others(&budget_, memory::Use::kCallerRequest,
+                              kLongBody * 7 / 10);
+  test::Peer peer = Connect();
+  peer.Send(Post("Content-Length: 2") + "ab");
+  BOOST_TEST(peer.ReadUntil("ab").starts_with("HTTP/1.1 200 "));
+  peer.Send(Post("Content-Length: 70000"));
+  BOOST_TEST(ReadHead(peer).starts_with("HTTP/1.1 503 "));
+}
+
+// A caller that sends requests without reading the answers must not make this
+// process hold all of them.
+BOOST_FIXTURE_TEST_CASE(Answers_WhenPipelinedAndUnread_AreBounded,
+                        BudgetFixture) {
+  constexpr int kRequests = 400;
+  constexpr std::size_t kBody = 60 * 1024;
+  test::Peer peer = Connect();
+  std::thread sender([&peer] {
+    const std::string request =
+        Post("Content-Length: " + std::to_string(kBody)) +
+        std::string(kBody, 'x');
+    for (int i = 0; i < kRequests; ++i) {
+      peer.Send(request);
+    }
+  });
+  std::this_thread::sleep_for(core::Milliseconds(500));
+  BOOST_TEST(requests_ < kRequests);
+  BOOST_TEST(budget_.Peak() < kLongBody);
+  std::size_t size = 0;
+  while (size < kRequests * kBody) {
+    const std::string text = peer.ReadSome();
+    BOOST_REQUIRE(!text.empty());
+    size += text.size();
+  }
+  sender.join();
+  BOOST_TEST(requests_ == kRequests);
+}
+
+// A whole answer that waits for a slow caller, on a connection that is closed
+// after it and on one that is kept. The caller's own time is set by KeepUntil.
+struct UnreadFixture : CallerFixture {
+  UnreadFixture() {
+    handlers_.on_request_ = [this](
+                                const std::shared_ptr<CallerConnection>& caller,
+                                const CallerRequest&) {
+      ++requests_;
+      caller->KeepAnswerUntil(MonotonicNow() + time_left_);
+      Head head;
+      head.status_ = 200;
+      caller->Respond(head, std::string(kBody, 'x'));
+    };
+  }
+  // Asks, waits without reading, and returns how many bytes then arrive.
+  std::size_t AskAndWait(const std::string& field, core::Milliseconds pause) {
+    test::Peer peer = Connect();
+    peer.Send("GET / HTTP/1.1\r\nHost: h\r\n" + field + "\r\n");
+    std::this_thread::sleep_for(pause);
+    std::size_t size = 0;
+    while (size < kBody) {
+      const std::string text = peer.ReadSome();
+      if (text.empty()) {
+        break;
+      }
+      size += text.size();
+    }
+    return size;
+  }
+
+  // More than the kernel's buffers take.
+  static constexpr std::size_t kBody = 16 * 1024 * 1024;
+  core::Milliseconds time_left_{5000};
+};
+
+BOOST_FIXTURE_TEST_CASE(Answer_WhenUnreadForTwoSeconds_IsDeliveredWhole,
+                        UnreadFixture) {
+  BOOST_TEST(AskAndWait("Connection: close\r\n", core::Milliseconds(2000)) >=
+             kBody);
+  BOOST_TEST(AskAndWait("", core::Milliseconds(2000)) >= kBody);
+}
+
+// Held answers are memory, so they go when nobody can use them any more.
+BOOST_FIXTURE_TEST_CASE(Answer_WhenUnreadPastTheCallersTime_IsDropped,
+                        UnreadFixture) {
+  time_left_ = core::Milliseconds(500);
+  BOOST_TEST(AskAndWait("Connection: close\r\n", core::Milliseconds(2500)) <
+             kBody);
+  BOOST_TEST(AskAndWait("", core::Milliseconds(2500)) < kBody);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/telemetry/include/siskindrum/telemetry/metrics.h
+++ b/packages/telemetry/include/siskindrum/telemetry/metrics.h
@@ -31,10 +31,15 @@
   kCount
 };
 
-// A counter that its owner keeps.
+// Types of metrics in the text format.
+inline constexpr char kCounter[] = "counter";
+inline constexpr char kGauge[] = "gauge";
+
+// A counter or gauge that its owner keeps.
 struct NamedCount {
   const char* name_ = "";  // Without the prefix "siskindrum_".
   std::uint64_t value_ = 0;
+  const char* type_ = kCounter;
 };
 
 // Histograms and counters of one process.
--- a/packages/telemetry/src/metrics.cc
+++ b/packages/telemetry/src/metrics.cc
@@ -67,9 +67,9 @@
                   name, "_count ", total, "\n");
 }
 
-void AppendCounter(std::string& text, const char* name, std::uint64_t value) {
-  absl::StrAppend(&text, "# TYPE siskindrum_", name, " counter\nsiskindrum_",
-                  name, " ", value, "\n");
+void AppendCount(std::string& text, const NamedCount& count) {
+  absl::StrAppend(&text, "# TYPE siskindrum_", count.name_, " ", count.type_,
+                  "\nsiskindrum_", count.name_, " ", count.value_, "\n");
 }
 
 std::vector<NamedCount> CountsOf(const core::RouterCounters& counters) {
@@ -131,10 +131,10 @@
     AppendHistogram(text, NameOf(i), state_->series_[i]);
   }
   for (std::size_t i = 0; i < kCounters; ++i) {
-    AppendCounter(text, NameOfCounter(i), state_->counters_[i]);
+    AppendCount(text, {NameOfCounter(i), state_->counters_[i]});
   }
   for (const NamedCount& count : counters) {
-    AppendCounter(text, count.name_, count.value_);
+    AppendCount(text, count);
   }
   return text;
 }
