Slow readers: only their own stream ends; bytes at one server are bounded

Cause: a stream that a server cut off because its caller read nothing counted as a failure of the server and as a crash suspicion, and was repeated elsewhere. Requests were placed by number, whatever their size.

Change: an attempt that fails after a pause of a second or more is reported with caller_was_slow_ and ends that stream alone. dispatch counts the bytes of requests at each server and places no more there than its slots times the largest body allowed. The rest of a refused body is dropped in the kernel instead of being copied and parsed.

--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -42,6 +42,7 @@
   std::string server_;
   TimePoint sent_at_{};
   bool silence_recorded_ = false;      // The server was found silent.
+  std::uint64_t counted_bytes_ = 0;    // In `request_bytes_` of `server_`.
   std::uint32_t counted_prefill_ = 0;  // Tokens counted at `server_`.
   double expected_prefill_ms_ = 0;     // Of the prefill at `prefill_server_`.
   std::string prefill_server_;         // Of the last prefill; empty: none.
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -39,6 +39,7 @@
   std::string label_;  // The caller's id, for logs and decision records.
   Milliseconds time_left_{0};        // Until the caller's deadline; zero: none.
   std::uint32_t answer_tokens_ = 0;  // Expected; zero: unknown.
+  std::uint64_t request_bytes_ = 0;  // Size of its body.
   std::uint64_t prompt_ = 0;         // Identity of the prompt; zero: unknown.
   // Parts of the prompt that other requests may share.
   core::PromptParts shared_parts_;
@@ -126,6 +127,9 @@
   bool ended_by_close_ = false;
   // Another attempt can complete the answer without repeating any part of it.
   bool can_resume_ = true;
+  // The server cut off an answer that the caller did not read for a while,
+  // which is no sign of trouble at the server.
+  bool caller_was_slow_ = false;
   // Longest time between two events of the whole answer so far, including
   // earlier attempts.
   Milliseconds longest_gap_{0};
--- a/packages/dispatch/include/siskindrum/dispatch/placement.h
+++ b/packages/dispatch/include/siskindrum/dispatch/placement.h
@@ -14,7 +14,10 @@
   std::string pool_;
   std::string domain_;  // Failure domain of this entry; preferred.
   std::uint32_t prompt_tokens_ = 0;
-  std::uint32_t answer_tokens_ = 0;                    // Expected length.
+  std::uint32_t answer_tokens_ = 0;  // Expected length.
+  std::uint64_t request_bytes_ = 0;  // Of its body.
+  // Largest body that callers may send; zero: unknown.
+  std::uint64_t max_request_bytes_ = 0;
   const core::PoolSettings* pool_settings_ = nullptr;  // May be null.
   std::vector<std::string> avoid_;  // Servers that failed this request.
   std::uint64_t draw_ = 0;          // Random seed for breaking near ties.
@@ -62,6 +65,19 @@
                            core::ServerRole role,
                            TimePoint now);
 
+// Returns whether the server may be sent the request's body beside those of
+// this entry that it still holds. A server process ends when they exceed its
+// memory. It is taken to have room for as many of the largest bodies as it has
+// slots; one request alone always fits. Thread-safe: no.
+bool HasRequestRoom(const ServerState& server, const PlacementRequest& request);
+
+// Returns whether only the lack of such room keeps a server of the pool with
+// this role from accepting the request. Thread-safe: no.
+bool LacksOnlyRequestRoom(const ServerPool& pool,
+                          const PlacementRequest& request,
+                          core::ServerRole role,
+                          TimePoint now);
+
 // Estimates the time of a prefill on this server in milliseconds, including the
 // prefills of this entry already queued there and the recent delay caused by
 // those of other entries. Thread-safe: no.
--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -43,9 +43,11 @@
 struct ServerState {
   core::ServerInfo info_;
   Listing listing_ = Listing::kListed;
-  TimePoint changed_at_{};            // Last change of `listing_`.
-  bool misdirected_ = false;          // Another server answers at this address.
-  std::uint32_t calls_ = 0;           // In progress, sent by this entry.
+  TimePoint changed_at_{};    // Last change of `listing_`.
+  bool misdirected_ = false;  // Another server answers at this address.
+  std::uint32_t calls_ = 0;   // In progress, sent by this entry.
+  // Bytes of those calls' bodies.
+  std::uint64_t request_bytes_ = 0;
   std::uint32_t prefill_tokens_ = 0;  // Of this entry, not yet prefilled.
   std::uint32_t held_tokens_ = 0;  // Held by this entry's answers in progress.
   std::uint32_t peer_held_tokens_ = 0;  // By other entries, as reported.
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -205,6 +205,8 @@
   request.answer_tokens_ = AnswerTokensToReserve(step, call);
   request.pool_settings_ =
       core::FindPool(call.configuration_->rules_, call.pool_);
+  request.request_bytes_ = call.call_.request_bytes_;
+  request.max_request_bytes_ = call.configuration_->rules_.callers_.body_bytes_;
   request.avoid_ = call.avoid_;
   request.draw_ = call.draw_;
   return request;
@@ -222,7 +224,10 @@
   ServerState* server = FindServer(step.dispatcher_.pool_, call.server_);
   if (server != nullptr) {
     RecordCallEnd(*server);
+    server->request_bytes_ -=
+        std::min(server->request_bytes_, call.counted_bytes_);
   }
+  call.counted_bytes_ = 0;
   ReleasePrefill(server, call);
   call.server_.clear();
 }
@@ -302,6 +307,17 @@
       absl::StrCat(core::ToString(reason), detail.empty() ? "" : ": ", detail));
 }
 
+void CutSlowCaller(Step& step, ActiveCall& call, const AttemptDone& event) {
+  ServerState* server = FindServer(step.dispatcher_.pool_, call.server_);
+  if (server != nullptr) {
+    RecordResponse(*server);
+  }
+  call.run_state_ = RunState::kRan;
+  call.longest_gap_ = event.longest_gap_;
+  FailCall(step, call, event.reason_,
+           absl::StrCat("the caller did not read: ", event.detail_));
+}
+
 std::size_t RepeatSharers(const Step& step) {
   const Dispatcher& dispatcher = step.dispatcher_;
   const Peers& peers = dispatcher.peers_;
@@ -381,6 +397,9 @@
   call.silence_recorded_ = false;
   RecordChoice(step, call);
   RecordCallStart(server, step.now_);
+  call.counted_bytes_ =
+      stage == Stage::kReserve ? 0 : call.call_.request_bytes_;
+  server.request_bytes_ += call.counted_bytes_;
   StartAttempt start;
   start.request_ = call.id_;
   start.attempt_ = call.attempt_;
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -42,6 +42,9 @@
               ActiveCall& call,
               core::Reason reason,
               const std::string& detail);
+// Ends a request whose caller did not read its answer until the server cut it
+// off. Neither the server nor the repeat budget is charged. Destroys `call`.
+void CutSlowCaller(Step& step, ActiveCall& call, const AttemptDone& event);
 // Ends a request that needs no refusal; destroys `call`.
 void EndCall(Step& step, ActiveCall& call, const std::string& outcome);
 // Takes one repeat from the budget for the request's next send, unless it has
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -300,6 +300,10 @@
   Dispatcher& dispatcher = step.dispatcher_;
   const std::string name = call.server_;
   ServerState* server = FindServer(dispatcher.pool_, name);
+  if (event.caller_was_slow_) {
+    CutSlowCaller(step, call, event);
+    return;
+  }
   RecordCrashSuspect(step, call, event);
   if (server != nullptr && event.connection_lost_) {
     server->connection_lost_at_ = step.now_;
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -185,6 +185,7 @@
         role == core::ServerRole::kPrefill && server.role_change_until_ > now;
     if (!FitsRole(server, role) || changing_role ||
         server.info_.service_ != request.pool_ ||
+        !HasRequestRoom(server, request) ||
         !AcceptsNewWork(pool, server, now)) {
       continue;
     }
@@ -214,6 +215,30 @@
   return earliest;
 }
 
+bool HasRequestRoom(const ServerState& server,
+                    const PlacementRequest& request) {
+  if (request.max_request_bytes_ == 0 || server.request_bytes_ == 0) {
+    return true;
+  }
+  const std::uint64_t slots =
+      server.info_.slots_ > 0 ? server.info_.slots_ : kDefaultPlainSlots;
+  return server.request_bytes_ + request.request_bytes_ <=
+         slots * request.max_request_bytes_;
+}
+
+bool LacksOnlyRequestRoom(const ServerPool& pool,
+                          const PlacementRequest& request,
+                          core::ServerRole role,
+                          TimePoint now) {
+  return std::any_of(
+      pool.servers_.begin(), pool.servers_.end(), [&](const auto& entry) {
+        const ServerState& server = entry.second;
+        return server.info_.service_ == request.pool_ &&
+               FitsRole(server, role) && AcceptsNewWork(pool, server, now) &&
+               !HasRequestRoom(server, request);
+      });
+}
+
 double EstimatePrefillMs(const ServerState& server,
                          std::uint32_t tokens,
                          TimePoint now) {
--- a/packages/dispatch/src/plain_call.cc
+++ b/packages/dispatch/src/plain_call.cc
@@ -26,6 +26,10 @@
 
 void OnPlainDone(Step& step, ActiveCall& call, const AttemptDone& event) {
   Dispatcher& dispatcher = step.dispatcher_;
+  if (event.caller_was_slow_) {
+    CutSlowCaller(step, call, event);
+    return;
+  }
   const std::string name = call.server_;
   ServerState* server = FindServer(dispatcher.pool_, name);
   const bool is_error = event.outcome_ == AttemptOutcome::kServerError;
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -102,6 +102,17 @@
 }
 
 void HandleNoServer(Step& step, ActiveCall& call, core::ServerRole role) {
+  if (LacksOnlyRequestRoom(step.dispatcher_.pool_,
+                           MakePlacementRequest(step, call), role, step.now_)) {
+    if (role == core::ServerRole::kDecode) {
+      WaitForCapacity(step, call);
+      return;
+    }
+    FailCall(step, call, core::Reason::kOverloaded,
+             absl::StrCat("the servers of pool ", call.pool_,
+                          " hold too many bytes of requests"));
+    return;
+  }
   const TimePoint end =
       EarliestPauseEnd(step.dispatcher_.pool_, call.pool_, role, step.now_);
   if (end == TimePoint{}) {
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -24,6 +24,12 @@
 constexpr std::uint64_t kMaxHandleAnswerBytes = 64 * 1024;
 // Time between two reports of the same silence.
 constexpr core::Milliseconds kSilenceReportInterval{100};
+// Servers cut off answers that nobody reads after some seconds, so a shorter
+// pause is not the reason for a lost connection.
+constexpr core::Milliseconds kLeastCutTime{1000};
+// After such a pause a cut is noticed within this time: what has arrived before
+// it is read first.
+constexpr core::Milliseconds kCutNoticeTime{2000};
 constexpr char kSilenceDetail[] = "timeout: no data from the server";
 
 using core::Reason;
@@ -147,6 +153,7 @@
     events_.last_event_ = start.resume_after_;
   }
   paused_ = false;
+  slow_until_ = {};
   attempt_has_events_ = false;
   sustained_reported_ = false;
   answer_ended_by_close_ = false;
@@ -266,12 +273,19 @@
 
 void Exchange::ApplyBackpressure() {
   if (memory::DecideAnswerRead(context_.budget_, caller_->WriteBacklog()) ==
-      memory::Decision::kPause) {
+          memory::Decision::kPause &&
+      !paused_) {
     paused_ = true;
+    paused_at_ = http::MonotonicNow();
     call_.Pause();
   }
 }
 
+bool Exchange::WasCallerSlow() const {
+  return slow_until_ != core::TimePoint{} &&
+         http::MonotonicNow() - slow_until_ < kCutNoticeTime;
+}
+
 void Exchange::RecordTiming(telemetry::Timing timing) const {
   context_.metrics_.Observe(timing,
                             http::MonotonicNow() - request_.arrived_at_);
@@ -323,6 +337,9 @@
   if (paused_) {
     paused_ = false;
     last_progress_at_ = http::MonotonicNow();
+    if (last_progress_at_ - paused_at_ >= kLeastCutTime) {
+      slow_until_ = last_progress_at_;
+    }
     call_.Resume();
   }
 }
@@ -467,6 +484,8 @@
   done.wrote_events_ = attempt_has_events_;
   done.ended_by_close_ = answer_ended_by_close_;
   done.can_resume_ = CanResume();
+  done.caller_was_slow_ =
+      outcome == AttemptOutcome::kFailed && connection_lost_ && WasCallerSlow();
   context_.post_(std::move(done));
 }
 
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -96,6 +96,9 @@
   void ReportSustained();
   // Pauses reading from the server while too much data waits for the caller.
   void ApplyBackpressure();
+  // Returns whether reading from the server was paused until recently for so
+  // long that it may have cut off the answer for that reason.
+  bool WasCallerSlow() const;
   // Returns whether the server has sent nothing for the attempt's timeout.
   bool IsSilent(core::TimePoint now) const;
   // Cancels the attempt and reports that the request may have run.
@@ -151,6 +154,8 @@
   // The server ended the connection of the current attempt too early.
   bool connection_lost_ = false;
   bool paused_ = false;
+  core::TimePoint paused_at_{};   // Start of the last pause.
+  core::TimePoint slow_until_{};  // End of the last long pause.
   bool done_ = false;
   bool answer_ended_by_close_ = false;
   bool sustained_reported_ = false;     // For the current attempt.
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -239,6 +239,7 @@
     const core::RequestId id{options_.decisions_.incarnation_,
                              ++next_sequence_};
     dispatch::CallArrived arrived{id, *call, request.arrived_at_};
+    arrived.call_.request_bytes_ = request.body_.Size();
     if (call->time_left_.count() > 0) {
       caller->KeepAnswerUntil(request.arrived_at_ + call->time_left_);
     }
--- a/packages/gateway/src/operators.cc
+++ b/packages/gateway/src/operators.cc
@@ -42,6 +42,7 @@
        std::max<std::int64_t>(
            0, AgeMs(dispatch::PausedUntil(pool.notices_, server.info_), now))},
       {"calls", server.calls_},
+      {"request_bytes", server.request_bytes_},
       {"prefill_tokens", server.prefill_tokens_},
       {"held_tokens", server.held_tokens_},
       {"failures", server.failures_},
--- a/packages/http/include/siskindrum/http/caller_connection.h
+++ b/packages/http/include/siskindrum/http/caller_connection.h
@@ -110,6 +110,7 @@
 
   void Read();
   void OnRead(std::size_t count);
+  void DiscardBody();
   void OnReadEnd();
   void ParsePending();
   void BeginRequest();
@@ -146,6 +147,8 @@
   std::optional<Head> refusal_;  // Of the request that is being read.
   // The request that is being read was refused; the rest of it is discarded.
   bool discarding_ = false;
+  std::size_t unread_body_ = 0;  // Bytes of it that are known to follow.
+  std::uint64_t body_seen_ = 0;  // Bytes of the body that were parsed.
   std::uint64_t announced_ = 0;  // Content-Length; zero: none.
   std::string pending_;          // Read but not yet parsed.
   std::unique_ptr<char[]> read_buffer_;
--- a/packages/http/src/caller_connection.cc
+++ b/packages/http/src/caller_connection.cc
@@ -1,7 +1,11 @@
 #include "siskindrum/http/caller_connection.h"
 
+#include <algorithm>
+#include <cerrno>
 #include <utility>
 
+#include <sys/socket.h>
+
 #include <boost/asio/buffer.hpp>
 
 #include "absl/strings/numbers.h"
@@ -70,6 +74,10 @@
     return;
   }
   reading_ = true;
+  if (unread_body_ > 0) {
+    DiscardBody();
+    return;
+  }
   socket_.async_read_some(
       boost::asio::buffer(read_buffer_.get(), kReadBytes),
       [self = shared_from_this()](const error_code& error, std::size_t count) {
@@ -85,6 +93,34 @@
       });
 }
 
+// Drops bytes of a refused body in the kernel. Copying and parsing them would
+// delay all other requests when many callers send long bodies.
+void CallerConnection::DiscardBody() {
+  socket_.async_wait(
+      boost::asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](const error_code& error) {
+        self->reading_ = false;
+        if (self->state_ == State::kClosed) {
+          return;
+        }
+        const ssize_t count =
+            error ? 0
+                  : recv(self->socket_.native_handle(), nullptr,
+                         self->unread_body_, MSG_TRUNC | MSG_DONTWAIT);
+        const bool is_early = count < 0 && errno == EAGAIN;
+        if (count <= 0 && !is_early) {
+          self->OnReadEnd();
+          return;
+        }
+        self->unread_body_ -= is_early ? 0 : static_cast<std::size_t>(count);
+        self->last_activity_ = MonotonicNow();
+        if (self->unread_body_ == 0 && self->discarding_) {
+          self->EndDiscard();
+        }
+        self->Read();
+      });
+}
+
 void CallerConnection::OnRead(std::size_t count) {
   if (state_ == State::kLingering) {
     Read();
@@ -176,6 +212,8 @@
     RefuseAndClose(std::move(refusal));
   } else {
     discarding_ = true;
+    unread_body_ = announced_ - std::min(announced_, body_seen_);
+    answer_until_ = MonotonicNow() + limits_.idle_time_;
     RemoveConnectionFields(refusal);
     refusal.fields_.push_back({"Content-Length", "0"});
     Write(FormatResponseHead(refusal));
@@ -202,6 +240,7 @@
 void CallerConnection::CloseAfterWrites() {
   state_ = State::kLingering;
   discarding_ = false;
+  unread_body_ = 0;
   parser_.reset();
   pending_.clear();
   last_activity_ = MonotonicNow();
@@ -230,6 +269,7 @@
     refusal_ = handlers_.on_head_(head);
   }
   announced_ = ContentLength(head);
+  body_seen_ = 0;
   if (!refusal_.has_value()) {
     Hold(HeadBytes(head) + announced_);
   }
@@ -239,6 +279,7 @@
 }
 
 void CallerConnection::OnRequestBody(std::string_view data) {
+  body_seen_ += data.size();
   if (refusal_.has_value() || discarding_) {
     return;
   }
@@ -397,6 +438,9 @@
   if (state_ == State::kClosed) {
     return;
   }
+  if (backlog_ == 0) {
+    last_write_ = MonotonicNow();
+  }
   backlog_ += data.size();
   backlog_charge_.Resize(backlog_);
   writes_.push_back(std::move(data));
--- a/packages/http/test/loopback.h
+++ b/packages/http/test/loopback.h
@@ -95,6 +95,8 @@
     setsockopt(fd_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
     Close();
   }
+  // Ends both directions, also for a thread that is just sending.
+  void Abort() const { shutdown(fd_, SHUT_RDWR); }
   void Close() {
     if (fd_ >= 0) {
       close(fd_);
