--- a/packages/gateway/src/operators.cc
+++ b/packages/gateway/src/operators.cc
@@ -66,8 +66,10 @@
 
 // Names of the metrics of what is held for each use.
 std::vector<std::string> MemoryNames() {
+  constexpr auto kUses = static_cast<std::size_t>(memory::Use::kCount);
   std::vector<std::string> names;
-  for (int i = 0; i < static_cast<int>(memory::Use::kCount); ++i) {
+  names.reserve(kUses);
+  for (std::size_t i = 0; i < kUses; ++i) {
     names.push_back(absl::StrCat(
         "memory_", memory::ToString(static_cast<memory::Use>(i)), "_bytes"));
   }
@@ -121,6 +123,7 @@
       {"memory_peak_bytes", budget.Peak(), telemetry::kGauge},
   };
   const std::vector<std::string> names = MemoryNames();
+  counts.reserve(counts.size() + names.size());
   for (std::size_t i = 0; i < names.size(); ++i) {
     counts.push_back({names[i].c_str(),
                       budget.Used(static_cast<memory::Use>(i)),
--- a/tools/memory_benchmark.sh
+++ b/tools/memory_benchmark.sh
@@ -11,7 +11,7 @@
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 g++ -std=c++20 -O2 -pthread "$root/review/standins/harness.cc" \
-  "$root/tools/memory_benchmark.cc" -o "$work/benchmark"
+  "$root/platform/benchmark/memory_benchmark.cc" -o "$work/benchmark"
 cd "$directory"
 printf 'limit_mb\tbytes\tcallers\tidle_mb\tpeak_mb\tserved\tshare\trefused\tfailed\tlost\tsmall_share\tsmall_p50_ms\tsmall_p99_ms\n'
 "$work/benchmark" "$memory" 0 0
