--- a/packages/core/include/siskindrum/core/rule.h
+++ b/packages/core/include/siskindrum/core/rule.h
@@ -1,10 +1,13 @@
 #ifndef SISKINDRUM_CORE_RULE_H_
 #define SISKINDRUM_CORE_RULE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
+#include "siskindrum/core/organisation.h"
 #include "siskindrum/core/types.h"
 
 namespace siskindrum::core {
@@ -58,6 +61,8 @@
   Milliseconds timeout_{30000};  // For a plain call or a whole answer.
   Resume resume_ = Resume::kAllowed;
   std::uint32_t rank_ = 0;  // Within a pool; lowest is served first.
+  // Needs no key, even if the rules name organisations.
+  bool public_ = false;
 };
 
 struct Rule {
@@ -101,13 +106,33 @@
   Milliseconds idle_time_{15000};
 };
 
+// Positions of rules in a rule set, ascending.
+using RulePositions = std::vector<std::uint32_t>;
+
+// The rules of a rule set by host, so that a request is compared only with the
+// rules that may match its host.
+struct RuleIndex {
+  // Rules whose host is a name without '*'.
+  std::unordered_map<std::string, RulePositions> by_host_;
+  RulePositions any_host_;      // All others.
+  std::size_t rule_count_ = 0;  // Number of rules that were indexed.
+};
+
 struct RuleSet {
   std::vector<Rule> rules_;
+  RuleIndex index_;
   std::vector<PoolSettings> pools_;
   CallerSettings callers_;
   std::vector<Seat> seats_;
   std::vector<std::string> retired_seats_;
-  std::string text_;  // Unmodified text of the rules file.
+  // Empty: requests need no key.
+  std::vector<Organisation> organisations_;
+  // Positions in `organisations_` by key, and by name.
+  std::unordered_map<std::string, std::size_t> organisation_by_key_;
+  std::unordered_map<std::string, std::size_t> organisation_by_name_;
+  // Unmodified text of the rules file, for peers. It contains keys: shown only
+  // through rules::HideKeys.
+  std::string text_;
 };
 
 // Returns true if `text` matches `pattern`, which may start or end with '*'.
@@ -126,8 +151,13 @@
 // Returns the settings of a pool, or nullptr if it has none. Thread-safe: yes.
 const PoolSettings* FindPool(const RuleSet& rules, const std::string& name);
 
+// Builds the index of the rules. Call again after a change of the rules.
+// Thread-safe: no.
+void IndexRules(RuleSet& rules);
+
 // Returns the first matching rule, or nullptr. The pointer lives as long as
-// `rules`. Thread-safe: yes, for a constant rule set.
+// `rules`. Compares all rules if IndexRules was not called since one was added
+// or removed. Thread-safe: yes, for a constant rule set.
 const Rule* MatchRule(const RuleSet& rules, const RequestShape& shape);
 
 }  // namespace siskindrum::core
--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -1,8 +1,11 @@
 #ifndef SISKINDRUM_DISPATCH_DISPATCHER_H_
 #define SISKINDRUM_DISPATCH_DISPATCHER_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -10,6 +13,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "siskindrum/admission/admission.h"
+#include "siskindrum/admission/ranked_pools.h"
 #include "siskindrum/core/router.h"
 #include "siskindrum/dispatch/answer_length.h"
 #include "siskindrum/dispatch/event.h"
@@ -20,6 +25,7 @@
 #include "siskindrum/dispatch/repeat_budget.h"
 #include "siskindrum/dispatch/server_pool.h"
 #include "siskindrum/dispatch/use_view.h"
+#include "siskindrum/quota/quota.h"
 
 namespace siskindrum::dispatch {
 
@@ -32,7 +38,13 @@
   std::string pool_;
   TimePoint arrived_at_{};
   TimePoint deadline_{};
-  std::uint64_t draw_ = 0;  // As in PlacementRequest.
+  std::uint64_t draw_ = 0;          // As in PlacementRequest.
+  std::string organisation_;        // Holder of its key; empty: none.
+  std::uint32_t urgency_ = 0;       // Rank; lowest is served first.
+  std::string quota_organisation_;  // Charged, even if its key moves later.
+  double quota_cost_ = 0;  // Charged to the organisation, or to be charged.
+  bool quota_charged_ = false;
+  TimePoint quota_wait_until_{};  // For loans; epoch: it does not wait.
 
   // Current attempt.
   std::uint32_t attempt_ = 0;
@@ -40,6 +52,7 @@
   std::string server_;
   TimePoint sent_at_{};
   bool silence_recorded_ = false;      // The server was found silent.
+  std::uint64_t counted_bytes_ = 0;    // In `request_bytes_` of `server_`.
   std::uint32_t counted_prefill_ = 0;  // Tokens counted at `server_`.
   double expected_prefill_ms_ = 0;     // Of the prefill at `prefill_server_`.
   std::string prefill_server_;         // Of the last prefill; empty: none.
@@ -58,6 +71,7 @@
   bool answer_begun_ = false;
   TimePoint begun_at_{};
   TimePoint reserved_at_{};  // First granted reservation; epoch: none.
+  TimePoint granted_at_{};   // First decode capacity; epoch: none yet.
   bool has_server_error_ = false;
   std::vector<std::string> avoid_;
   bool parts_harmless_ = false;  // Its answer proved that.
@@ -97,6 +111,9 @@
   std::uint64_t refused_not_run_ = 0;
   std::uint64_t failed_may_have_run_ = 0;
   std::uint64_t caller_left_ = 0;
+  // Requests that ended with a refusal or failure, by reason.
+  std::array<std::uint64_t, static_cast<std::size_t>(core::Reason::kCount)>
+      failed_by_reason_{};
   std::uint64_t attempts_ = 0;
   std::uint64_t repeats_ = 0;
   std::uint64_t repeats_denied_ = 0;
@@ -109,6 +126,10 @@
   std::uint64_t reserves_ = 0;
   std::uint64_t reserves_refused_ = 0;
   std::uint64_t waits_ = 0;
+  // By rank, in pools with priorities.
+  std::array<std::uint64_t, admission::kRanks> waits_by_rank_{};
+  std::array<std::uint64_t, admission::kRanks> refused_by_rank_{};
+  std::array<std::uint64_t, admission::kRanks> granted_by_rank_{};
   std::uint64_t orders_ = 0;
   // Server processes that announced their shutdown in an answer.
   std::uint64_t leaving_announced_ = 0;
@@ -131,6 +152,10 @@
   std::string peers_address_;
   std::vector<std::string> seeds_;  // Addresses of other entries.
   RepeatLimits repeats_;            // Shared by all entries.
+  // A key that was taken away admits no request later than this after its
+  // removal, even while this entry cannot reach the store; zero: no such bound.
+  Milliseconds revocation_limit_{0};
+  core::QuotaBounds quota_bounds_;  // Shared by all entries.
 };
 
 // State and decisions of one entry. Each entry chooses servers from the load
@@ -140,12 +165,16 @@
   DispatcherOptions options_;
   std::mt19937_64 random_;
   core::ConfigurationState configuration_;
+  // When the configuration was certainly the newest.
+  access::Confirmation confirmation_;
   ServerPool pool_;
   RepeatBudget budget_;
   Peers peers_;
   PeerUsage use_;
   Quarantine quarantine_;
   QuarantineNews quarantine_news_;
+  quota::QuotaState quota_;
+  std::vector<RequestId> quota_waiting_;  // For loans, in arrival order.
   double release_draw_ = 0;  // In [0, 1); of this entry's release delay.
   // Addresses of engines that retained a prompt from before this process
   // started, by prompt identity.
@@ -153,8 +182,12 @@
   TimePoint first_prompt_query_{};  // First query for retained prompts.
   std::size_t retained_prompt_queries_ = 0;
   std::vector<RequestId> waiting_;  // For decode capacity, in arrival order.
-  // Only requests that can meet their target are admitted until then.
+  // Only requests that can meet their target are admitted until then, in pools
+  // without priorities.
   TimePoint shortage_until_{};
+  admission::RankedPools ranked_pools_;  // Of the current configuration.
+  // By pool; only pools with priorities.
+  std::map<std::string, admission::PoolAdmission> admission_;
   // Mean time per expected answer token in milliseconds, by pool.
   std::unordered_map<std::string, double> mean_token_ms_;
   // Keyed by pool, host and path of the rule.
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "siskindrum/access/access.h"
 #include "siskindrum/core/configuration.h"
 #include "siskindrum/core/event.h"
 #include "siskindrum/core/peer_message.h"
@@ -39,11 +40,13 @@
   std::string label_;  // The caller's id, for logs and decision records.
   Milliseconds time_left_{0};        // Until the caller's deadline; zero: none.
   std::uint32_t answer_tokens_ = 0;  // Expected; zero: unknown.
+  std::uint64_t request_bytes_ = 0;  // Size of its body.
   std::uint64_t prompt_ = 0;         // Identity of the prompt; zero: unknown.
   // Parts of the prompt that other requests may share.
   core::PromptParts shared_parts_;
   // The caller resumes after this event.
   std::optional<std::uint64_t> last_event_;
+  std::string key_;  // Secret, never logged or shown; empty: none.
 };
 
 // Events: the inputs of a dispatcher. The time of each is passed with it to
@@ -125,6 +128,9 @@
   bool ended_by_close_ = false;
   // Another attempt can complete the answer without repeating any part of it.
   bool can_resume_ = true;
+  // The server cut off an answer that the caller did not read for a while,
+  // which is no sign of trouble at the server.
+  bool caller_was_slow_ = false;
   // Longest time between two events of the whole answer so far, including
   // earlier attempts.
   Milliseconds longest_gap_{0};
@@ -151,6 +157,30 @@
   std::string source_;
 };
 
+// The store confirmed that no configuration newer than the ones reported before
+// was in force at `confirmed_at_`. Not applied while the dispatcher uses
+// another configuration than the last one reported, and none newer.
+struct ConfigurationConfirmed {
+  TimePoint confirmed_at_{};
+  // Of the last valid configuration that the store reported; zero: any.
+  std::uint64_t revision_ = 0;
+  std::uint64_t digest_ = 0;
+  // The newest configuration was refused: the confirmation holds only for keys
+  // that it lists. Null: all are confirmed.
+  std::shared_ptr<const access::KeySet> only_keys_;
+};
+
+// A request was refused by its head, before the dispatcher knew of it.
+struct RefusedAtHead {
+  RequestId request_;
+  CallerCall call_;
+  TimePoint arrived_at_{};
+  std::shared_ptr<const core::Configuration> configuration_;  // Owns `rule_`.
+  const core::Rule* rule_ = nullptr;
+  core::Reason reason_ = core::Reason::kNone;
+  std::string detail_;
+};
+
 // Prompts that an engine retains.
 struct RetainedPromptsListed {
   std::string server_;
@@ -192,6 +222,8 @@
                            AttemptSilent,
                            ListSeen,
                            ConfigurationRead,
+                           ConfigurationConfirmed,
+                           RefusedAtHead,
                            PeerMessageReceived,
                            RetainedPromptsListed,
                            ServerNoticeReceived,
@@ -226,6 +258,9 @@
   std::uint32_t hold_tokens_ = 0;  // Tokens to reserve.
   Milliseconds hold_time_{0};
   std::optional<std::uint64_t> resume_after_;
+  std::string organisation_;               // Of the caller; empty: none.
+  bool removes_key_ = false;               // As in gateway::AttemptFields.
+  std::optional<std::uint32_t> priority_;  // For engines; none: not stated.
 };
 
 // Cancels the attempt if its server is still silent, and reports that it
@@ -288,6 +323,13 @@
   core::CallerSettings settings_;
 };
 
+// What decides on keys has changed. The network thread refuses by it what is
+// certain by the head of a request.
+struct AccessChanged {
+  std::shared_ptr<const core::Configuration> configuration_;
+  access::Confirmation confirmation_;
+};
+
 // The entry became ready to accept requests, or is no longer ready.
 struct ReadyChanged {
   bool ready_ = false;
@@ -303,6 +345,7 @@
                             ListRetainedPrompts,
                             SendPeerMessage,
                             SetCallerLimits,
+                            AccessChanged,
                             ReadyChanged,
                             core::LogEvent>;
 
--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -6,12 +6,14 @@
 #include <string>
 #include <vector>
 
+#include "siskindrum/core/fade.h"
 #include "siskindrum/core/fleet.h"
 #include "siskindrum/core/types.h"
 #include "siskindrum/dispatch/server_notices.h"
 
 namespace siskindrum::dispatch {
 
+using core::Fade;
 using core::Milliseconds;
 using core::TimePoint;
 
@@ -43,9 +45,11 @@
 struct ServerState {
   core::ServerInfo info_;
   Listing listing_ = Listing::kListed;
-  TimePoint changed_at_{};            // Last change of `listing_`.
-  bool misdirected_ = false;          // Another server answers at this address.
-  std::uint32_t calls_ = 0;           // In progress, sent by this entry.
+  TimePoint changed_at_{};    // Last change of `listing_`.
+  bool misdirected_ = false;  // Another server answers at this address.
+  std::uint32_t calls_ = 0;   // In progress, sent by this entry.
+  // Bytes of those calls' bodies.
+  std::uint64_t request_bytes_ = 0;
   std::uint32_t prefill_tokens_ = 0;  // Of this entry, not yet prefilled.
   std::uint32_t held_tokens_ = 0;  // Held by this entry's answers in progress.
   std::uint32_t peer_held_tokens_ = 0;  // By other entries, as reported.
@@ -149,13 +153,6 @@
 // Returns a duration in milliseconds. Thread-safe: yes.
 double ToMs(core::Nanoseconds duration);
 
-// Returns what is left of `value`, measured at `measured_at`, when it halves
-// with each `half_life`. Thread-safe: yes.
-double Fade(double value,
-            TimePoint measured_at,
-            core::Nanoseconds half_life,
-            TimePoint now);
-
 // Returns the exponential moving average after `sample`. A mean of zero stands
 // for no samples yet and yields `sample`.
 // Thread-safe: yes.
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -42,6 +42,7 @@
        {"revision", std::to_string(call.configuration_ == nullptr
                                        ? 0
                                        : call.configuration_->revision_)},
+       {"organisation", call.organisation_},
        {"server", call.server_},
        {"sends", std::to_string(call.sends_)},
        {"ms", FormatMs(step.now_ - call.arrived_at_)},
@@ -68,18 +69,23 @@
     log.fields_.push_back(
         {"answer_tokens", absl::StrCat(call.call_.answer_tokens_)});
   }
+  AddUrgency(step, call, log);
   if (!detail.empty()) {
     log.fields_.push_back({"detail", detail});
   }
   step.actions_.push_back(std::move(log));
 }
 
-void RecordEnd(Step& step, const ActiveCall& call, const std::string& outcome) {
+void RecordEnd(Step& step,
+               const ActiveCall& call,
+               const std::string& outcome,
+               const std::string& reason) {
   const auto found = step.dispatcher_.decisions_.find(call.call_.label_);
   if (found == step.dispatcher_.decisions_.end()) {
     return;
   }
   found->second.outcome_ = outcome;
+  found->second.reason_ = reason;
   found->second.attempts_ = call.attempt_;
   found->second.total_ =
       std::chrono::duration_cast<Milliseconds>(step.now_ - call.arrived_at_);
@@ -91,7 +97,8 @@
                const std::string& outcome,
                const std::string& detail) {
   LogEnd(step, call, outcome, detail);
-  RecordEnd(step, call, outcome);
+  RecordEnd(step, call, outcome, detail);
+  SettleQuota(step, call);
   ReleaseAttempt(step, call);
   ReleaseDecode(step, call);
   ReleaseHandle(step, call);
@@ -205,6 +212,8 @@
   request.answer_tokens_ = AnswerTokensToReserve(step, call);
   request.pool_settings_ =
       core::FindPool(call.configuration_->rules_, call.pool_);
+  request.request_bytes_ = call.call_.request_bytes_;
+  request.max_request_bytes_ = call.configuration_->rules_.callers_.body_bytes_;
   request.avoid_ = call.avoid_;
   request.draw_ = call.draw_;
   return request;
@@ -222,13 +231,17 @@
   ServerState* server = FindServer(step.dispatcher_.pool_, call.server_);
   if (server != nullptr) {
     RecordCallEnd(*server);
+    server->request_bytes_ -=
+        std::min(server->request_bytes_, call.counted_bytes_);
   }
+  call.counted_bytes_ = 0;
   ReleasePrefill(server, call);
   call.server_.clear();
 }
 
 void ReleaseDecode(Step& step, ActiveCall& call) {
   ServerState* server = FindServer(step.dispatcher_.pool_, call.decode_server_);
+  RecordCapacityRelease(step, call);
   if (server != nullptr) {
     server->held_tokens_ -=
         std::min(server->held_tokens_, call.counted_decode_);
@@ -282,12 +295,15 @@
     refuse.verdict_.run_state_ = call.run_state_;
     refuse.verdict_.reason_ = reason;
     refuse.verdict_.detail_ = detail;
+    ++dispatcher.counters_.failed_by_reason_[static_cast<std::size_t>(reason)];
     if (call.answer_begun_) {
       outcome = "cut";
       ++dispatcher.counters_.cut_;
     } else if (call.run_state_ == RunState::kNotRun) {
+      const bool is_final = reason == core::Reason::kUnauthorised;
       refuse.verdict_.retry_after_ =
-          call.retry_after_.count() > 0
+          is_final ? Milliseconds(0)
+          : call.retry_after_.count() > 0
               ? AddJitter(step, call.retry_after_, kNeverEarlier)
               : AddJitter(step, RetryAfterFor(reason), kAround);
       ++dispatcher.counters_.refused_not_run_;
@@ -302,6 +318,17 @@
       absl::StrCat(core::ToString(reason), detail.empty() ? "" : ": ", detail));
 }
 
+void CutSlowCaller(Step& step, ActiveCall& call, const AttemptDone& event) {
+  ServerState* server = FindServer(step.dispatcher_.pool_, call.server_);
+  if (server != nullptr) {
+    RecordResponse(*server);
+  }
+  call.run_state_ = RunState::kRan;
+  call.longest_gap_ = event.longest_gap_;
+  FailCall(step, call, event.reason_,
+           absl::StrCat("the caller did not read: ", event.detail_));
+}
+
 std::size_t RepeatSharers(const Step& step) {
   const Dispatcher& dispatcher = step.dispatcher_;
   const Peers& peers = dispatcher.peers_;
@@ -381,6 +408,9 @@
   call.silence_recorded_ = false;
   RecordChoice(step, call);
   RecordCallStart(server, step.now_);
+  call.counted_bytes_ =
+      stage == Stage::kReserve ? 0 : call.call_.request_bytes_;
+  server.request_bytes_ += call.counted_bytes_;
   StartAttempt start;
   start.request_ = call.id_;
   start.attempt_ = call.attempt_;
@@ -390,6 +420,9 @@
   start.incarnation_ = server.info_.incarnation_;
   start.decided_at_ = step.now_;
   start.deadline_ = call.deadline_;
+  start.organisation_ = call.organisation_;
+  start.removes_key_ = HasOrganisations(step.dispatcher_.configuration_);
+  start.priority_ = EnginePriority(step, call);
   return start;
 }
 
@@ -404,6 +437,7 @@
        {"attempt", std::to_string(start.attempt_)},
        {"stage", ToString(start.stage_)},
        {"pool", call.pool_},
+       {"organisation", start.organisation_},
        {"server", start.server_},
        {"rule_line", std::to_string(call.rule_->line_)},
        {"revision", std::to_string(call.configuration_->revision_)},
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -14,38 +14,6 @@
   return found == dispatcher.calls_.end() ? nullptr : &found->second;
 }
 
-void AddDecision(Dispatcher& dispatcher, const ActiveCall& call) {
-  core::DecisionRecord record;
-  record.request_ = call.id_;
-  record.configuration_ = call.configuration_;
-  record.rule_ = call.rule_;
-  record.shape_ = call.call_.shape_;
-  record.home_ = dispatcher.options_.name_;
-  const std::string& label = call.call_.label_;
-  if (!dispatcher.decisions_.contains(label)) {
-    dispatcher.decision_order_.push_back(label);
-  }
-  dispatcher.decisions_[label] = std::move(record);
-  if (dispatcher.decision_order_.size() > kMaxDecisionRecords) {
-    dispatcher.decisions_.erase(dispatcher.decision_order_.front());
-    dispatcher.decision_order_.pop_front();
-  }
-}
-
-void RouteCall(Step& step, ActiveCall& call) {
-  const core::RuleOutcome& outcome = call.rule_->outcome_;
-  call.pool_ = core::PickPool(outcome, step.dispatcher_.random_());
-  RecordCall(step.dispatcher_.budget_, step.dispatcher_.options_.repeats_,
-             call.pool_, step.now_);
-  AddDecision(step.dispatcher_, call);
-  if (outcome.kind_ == core::BackendKind::kPlain) {
-    SendPlain(step, call);
-  } else if (!RefuseNewQuarantined(step, call)) {
-    UseRetainedPrompt(step, call);
-    AssignDecodeEngine(step, call);
-  }
-}
-
 // Returns whether the entry may shut down before the request is answered,
 // although it came when no more requests were due.
 bool CameTooLate(const std::optional<DrainBegan>& drain,
@@ -70,6 +38,7 @@
     FailCall(step, call, core::Reason::kNotReady, "no configuration yet");
     return;
   }
+  ReadOrganisation(step, call);
   call.rule_ = core::MatchRule(call.configuration_->rules_, call.call_.shape_);
   if (call.rule_ == nullptr) {
     FailCall(step, call, core::Reason::kNoRule, "");
@@ -79,6 +48,10 @@
     FailCall(step, call, core::Reason::kRefusedByRule, "");
     return;
   }
+  AddDecision(dispatcher, call);
+  if (RefuseKey(step, call)) {
+    return;
+  }
   Milliseconds limit = call.rule_->outcome_.timeout_;
   if (call.call_.time_left_.count() > 0) {
     limit = std::min(limit, call.call_.time_left_);
@@ -92,7 +65,9 @@
     FailCall(step, call, core::Reason::kDraining, "it came late in the drain");
     return;
   }
-  RouteCall(step, call);
+  if (AdmitByQuota(step, call)) {
+    RouteCall(step, call);
+  }
 }
 
 void OnCallerLeft(Step& step, const CallerLeft& event) {
@@ -266,8 +241,12 @@
        {"source", event.source_},
        {"outcome", core::ToString(offer)}}});
   if (offer == core::OfferOutcome::kTaken) {
+    dispatcher.ranked_pools_ =
+        admission::FindRankedPools(event.configuration_->rules_);
     step.actions_.emplace_back(
         SetCallerLimits{event.configuration_->rules_.callers_});
+    ReportAccess(step);
+    ConfigureQuotas(step);
   }
   UpdateReady(step);
 }
@@ -336,6 +315,7 @@
   }
   UpdateQuarantine(step);
   QueryRetainedPrompts(step);
+  UpdateQuotas(step);
   RetryWaiting(step);
   GossipWithPeers(step);
   SendUsage(step);
@@ -345,6 +325,37 @@
 
 }  // namespace
 
+void AddDecision(Dispatcher& dispatcher, const ActiveCall& call) {
+  core::DecisionRecord record;
+  record.request_ = call.id_;
+  record.configuration_ = call.configuration_;
+  record.rule_ = call.rule_;
+  record.shape_ = call.call_.shape_;
+  record.home_ = dispatcher.options_.name_;
+  const std::string& label = call.call_.label_;
+  if (!dispatcher.decisions_.contains(label)) {
+    dispatcher.decision_order_.push_back(label);
+  }
+  dispatcher.decisions_[label] = std::move(record);
+  if (dispatcher.decision_order_.size() > kMaxDecisionRecords) {
+    dispatcher.decisions_.erase(dispatcher.decision_order_.front());
+    dispatcher.decision_order_.pop_front();
+  }
+}
+
+void RouteCall(Step& step, ActiveCall& call) {
+  const core::RuleOutcome& outcome = call.rule_->outcome_;
+  call.pool_ = core::PickPool(outcome, step.dispatcher_.random_());
+  RecordCall(step.dispatcher_.budget_, step.dispatcher_.options_.repeats_,
+             call.pool_, step.now_);
+  if (outcome.kind_ == core::BackendKind::kPlain) {
+    SendPlain(step, call);
+  } else if (!RefuseNewQuarantined(step, call)) {
+    UseRetainedPrompt(step, call);
+    AdmitEngineCall(step, call);
+  }
+}
+
 void OnListChanges(Step& step,
                    const ListChanges& changes,
                    const std::string& source) {
@@ -391,6 +402,8 @@
   dispatcher.release_draw_ =
       std::uniform_real_distribution<double>(0, 1)(dispatcher.random_);
   dispatcher.peers_.seeds_ = options.seeds_;
+  dispatcher.quota_ = quota::MakeQuotaState(
+      {options.quota_bounds_, options.incarnation_, !options.restarted_});
   core::MemberRow& self = dispatcher.peers_.membership_.self_;
   self.name_ = options.name_;
   self.address_ = options.peers_address_;
@@ -435,6 +448,8 @@
           [&](const ListSeen& e) { OnListChanges(step, e.changes_, "store"); },
           [&](const PeerMessageReceived& e) { OnPeerMessage(step, e); },
           [&](const ConfigurationRead& e) { OnConfiguration(step, e); },
+          [&](const ConfigurationConfirmed& e) { OnConfirmed(step, e); },
+          [&](const RefusedAtHead& e) { OnRefusedAtHead(step, e); },
           [&](const RetainedPromptsListed& e) { OnRetainedPrompts(step, e); },
           [&](const ServerNoticeReceived& e) { OnServerNotice(step, e); },
           [&](const SettingsRead& e) {
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -1,6 +1,8 @@
 #ifndef SISKINDRUM_DISPATCH_DISPATCHER_P_H_
 #define SISKINDRUM_DISPATCH_DISPATCHER_P_H_
 
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +44,9 @@
               ActiveCall& call,
               core::Reason reason,
               const std::string& detail);
+// Ends a request whose caller did not read its answer until the server cut it
+// off. Neither the server nor the repeat budget is charged. Destroys `call`.
+void CutSlowCaller(Step& step, ActiveCall& call, const AttemptDone& event);
 // Ends a request that needs no refusal; destroys `call`.
 void EndCall(Step& step, ActiveCall& call, const std::string& outcome);
 // Takes one repeat from the budget for the request's next send, unless it has
@@ -73,6 +78,25 @@
                           ServerState& server,
                           bool misdirected);
 
+// keys.cc: keys of callers.
+
+// Sets the organisation and the rank of a new request by its key. Requires: the
+// request has a configuration.
+void ReadOrganisation(const Step& step, ActiveCall& call);
+// Returns whether the request's key allows a new send.
+bool MayServeKey(const Step& step, const ActiveCall& call);
+// Refuses the request if its key must not be served now, or cannot be decided
+// on; else updates its organisation and rank, which may have changed while it
+// waited. Call before each send. Returns whether it was refused; `call` is then
+// destroyed.
+bool RefuseKey(Step& step, ActiveCall& call);
+void OnConfirmed(Step& step, const ConfigurationConfirmed& event);
+void OnRefusedAtHead(Step& step, const RefusedAtHead& event);
+// Returns whether the current configuration has organisations.
+bool HasOrganisations(const core::ConfigurationState& configuration);
+// Reports to the network thread what decides on keys.
+void ReportAccess(Step& step);
+
 // plain_call.cc
 void SendPlain(Step& step, ActiveCall& call);
 void OnPlainDone(Step& step, ActiveCall& call, const AttemptDone& event);
@@ -103,6 +127,16 @@
 
 // waiting.cc: requests that wait for decode capacity.
 
+// Mean memory of an answer in tokens times its duration, up to a constant
+// factor.
+double MemoryTime(const ActiveCall& call);
+// Time that may still pass before the request could no longer meet its
+// first-token target; negative when it cannot any more, the largest value when
+// it has no target or has begun.
+Milliseconds SlackToTarget(const Step& step, const ActiveCall& call);
+// Adds the request to the queue. Logged and counted once for each request.
+void Enqueue(Step& step, ActiveCall& call);
+
 // True when the request would meet its first-token target if admitted now.
 bool CanMeetTarget(const Step& step, const ActiveCall& call);
 // False when the answer is expected to end after the caller's deadline, so that
@@ -117,11 +151,78 @@
 // their target, by priority, then the others in arrival order.
 void RetryWaiting(Step& step);
 
+// urgency.cc: pools whose requests are served in order of urgency, as in
+// siskindrum/admission/admission.h. Other pools behave as without it.
+
+// True when the order of urgency applies to the pool of the request.
+bool UsesAdmission(const Step& step, const ActiveCall& call);
+// Places a new request, or queues it behind those that wait already.
+void AdmitEngineCall(Step& step, ActiveCall& call);
+// Records that the request got decode capacity, once for each request.
+void RecordGrant(Step& step, ActiveCall& call);
+// Records that the request's answer released its decode capacity.
+void RecordCapacityRelease(Step& step, const ActiveCall& call);
+// Records that the request found no capacity although it could still have met
+// its target.
+void RecordShortage(Step& step, const ActiveCall& call);
+// True when late requests like this one are refused.
+bool IsCapacityShort(const Step& step, const ActiveCall& call);
+// True when the request may take capacity of `engine`; false when more urgent
+// requests are expected to need it.
+bool LeavesHeadroom(const Step& step,
+                    const ActiveCall& call,
+                    const PlacementRequest& request,
+                    const ServerState& engine);
+// Waiting requests of one pool with priorities, in order of arrival.
+struct UrgencyQueue {
+  std::vector<std::size_t> places_;  // Indices in the order of all pools.
+  std::vector<RequestId> ids_;
+  std::vector<admission::WaitingRequest> waiting_;  // Of `ids_`.
+  std::vector<std::size_t> sorted_;  // Indices of `ids_`, the first to serve.
+};
+using UrgencyQueues = std::map<std::string, UrgencyQueue>;  // By pool.
+
+// Sorts waiting requests of pools with priorities within their places of
+// `order`.
+UrgencyQueues OrderByUrgency(Step& step, std::vector<RequestId>& order);
+// Refuses those that still wait after all were tried in this order and would
+// not be served in time.
+void RefuseHopeless(Step& step, UrgencyQueues& queues);
+// Refuses the request for lack of capacity; destroys `call`.
+void FailForCapacity(Step& step, ActiveCall& call, const std::string& cause);
+// The rank that engines are told; none in pools with a single rank.
+std::optional<std::uint32_t> EnginePriority(const Step& step,
+                                            const ActiveCall& call);
+// Adds the rank to a log event of a pool with priorities.
+void AddUrgency(const Step& step, const ActiveCall& call, core::LogEvent& log);
+
 // Handles a request for which no server of its pool with this role accepts new
 // work. When only pauses are the reason, it waits for the earliest end if that
 // comes in time, else it is refused with that end as retry-after advice.
 void HandleNoServer(Step& step, ActiveCall& call, core::ServerRole role);
 
+// quota_calls.cc: quotas of organisations.
+
+// Charges a new request to its organisation. Returns false if it waits for a
+// loan or was refused; `call` is destroyed in the second case.
+bool AdmitByQuota(Step& step, ActiveCall& call);
+// Ends the request's wait, and gives back its charge unless it may have run.
+// Call before its attempt is released.
+void SettleQuota(Step& step, ActiveCall& call);
+void OnQuotaAsk(Step& step,
+                const core::PeerMessage& message,
+                const core::QuotaAsk& ask);
+void OnQuotaLoan(Step& step,
+                 const core::PeerMessage& message,
+                 const core::QuotaLoan& loan);
+void OnQuotaReturn(Step& step,
+                   const core::PeerMessage& message,
+                   const core::QuotaReturn& returned);
+// Applies the quotas of the current configuration.
+void ConfigureQuotas(Step& step);
+// Periodic work: entry count, requests that wait too long, asks and returns.
+void UpdateQuotas(Step& step);
+
 // quarantined_calls.cc: requests whose prompt may crash engines.
 
 // Refuses a new request whose prompt parts are quarantined. Returns true if so;
@@ -149,6 +250,9 @@
                                  const core::QuarantineReport& report);
 
 void OnPeerMessage(Step& step, const PeerMessageReceived& event);
+void SendToPeer(Step& step, const std::string& address, core::PeerBody body);
+// Returns the address of a peer by its name, or an empty string.
+std::string AddressOf(const Dispatcher& dispatcher, const std::string& name);
 // Sends gossip to some peers once per round, and requests newer versions from a
 // peer that has them.
 void GossipWithPeers(Step& step);
@@ -158,6 +262,10 @@
 void SendUsage(Step& step);
 
 // dispatcher.cc
+// Keeps a record of the request for explanations.
+void AddDecision(Dispatcher& dispatcher, const ActiveCall& call);
+// Sends an admitted request to its pool.
+void RouteCall(Step& step, ActiveCall& call);
 // Applies changes of the server list unless the known version is newer.
 void OnListChanges(Step& step,
                    const ListChanges& changes,
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -73,7 +73,7 @@
     AssignDecodeEngine(step, call);
     return;
   }
-  if (RefuseQuarantined(step, call)) {
+  if (RefuseKey(step, call) || RefuseQuarantined(step, call)) {
     return;
   }
   std::string denied;
@@ -121,7 +121,7 @@
 
 // Starts the stage that follows the choice of a decode engine.
 void SendPrefillOrDecode(Step& step, ActiveCall& call) {
-  if (RefuseQuarantined(step, call)) {
+  if (RefuseKey(step, call) || RefuseQuarantined(step, call)) {
     return;
   }
   if (!call.handle_.empty() || call.direct_) {
@@ -173,7 +173,7 @@
 }  // namespace
 
 void AssignDecodeEngine(Step& step, ActiveCall& call) {
-  if (RefuseQuarantined(step, call)) {
+  if (RefuseKey(step, call) || RefuseQuarantined(step, call)) {
     return;
   }
   const PlacementRequest request = MakePlacementRequest(step, call);
@@ -184,9 +184,9 @@
     HandleNoServer(step, call, core::ServerRole::kDecode);
     return;
   }
-  const bool denied =
-      step.now_ < step.dispatcher_.shortage_until_ && !CanFinish(step, call);
-  if (plan.full_ || denied || call.reserves_ >= kMaxReserveAttempts) {
+  const bool denied = IsCapacityShort(step, call) && !CanFinish(step, call);
+  if (plan.full_ || denied || call.reserves_ >= kMaxReserveAttempts ||
+      !LeavesHeadroom(step, call, request, *server)) {
     WaitForCapacity(step, call);
     return;
   }
@@ -198,6 +198,7 @@
   if (can_reserve) {
     Reserve(step, call, *server);
   } else {
+    RecordGrant(step, call);
     SendPrefillOrDecode(step, call);
   }
 }
@@ -219,6 +220,7 @@
     if (call.reserved_at_ == TimePoint{}) {
       call.reserved_at_ = step.now_;
     }
+    RecordGrant(step, call);
     call.reservation_expires_at_ =
         step.now_ + ReservationTime(MakePlacementRequest(step, call));
     call.reserves_ = 0;
@@ -300,6 +302,10 @@
   Dispatcher& dispatcher = step.dispatcher_;
   const std::string name = call.server_;
   ServerState* server = FindServer(dispatcher.pool_, name);
+  if (event.caller_was_slow_) {
+    CutSlowCaller(step, call, event);
+    return;
+  }
   RecordCrashSuspect(step, call, event);
   if (server != nullptr && event.connection_lost_) {
     server->connection_lost_at_ = step.now_;
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -12,6 +12,7 @@
 #include "siskindrum/gateway/event_splitter.h"
 #include "siskindrum/http/backend_pool.h"
 #include "siskindrum/http/caller_connection.h"
+#include "siskindrum/memory/budget.h"
 #include "siskindrum/telemetry/metrics.h"
 
 namespace siskindrum::gateway {
@@ -39,6 +40,7 @@
   http::BackendPool& pool_;
   telemetry::Metrics& metrics_;
   std::function<void(dispatch::Event)> post_;
+  memory::Budget* budget_ = nullptr;  // Null: nothing is counted.
 };
 
 // One caller's request and its attempts at servers. It executes the
@@ -94,6 +96,9 @@
   void ReportSustained();
   // Pauses reading from the server while too much data waits for the caller.
   void ApplyBackpressure();
+  // Returns whether reading from the server was paused until recently for so
+  // long that it may have cut off the answer for that reason.
+  bool WasCallerSlow() const;
   // Returns whether the server has sent nothing for the attempt's timeout.
   bool IsSilent(core::TimePoint now) const;
   // Cancels the attempt and reports that the request may have run.
@@ -117,13 +122,21 @@
   // Returns whether an earlier attempt sent the request to this address. A
   // connection kept since then could still bring the answer to that attempt.
   bool SentBefore(const std::string& address) const;
+  // Returns the request without the caller's body.
   std::string RequestBytes(const dispatch::StartAttempt& start) const;
+  // Charges what is buffered of the answer. Returns false when the budget has
+  // no room for it.
+  bool HoldAnswer();
+  void RespondWhole(const http::Head& head, std::string body);
+  // Marks the exchange as done and frees the request's body.
+  void Finish();
   bool IsStreaming() const;
 
   core::RequestId id_;
   std::string label_;
   std::shared_ptr<http::CallerConnection> caller_;
-  http::CallerRequest request_;
+  http::CallerRequest request_;                     // Without the body.
+  std::shared_ptr<const http::Body> request_body_;  // Shared by all attempts.
   ExchangeContext& context_;
   dispatch::StartAttempt start_;
   std::vector<std::string> sent_to_;  // Addresses of all attempts.
@@ -133,6 +146,7 @@
   AnswerFields answer_fields_;
   std::string body_;  // Buffered body of the current attempt.
   EventSplitter events_;
+  memory::Charge answer_charge_;  // For all that is buffered of answers.
   std::optional<StoredAnswer> stored_error_;
   bool answer_begun_ = false;
   bool is_event_stream_ = false;
@@ -140,6 +154,8 @@
   // The server ended the connection of the current attempt too early.
   bool connection_lost_ = false;
   bool paused_ = false;
+  core::TimePoint paused_at_{};   // Start of the last pause.
+  core::TimePoint slow_until_{};  // End of the last long pause.
   bool done_ = false;
   bool answer_ended_by_close_ = false;
   bool sustained_reported_ = false;     // For the current attempt.
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -1,5 +1,6 @@
 #include "siskindrum/gateway/gateway.h"
 
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "listener_p.h"
 #include "operators_p.h"
 #include "peer_link_p.h"
+#include "siskindrum/core/guard.h"
 #include "siskindrum/gateway/decision_thread.h"
 #include "siskindrum/http/clock.h"
 #include "siskindrum/peer/incarnation.h"
@@ -32,6 +34,19 @@
 // are answered and connections close.
 constexpr core::Milliseconds kLastAnswersTime{200};
 
+// Least advice on when to come back after a refusal for lack of memory. Most
+// requests end within it.
+constexpr core::Milliseconds kMemoryRetryAfter{700};
+// The advice of consecutive refusals differs by up to this, so that the callers
+// do not return together.
+constexpr std::uint64_t kMemoryRetrySpreadMs = 600;
+constexpr std::uint64_t kMemoryRetryStepMs = 170;
+// Refusals for lack of memory are logged once in this time.
+constexpr core::Milliseconds kMemoryLogInterval{1000};
+constexpr auto kMemoryUses = static_cast<std::size_t>(memory::Use::kCount);
+// Probes and operators send no bodies worth mentioning.
+constexpr std::uint64_t kMaxOperatorBody = 4 * 1024;
+
 GatewayOptions WithNewIncarnation(GatewayOptions options) {
   options.decisions_.incarnation_ = peer::MakeIncarnation();
   options.decisions_.seed_ = options.decisions_.incarnation_;
@@ -50,30 +65,42 @@
 struct Gateway::State {
   explicit State(const GatewayOptions& options)
       : options_(WithNewIncarnation(options)),
-        pool_(context_),
+        budget_(memory::BudgetFor(options.memory_limit_)),
+        pool_(context_, &budget_),
         decisions_(options_.decisions_),
         logs_(metrics_),
-        peers_({options_.decisions_.peers_address_, options_.fleet_},
-               {[this](dispatch::Event event) { Post(std::move(event)); },
-                [this](core::LogEvent event) { logs_.Add(std::move(event)); }}),
+        log_([this](core::LogEvent event) { logs_.Add(std::move(event)); }),
+        peers_(
+            {options_.decisions_.peers_address_, options_.fleet_},
+            {[this](dispatch::Event event) { Post(std::move(event)); }, log_}),
         exchange_context_{
             options_.dialect_, pool_, metrics_,
-            [this](dispatch::Event event) { Post(std::move(event)); }},
+            [this](dispatch::Event event) { Post(std::move(event)); },
+            &budget_},
         control_client_(
             {options_.dialect_, pool_, options_.decisions_.name_,
-             [this](dispatch::Event event) { Post(std::move(event)); },
-             [this](core::LogEvent event) { logs_.Add(std::move(event)); }}),
+             [this](dispatch::Event event) { Post(std::move(event)); }, log_}),
         callers_(context_, CallerHandlers()),
         probes_(context_, ProbeHandlers()),
         operators_(context_, OperatorHandlers()),
-        timer_(context_) {}
+        timer_(context_) {
+    http::CallerLimits limits;
+    limits.budget_ = &budget_;
+    callers_.SetLimits(limits);
+    limits = {};
+    limits.parser_.body_bytes_ = kMaxOperatorBody;
+    probes_.SetLimits(limits);
+    operators_.SetLimits(limits);
+  }
 
   GatewayOptions options_;
+  memory::Budget budget_;  // Outlives all that is charged to it.
   boost::asio::io_context context_{1};
   http::BackendPool pool_;
   telemetry::Metrics metrics_;
   DecisionThread decisions_;
   telemetry::LogWriter logs_;
+  const std::function<void(core::LogEvent)> log_;
   PeerLink peers_;
   ExchangeContext exchange_context_;
   ControlClient control_client_;
@@ -88,6 +115,10 @@
                      core::RequestIdHash>
       by_id_;
   std::uint64_t next_sequence_ = 0;
+  dispatch::AccessChanged access_;  // Last one of the dispatcher.
+  std::uint64_t memory_refusals_ = 0;
+  std::uint64_t logged_memory_refusals_ = 0;
+  core::TimePoint memory_logged_at_{};
   int sweeps_ = 0;
   bool ready_ = false;
   bool draining_ = false;
@@ -102,11 +133,21 @@
 
   http::CallerHandlers CallerHandlers() {
     http::CallerHandlers handlers;
+    handlers.on_head_ = [this](const http::Head& head) {
+      return RefuseByHead(head);
+    };
     handlers.on_request_ =
         [this](const std::shared_ptr<http::CallerConnection>& caller,
                http::CallerRequest request) {
-          OnRequest(caller, std::move(request));
+          const bool done = core::RunGuarded(
+              "request", log_, [&] { OnRequest(caller, std::move(request)); });
+          if (!done) {
+            caller->Abort();
+          }
         };
+    handlers.on_no_memory_ = [this](const http::Head& head) {
+      return RefuseForMemory(head);
+    };
     handlers.on_disconnect_ = [this](http::CallerConnection& caller) {
       OnCallerGone(caller);
     };
@@ -141,26 +182,99 @@
     return handlers;
   }
 
-  void OnOperatorRequest(http::CallerConnection& caller,
-                         const std::string& target) {
+  // Returns the page that an operator asked for; empty: there is none.
+  std::string OperatorText(const std::string& target) {
     std::string text;
     absl::string_view label = target;
     decisions_.Read([&](const dispatch::Dispatcher& dispatcher) {
       if (target == "/metrics") {
         text = MetricsText(metrics_, dispatcher, pool_.Counters(),
-                           peers_.Counters());
+                           peers_.Counters(), budget_, memory_refusals_);
       } else if (target == "/dump") {
         text = DumpText(dispatcher, http::MonotonicNow());
       } else if (absl::ConsumePrefix(&label, "/explain?request=")) {
         text = ExplainText(dispatcher, std::string(label));
       }
     });
-    if (text.empty()) {
-      caller.Respond(TextHead(404),
-                     "expected /metrics, /dump or /explain?request=ID\n");
-    } else {
-      caller.Respond(TextHead(200), text);
+    return text;
+  }
+
+  void OnOperatorRequest(http::CallerConnection& caller,
+                         const std::string& target) {
+    const OperatorPage page = MakeOperatorPage(
+        target, [this](const std::string& each) { return OperatorText(each); },
+        log_);
+    caller.Respond(TextHead(page.status_), page.text_);
+  }
+
+  // Refuses a request that certainly needs a key that it does not have. The
+  // dispatcher decides on all others.
+  std::optional<http::Head> RefuseByHead(const http::Head& head) {
+    const auto& configuration = access_.configuration_;
+    if (configuration == nullptr ||
+        configuration->rules_.organisations_.empty() ||
+        options_.dialect_.read_key_ == nullptr ||
+        access::FindOrganisation(configuration->rules_,
+                                 options_.dialect_.read_key_(head)) !=
+            nullptr) {
+      return std::nullopt;
+    }
+    const auto call = options_.dialect_.read_call_(head);
+    const core::Rule* rule =
+        call.has_value() ? core::MatchRule(configuration->rules_, call->shape_)
+                         : nullptr;
+    if (rule == nullptr || rule->outcome_.action_ == core::Action::kRefuse) {
+      return std::nullopt;
     }
+    const core::TimePoint now = http::MonotonicNow();
+    const access::Decision decision =
+        access::Decide({&configuration->rules_, access_.confirmation_,
+                        options_.decisions_.revocation_limit_},
+                       call->key_, rule->outcome_.public_, now);
+    if (decision.reason_ != core::Reason::kUnauthorised) {
+      return std::nullopt;
+    }
+    const core::RequestId id{options_.decisions_.incarnation_,
+                             ++next_sequence_};
+    Post(dispatch::RefusedAtHead{id, *call, now, configuration, rule,
+                                 decision.reason_, decision.detail_});
+    core::Verdict verdict;
+    verdict.reason_ = decision.reason_;
+    return options_.dialect_.make_refusal_(verdict, call->label_);
+  }
+
+  // Returns the answer to a request that is not read for lack of memory.
+  http::Head RefuseForMemory(const http::Head& head) {
+    ++memory_refusals_;
+    const auto call = options_.dialect_.read_call_(head);
+    core::Verdict verdict;
+    verdict.reason_ = core::Reason::kOverloaded;
+    verdict.retry_after_ =
+        kMemoryRetryAfter +
+        core::Milliseconds(memory_refusals_ * kMemoryRetryStepMs %
+                           kMemoryRetrySpreadMs);
+    return call.has_value()
+               ? options_.dialect_.make_refusal_(verdict, call->label_)
+               : TextHead(400);
+  }
+
+  void LogMemoryRefusals(core::TimePoint now) {
+    const std::uint64_t count = memory_refusals_ - logged_memory_refusals_;
+    if (count == 0 || now - memory_logged_at_ < kMemoryLogInterval) {
+      return;
+    }
+    logged_memory_refusals_ = memory_refusals_;
+    memory_logged_at_ = now;
+    core::LogEvent log{"memory_short",
+                       {{"refused", std::to_string(count)},
+                        {"limit", std::to_string(budget_.Limit())},
+                        {"used", std::to_string(budget_.Used())}}};
+    for (std::size_t i = 0; i < kMemoryUses; ++i) {
+      const auto use = static_cast<memory::Use>(i);
+      log.fields_.push_back(
+          {memory::ToString(use), std::to_string(budget_.Used(use))});
+    }
+    logs_.Add(std::move(log));
   }
 
   void OnRequest(const std::shared_ptr<http::CallerConnection>& caller,
@@ -175,6 +289,10 @@
     const core::RequestId id{options_.decisions_.incarnation_,
                              ++next_sequence_};
     dispatch::CallArrived arrived{id, *call, request.arrived_at_};
+    arrived.call_.request_bytes_ = request.body_.Size();
+    if (call->time_left_.count() > 0) {
+      caller->KeepAnswerUntil(request.arrived_at_ + call->time_left_);
+    }
     auto exchange = std::make_shared<Exchange>(
         id, call->label_, caller, std::move(request), exchange_context_);
     by_caller_[caller.get()] = exchange;
@@ -243,8 +361,10 @@
     limits.parser_.body_bytes_ = change.settings_.body_bytes_;
     limits.head_time_ = change.settings_.head_time_;
     limits.idle_time_ = change.settings_.idle_time_;
+    limits.budget_ = &budget_;
     callers_.SetLimits(limits);
   }
+  void Execute(const dispatch::AccessChanged& changed) { access_ = changed; }
   void Execute(const dispatch::ReadyChanged& changed) {
     ready_ = changed.ready_;
   }
@@ -269,7 +389,9 @@
     }
     boost::asio::post(context_, [this, rest = std::move(rest)] {
       for (const dispatch::Action& action : rest) {
-        std::visit([this](const auto& each) { Execute(each); }, action);
+        core::RunGuarded("action", log_, [&] {
+          std::visit([this](const auto& each) { Execute(each); }, action);
+        });
       }
     });
   }
@@ -278,7 +400,7 @@
     timer_.expires_after(kSweepInterval);
     timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) {
-        Sweep();
+        core::RunGuarded("sweep", log_, [this] { Sweep(); });
         ArmTimer();
       }
     });
@@ -301,6 +423,7 @@
       callers_.Sweep(now);
       probes_.Sweep(now);
       operators_.Sweep(now);
+      LogMemoryRefusals(now);
       std::erase_if(by_id_,
                     [](const auto& entry) { return entry.second.expired(); });
     }
@@ -357,15 +480,20 @@
         {"domain", options.decisions_.domain_},
         {"incarnation", std::to_string(options.decisions_.incarnation_)},
         {"callers", options.callers_address_}}});
-  state.decisions_.Start([&state](std::vector<dispatch::Action> actions) {
-    state.ExecuteAll(std::move(actions));
-  });
+  state.decisions_.Start(
+      [&state](std::vector<dispatch::Action> actions) {
+        state.ExecuteAll(std::move(actions));
+      },
+      state.log_);
   state.ArmTimer();
   return {};
 }
 
 void Gateway::Run() {
-  state_->context_.run();
+  // A handler that throws ends run(), although more work is waiting.
+  while (!core::RunGuarded("network", state_->log_,
+                           [this] { state_->context_.run(); })) {
+  }
   state_->decisions_.Stop();
   state_->peers_.Stop();
   state_->logs_.Add(
@@ -396,6 +524,10 @@
   return state_->pool_;
 }
 
+memory::Budget& Gateway::MemoryBudget() {
+  return state_->budget_;
+}
+
 void Gateway::Post(dispatch::Event event) {
   state_->Post(std::move(event));
 }
--- a/packages/gateway/src/operators_p.h
+++ b/packages/gateway/src/operators_p.h
@@ -1,10 +1,13 @@
 #ifndef SISKINDRUM_GATEWAY_OPERATORS_P_H_
 #define SISKINDRUM_GATEWAY_OPERATORS_P_H_
 
+#include <cstdint>
+#include <functional>
 #include <string>
 
 #include "siskindrum/dispatch/dispatcher.h"
 #include "siskindrum/http/backend_pool.h"
+#include "siskindrum/memory/budget.h"
 #include "siskindrum/peer/node.h"
 #include "siskindrum/telemetry/metrics.h"
 
@@ -15,7 +18,9 @@
 std::string MetricsText(const telemetry::Metrics& metrics,
                         const dispatch::Dispatcher& dispatcher,
                         const http::PoolCounters& pool,
-                        const peer::NodeCounters& peers);
+                        const peer::NodeCounters& peers,
+                        const memory::Budget& budget,
+                        std::uint64_t memory_refusals);
 
 // State of the dispatcher as JSON; times are given as ages. Thread-safe: no.
 std::string DumpText(const dispatch::Dispatcher& dispatcher,
@@ -26,6 +31,20 @@
 std::string ExplainText(const dispatch::Dispatcher& dispatcher,
                         const std::string& label);
 
+// An answer to an operator.
+struct OperatorPage {
+  int status_ = 0;
+  std::string text_;
+};
+
+// Returns the page that `write` writes, or 404 if its text is empty. If it
+// throws, the page is a 500 and the failure is logged. Thread-safe: yes, if
+// `write` and `log` are.
+OperatorPage MakeOperatorPage(
+    const std::string& target,
+    const std::function<std::string(const std::string&)>& write,
+    const std::function<void(core::LogEvent)>& log);
+
 }  // namespace siskindrum::gateway
 
 #endif  // SISKINDRUM_GATEWAY_OPERATORS_P_H_
--- a/packages/rules/src/rules.cc
+++ b/packages/rules/src/rules.cc
@@ -1,7 +1,7 @@
 #include "siskindrum/rules/rules.h"
 
 #include <algorithm>
-#include <set>
+#include <unordered_set>
 
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
@@ -9,6 +9,7 @@
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
 #include "lexer_p.h"
+#include "organisation_line_p.h"
 #include "siskindrum/core/hash.h"
 
 namespace siskindrum::rules {
@@ -23,6 +24,7 @@
 struct Parser {
   ParsedRules parsed_;
   std::vector<Problem> errors_;
+  std::unordered_set<std::string> pools_;  // Names of the pool lines so far.
 };
 
 constexpr std::uint32_t kMaxTokens = 10'000'000;
@@ -162,6 +164,12 @@
                ? ""
                : "expected repeat=allowed or repeat=never";
   }
+  if (word.key_ == "access") {
+    outcome.public_ = value == "public";
+    return value == "public" || value == "key"
+               ? ""
+               : "expected access=key or access=public";
+  }
   if (word.key_ == "resume") {
     outcome.resume_ =
         value == "never" ? core::Resume::kNever : core::Resume::kAllowed;
@@ -257,7 +265,7 @@
                : "expected priority=low, normal or high";
   }
   if (key == "prefer" || key == "repeat" || key == "fencing" ||
-      key == "resume") {
+      key == "resume" || key == "access") {
     return ParseChoice(outcome, word);
   }
   if (key == "first_token" || key == "between_tokens" || key == "timeout") {
@@ -363,7 +371,7 @@
     return;
   }
   facts.name_ = words[1].text_;
-  if (core::FindPool(parser.parsed_.rules_, facts.name_) != nullptr) {
+  if (!parser.pools_.insert(facts.name_).second) {
     AddError(parser, line, words[1].column_, "the pool stands twice");
   }
   for (auto word = words.begin() + 2; word != words.end(); ++word) {
@@ -429,10 +437,12 @@
     ParsePoolLine(parser, line);
   } else if (verb == "callers") {
     ParseCallersLine(parser, line);
+  } else if (verb == "organisation") {
+    ParseOrganisationLine(parser.parsed_.rules_, line, parser.errors_);
   } else {
     AddError(parser, line, line.words_.front().column_,
-             absl::StrCat("expected 'when', 'default', 'seat', 'pool' or "
-                          "'callers', not '",
+             absl::StrCat("expected 'when', 'default', 'seat', 'pool', "
+                          "'callers' or 'organisation', not '",
                           verb, "'"));
   }
 }
@@ -509,14 +519,13 @@
   }
 }
 
-}  // namespace
-
-tl::expected<ParsedRules, std::vector<Problem>> ParseRules(
+tl::expected<ParsedRules, std::vector<Problem>> ParseWithoutWarnings(
     const std::string& text) {
   Parser parser;
   if (text.size() > kMaxRulesBytes) {
-    return tl::unexpected(
-        std::vector<Problem>{{1, 1, "the file is larger than a megabyte"}});
+    return tl::unexpected(std::vector<Problem>{
+        {1, 1,
+         absl::StrCat("the file is larger than ", kMaxRulesBytes, " bytes")}});
   }
   const std::vector<Line> lines = SplitLines(text);
   for (const Line& line : lines) {
@@ -529,14 +538,25 @@
     return tl::unexpected(std::move(parser.errors_));
   }
   parser.parsed_.rules_.text_ = text;
-  WarnCovered(parser.parsed_);
-  WarnSeats(parser.parsed_);
+  core::IndexRules(parser.parsed_.rules_);
   return std::move(parser.parsed_);
 }
 
+}  // namespace
+
+tl::expected<ParsedRules, std::vector<Problem>> ParseRules(
+    const std::string& text) {
+  auto parsed = ParseWithoutWarnings(text);
+  if (parsed.has_value()) {
+    WarnCovered(*parsed);
+    WarnSeats(*parsed);
+  }
+  return parsed;
+}
+
 tl::expected<std::shared_ptr<const core::Configuration>, std::string>
 MakeConfiguration(std::uint64_t revision, const std::string& text) {
-  auto parsed = ParseRules(text);
+  auto parsed = ParseWithoutWarnings(text);
   if (!parsed.has_value()) {
     return tl::unexpected(Describe("rules", parsed.error().front()));
   }
