--- a/spec/quota.pml
+++ b/spec/quota.pml
@@ -12,7 +12,9 @@
  * once; FROM_LOAN counts the borrower's term from the arrival of the loan;
  * NO_NUMBER takes a loan that arrives twice; NO_INCARNATION takes a loan that
  * answers an ask of the earlier process; GIVE_LATE lets the lender keep the
- * share that it sends; ABSOLUTE lends an amount in place of a fraction.
+ * share that it sends; ABSOLUTE lends an amount in place of a fraction;
+ * KEEP_EARLIER keeps the loans of a restarted lender when it is told that there
+ * are none; TAKE_EARLIER takes one that arrives after that.
  */
 
 #define TERM 2
@@ -28,6 +30,8 @@
 byte owns_at;
 byte given_until;
 bool lender_restarted;
+bool released;                 /* The borrower holds no earlier loan. */
+bool earlier[4];               /* Lent before the restart. */
 byte lender_limit = 2;
 
 /* Borrower. */
@@ -38,6 +42,7 @@
 byte taken_until[ASKS];
 byte taken_shares[ASKS];
 byte taken_amount[ASKS];
+bool taken_earlier[ASKS];
 byte borrower_limit = 2;
 
 #ifdef NO_INCARNATION
@@ -45,6 +50,11 @@
 #else
 #define MEANT_FOR_THIS(i) (i / ASKS == incarnation)
 #endif
+#ifdef TAKE_EARLIER
+#define IS_CURRENT(i) true
+#else
+#define IS_CURRENT(i) !(released && earlier[i])
+#endif
 #define LENDER_USES ((now >= owns_at && now >= given_until) -> 1 : 0)
 #define TAKEN(n) ((now < taken_until[n]) -> taken_shares[n] : 0)
 #define AMOUNT(n) ((now < taken_until[n]) -> taken_amount[n] : 0)
@@ -91,7 +101,8 @@
   :: atomic { select (i : 0 .. 3);
        n = i % ASKS;
        if
-       :: (lent[i] && pending[n] && MEANT_FOR_THIS(i)) ->
+       :: (lent[i] && pending[n] && MEANT_FOR_THIS(i) && IS_CURRENT(i)) ->
+            taken_earlier[n] = earlier[i];
 #ifdef FROM_LOAN
             taken_until[n] = now + TERM;
 #else
@@ -110,12 +121,24 @@
   :: d_step { !lender_restarted ->
        lender_restarted = true;
        given_until = 0;
+       for (i : 0 .. 3) { earlier[i] = lent[i] }
+       taken_earlier[0] = true; taken_earlier[1] = true;
+       i = 0;
 #ifdef NO_WAIT
        owns_at = now;
 #else
        owns_at = now + TERM;
 #endif
        check() }
+  /* The borrower tells a restarted lender that it holds no earlier loan. */
+  :: d_step { lender_restarted && !released ->
+       released = true;
+#ifndef KEEP_EARLIER
+       taken_until[0] = (taken_earlier[0] -> 0 : taken_until[0]);
+       taken_until[1] = (taken_earlier[1] -> 0 : taken_until[1]);
+#endif
+       owns_at = (owns_at > now -> now : owns_at);
+       check() }
   :: d_step { incarnation == 0 ->
        incarnation = 1;
        next = 0;
--- a/tools/model_check.sh
+++ b/tools/model_check.sh
@@ -47,7 +47,8 @@
 check orders good
 for guard in ANY_START ANY_SEED; do check orders bad "$guard"; done
 check quota good
-for guard in NO_WAIT FROM_LOAN NO_NUMBER NO_INCARNATION GIVE_LATE ABSOLUTE; do
+for guard in NO_WAIT FROM_LOAN NO_NUMBER NO_INCARNATION GIVE_LATE ABSOLUTE \
+  KEEP_EARLIER TAKE_EARLIER; do
   check quota bad "$guard"
 done
 echo "model checks: $passed passed, $failed failed"
