Early refusals: bytes of a refused body are not discarded twice

When a pipelined request was refused by its head while a read was under way, the part of its body that this read brought was counted as still to come, and as many bytes of the next requests were dropped. The count now follows the body. The new test fails without the change (the fourth request gets no answer).

--- a/packages/http/src/caller_connection.cc
+++ b/packages/http/src/caller_connection.cc
@@ -280,7 +280,12 @@
 
 void CallerConnection::OnRequestBody(std::string_view data) {
   body_seen_ += data.size();
-  if (refusal_.has_value() || discarding_) {
+  if (discarding_) {
+    // A read that began before the refusal delivers part of the body.
+    unread_body_ = announced_ - std::min(announced_, body_seen_);
+    return;
+  }
+  if (refusal_.has_value()) {
     return;
   }
   if (announced_ == 0) {
--- a/packages/http/test/caller_connection_test.cc
+++ b/packages/http/test/caller_connection_test.cc
@@ -176,6 +176,33 @@
   BOOST_TEST(requests_ == 1);
 }
 
+// Failure: a read is under way when a pipelined request is refused. The part of
+// its body that this read brings must not be discarded a second time, from the
+// requests that follow.
+BOOST_AUTO_TEST_CASE(Refusal_WhenARequestWasPipelined_LeavesLaterOnesWhole) {
+  handlers_.on_head_ = [](const Head& head) -> std::optional<Head> {
+    if (head.target_ != "/refused") {
+      return std::nullopt;
+    }
+    Head refusal;
+    refusal.status_ = 401;
+    return refusal;
+  };
+  const auto post = [](const std::string& path, const std::string& body) {
+    return "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+  };
+  const std::string refused = post("/refused", std::string(60, 'x'));
+  test::Peer peer = Connect();
+  peer.Send(post("/a", "first") + refused.substr(0, refused.size() - 50));
+  std::string answers = peer.ReadUntil("first");
+  peer.Send(refused.substr(refused.size() - 50) + post("/b", "third"));
+  answers += peer.ReadUntil("third");
+  BOOST_TEST(answers.find("HTTP/1.1 401 ") != std::string::npos);
+  peer.Send(post("/c", "fourth"));
+  BOOST_TEST(peer.ReadUntil("fourth").starts_with("HTTP/1.1 200 "));
+}
+
 BOOST_AUTO_TEST_CASE(Request_WhenAChunkHeaderDoesNotEnd_IsRefused) {
   const std::string answer =
       Ask("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
