Quotas: the debt limit after a restart ends with the window

It stayed for the life of the process once a restarted entry owned its share before the window had passed, so large requests of small organisations could never be admitted there. Comments are wrapped.

--- a/packages/quota/include/siskindrum/quota/quota.h
+++ b/packages/quota/include/siskindrum/quota/quota.h
@@ -30,8 +30,7 @@
 //   if (a.outcome_ == Outcome::kShort) {
 //     AddWaiting(state, "org", cost);
 //     // Send PlanAsks(). While MayBorrow(), try again when a loan arrives;
-//     else
-//     // end the wait and refuse the request with AdviseRetry().
+//     // else end the wait and refuse the request with AdviseRetry().
 //   }
 //   Refund(state, "org", cost, now);            // it has not run
 //
@@ -109,8 +108,8 @@
   std::map<Lender, LenderState> lenders_;
   Demand demand_;
   double waiting_ = 0;  // Cost of the requests that wait for loans.
-  TimePoint
-      advised_until_{};  // Room up to then is promised to refused callers.
+  // Room up to then is promised to refused callers.
+  TimePoint advised_until_{};
   std::uint64_t admitted_ = 0;
   std::uint64_t refused_ = 0;
 };
@@ -145,9 +144,9 @@
   QuotaOptions options_;
   std::size_t entries_ = 0;  // Zero: not settled.
   TimePoint started_at_{};   // First call of SetEntryCount.
-  // Time without a base share after a restart. An earlier process may have left
-  // a debt, which the quota that was not used meanwhile makes up for.
-  core::Nanoseconds forgone_{0};
+  // Time from the start until the base share was owned. Bounds the debt in the
+  // first window, since an earlier process may have left one.
+  core::Nanoseconds time_without_base_{0};
   // Latest known process of each peer; loans of earlier ones are not taken.
   std::map<std::string, Incarnation> peer_incarnations_;
   // Peers that hold no loan of an earlier process of this entry.
@@ -243,9 +242,8 @@
 // Returns true if PlanAsks() could ask for something. Cheaper than planning.
 bool NeedsLoans(const QuotaState& state, TimePoint now);
 
-// Returns the asks to send now, at most one of each kind for each
-// peer. `peers` are the
-// names of reachable peers.
+// Returns the asks to send now, at most one of each kind for each peer. `peers`
+// are the names of reachable peers.
 std::vector<OutgoingAsk> PlanAsks(QuotaState& state,
                                   std::vector<std::string> peers,
                                   TimePoint now,
--- a/packages/quota/src/account.cc
+++ b/packages/quota/src/account.cc
@@ -131,26 +131,29 @@
 
 double NeededTokens(const QuotaState& state,
                     const core::Quota& quota,
-                    double cost) {
-  return std::max(0.0, cost - DebtLimit(state, quota));
+                    double cost,
+                    TimePoint now) {
+  return std::max(0.0, cost - DebtLimit(state, quota, now));
 }
 
-double DebtLimit(const QuotaState& state, const core::Quota& quota) {
+double DebtLimit(const QuotaState& state,
+                 const core::Quota& quota,
+                 TimePoint now) {
   if (!HasBase(state)) {
     return 0;
   }
   const auto entries = static_cast<double>(state.entries_);
   const double limit = state.options_.bounds_.slack_ / entries;
-  const bool outlasts_window =
-      state.forgone_ >= state.options_.bounds_.window_ ||
-      state.options_.is_first_start_;
-  if (outlasts_window) {
+  // An earlier process may have left a debt of the same size within the window.
+  const bool may_inherit_debt =
+      !state.options_.is_first_start_ &&
+      now - state.started_at_ < state.options_.bounds_.window_;
+  if (!may_inherit_debt) {
     return limit;
   }
-  // An earlier process may have left a debt of the same size within the window.
-  const double forgone = quota.rate_per_second_ * Seconds(state.forgone_) *
-                         static_cast<double>(state.base_ppm_) /
-                         static_cast<double>(kWholePpm);
+  const double forgone =
+      quota.rate_per_second_ * Seconds(state.time_without_base_) *
+      static_cast<double>(state.base_ppm_) / static_cast<double>(kWholePpm);
   return std::min(limit, forgone);
 }
 
@@ -267,7 +270,7 @@
       entries == 0 ? 0 : kWholePpm / static_cast<std::int64_t>(entries);
   if (gains_base) {
     state.base_since_ = now;
-    state.forgone_ = now - state.started_at_;
+    state.time_without_base_ = now - state.started_at_;
   }
   for (auto& [key, account] : state.accounts_) {
     if (gains_base && state.options_.is_first_start_) {
@@ -291,7 +294,7 @@
   if (is_new) {
     RecordDemand(account->demand_, cost, now);
   }
-  const double needed = NeededTokens(state, account->quota_, cost);
+  const double needed = NeededTokens(state, account->quota_, cost, now);
   const bool has_quota = HasBase(state) || SharePpm(state, *account, now) > 0;
   if (has_quota && account->tokens_ >= needed) {
     account->tokens_ -= cost;
--- a/packages/quota/src/account_p.h
+++ b/packages/quota/src/account_p.h
@@ -28,7 +28,8 @@
 // becomes debt. Never below zero, so that each entry owes one request at most.
 double NeededTokens(const QuotaState& state,
                     const core::Quota& quota,
-                    double cost);
+                    double cost,
+                    TimePoint now);
 
 // Time at which the bucket holds `needed` tokens, at the share it has now or,
 // without any, once the loans it gave have ended.
@@ -37,8 +38,11 @@
                  double needed,
                  TimePoint now);
 
-// Debt that this entry may take on for one organisation.
-double DebtLimit(const QuotaState& state, const core::Quota& quota);
+// Debt that this entry may take on for one organisation. Less in the first
+// window after a restart.
+double DebtLimit(const QuotaState& state,
+                 const core::Quota& quota,
+                 TimePoint now);
 
 }  // namespace siskindrum::quota
 
--- a/packages/quota/src/loans.cc
+++ b/packages/quota/src/loans.cc
@@ -78,7 +78,7 @@
                      TimePoint now) {
   return account.waiting_ <= 0
              ? 0
-             : NeededTokens(state, account.quota_, account.waiting_) -
+             : NeededTokens(state, account.quota_, account.waiting_, now) -
                    TokensLeft(state, account, now);
 }
 
@@ -212,8 +212,9 @@
                    per_ask * static_cast<double>(UnansweredAsks(planner, key));
   core::QuotaAskRow row = MakeRow(planner, account, key);
   // The share that holds the tokens until they are spent.
-  const double held = NeededTokens(state, account.quota_, account.waiting_) /
-                      WholeCap(state, account.quota_);
+  const double held =
+      NeededTokens(state, account.quota_, account.waiting_, planner.now_) /
+      WholeCap(state, account.quota_);
   row.want_ppm_ = ToRowPpm(ScalePpm(kWholePpm, std::min(1.0, held)) + 1 -
                            SharePpm(state, account, planner.now_));
   for (const std::string& peer : planner.peers_) {
