Keys: a request charged to no organisation gains none later

On a public route, a request that arrived while keys were unconfirmed could be sent for an organisation whose quota it was never charged to.

--- a/packages/dispatch/src/keys.cc
+++ b/packages/dispatch/src/keys.cc
@@ -63,7 +63,10 @@
 bool RefuseKey(Step& step, ActiveCall& call) {
   const access::Decision decision = DecideKey(step, call);
   if (decision.reason_ == core::Reason::kNone) {
-    SetOrganisation(call, decision.organisation_);
+    // A request without an organisation on arrival was charged to none.
+    const bool stays_without =
+        !call.pool_.empty() && call.organisation_.empty();
+    SetOrganisation(call, stays_without ? nullptr : decision.organisation_);
     return false;
   }
   call.retry_after_ = decision.retry_after_;
