--- a/packages/http/src/caller_connection.cc
+++ b/packages/http/src/caller_connection.cc
@@ -93,8 +93,9 @@
       });
 }
 
-// Drops bytes of a refused body in the kernel. Copying and parsing them would
-// delay all other requests when many callers send long bodies.
+// Drops bytes of a refused body without parsing them, which would delay all
+// other requests when many callers send long bodies. They are read into a
+// buffer, since not every platform accepts MSG_TRUNC without one.
 void CallerConnection::DiscardBody() {
   socket_.async_wait(
       boost::asio::ip::tcp::socket::wait_read,
@@ -104,9 +105,11 @@
           return;
         }
         const ssize_t count =
-            error ? 0
-                  : recv(self->socket_.native_handle(), nullptr,
-                         self->unread_body_, MSG_TRUNC | MSG_DONTWAIT);
+            error
+                ? 0
+                : recv(self->socket_.native_handle(), self->read_buffer_.get(),
+                       std::min<std::size_t>(self->unread_body_, kReadBytes),
+                       MSG_DONTWAIT);
         const bool is_early = count < 0 && errno == EAGAIN;
         if (count <= 0 && !is_early) {
           self->OnReadEnd();
