--- a/packages/dispatch/src/urgency.cc
+++ b/packages/dispatch/src/urgency.cc
@@ -204,7 +204,8 @@
 void RefuseHopeless(Step& step, UrgencyQueues& queues) {
   std::unordered_map<RequestId, ActiveCall, core::RequestIdHash>& calls =
       step.dispatcher_.calls_;
-  for (auto& [pool, queue] : queues) {
+  for (auto& [pool, pool_queue] : queues) {
+    UrgencyQueue& queue = pool_queue;
     std::erase_if(queue.sorted_, [&](std::size_t i) {
       const auto found = calls.find(queue.ids_[i]);
       return found == calls.end() || !found->second.waiting_;
