--- a/fuzz/fuzz_text.cc
+++ b/fuzz/fuzz_text.cc
@@ -83,8 +83,10 @@
 void ReadPages(const dispatch::Dispatcher& dispatcher,
                const std::string& label) {
   static const siskindrum::telemetry::Metrics metrics;
+  static const siskindrum::memory::Budget budget(0);
   Check(nlohmann::json::accept(gateway::DumpText(dispatcher, kNow)));
-  Check(core::IsUtf8(gateway::MetricsText(metrics, dispatcher, {}, {})));
+  Check(core::IsUtf8(
+      gateway::MetricsText(metrics, dispatcher, {}, {}, budget, 0)));
   Check(core::IsUtf8(gateway::ExplainText(dispatcher, label)));
   Check(core::IsUtf8(gateway::ExplainText(dispatcher, label + "-unknown")));
 }
--- a/packages/peer/src/node.cc
+++ b/packages/peer/src/node.cc
@@ -272,8 +272,7 @@
 
   template <class State>
   static void RunOnce(State& state) {
-    Posted posted;
-    while (TakePosted(state, &posted)) {
+    for (Posted posted; TakePosted(state, &posted); posted = Posted()) {
       Dispatch(state, std::move(posted));
     }
     PollOnce(state);
