--- a/review/standins-2/scene.cc
+++ b/review/standins-2/scene.cc
@@ -469,21 +469,24 @@
   Leave();
 }
 
-void Runner::WriteEntry() {
+Json Runner::Entry() const {
   const std::lock_guard lock(beat_mutex_);
-  if (stopping_) {
-    return;
+  return {{"service", service_},  {"address", server_->Address()},
+          {"zone", zone_},        {"version", "v1"},
+          {"slots", 6},           {"state", draining_ ? "draining" : "ready"},
+          {"coldRemainingMs", 0}, {"sequence", sequence_},
+          {"born", born_}};
+}
+
+void Runner::WriteEntry() {
+  {
+    const std::lock_guard lock(beat_mutex_);
+    if (stopping_) {
+      return;
+    }
+    ++sequence_;
   }
-  store_.Put("servers/" + id_, Json{{"service", service_},
-                                    {"address", server_->Address()},
-                                    {"zone", zone_},
-                                    {"version", "v1"},
-                                    {"slots", 6},
-                                    {"state", draining_ ? "draining" : "ready"},
-                                    {"coldRemainingMs", 0},
-                                    {"sequence", ++sequence_},
-                                    {"born", born_}}
-                                   .dump());
+  store_.Put("servers/" + id_, Entry().dump());
 }
 
 void Runner::Drain() {
@@ -579,6 +582,53 @@
   return result;
 }
 
+Answer CallStream(const std::string& address,
+                  const std::string& host,
+                  const std::string& path,
+                  const std::string& id,
+                  const std::string& prompt_prefix,
+                  std::int64_t deadline_ms) {
+  Answer result;
+  const int socket = Connect(address, 1000);
+  result.sent_at_ = Now();
+  result.ended_at_ = result.sent_at_;
+  if (socket < 0) {
+    return result;
+  }
+  result.connected_ = true;
+  SendAll(socket, "POST " + path + " HTTP/1.1\r\nHost: " + host +
+                      "\r\nRequest-Id: " + id +
+                      "\r\nModel: m\r\nToken-Count: 750,80\r\n"
+                      "Prompt-Prefix: " +
+                      prompt_prefix +
+                      "\r\nDeadline-Ms: " + std::to_string(deadline_ms) +
+                      "\r\nContent-Length: 0\r\n\r\n");
+  const auto until = Clock::now() + Ms(deadline_ms + 500);
+  std::string buffer;
+  Message answer;
+  std::string first;
+  bool open = true;
+  while (open && !TakeHead(buffer, answer, first)) {
+    open = ReadSome(socket, buffer, until) == 1;
+  }
+  if (open && first.size() >= 12) {
+    result.status_ = std::atoi(first.substr(9, 3).c_str());
+    const bool chunked = !answer.Field("Transfer-Encoding").empty();
+    const auto ends = [&] {
+      return !chunked ||
+             (buffer.size() >= 5 &&
+              buffer.compare(buffer.size() - 5, 5, "0\r\n\r\n") == 0);
+    };
+    while (open && !ends()) {
+      open = ReadSome(socket, buffer, until) == 1;
+    }
+    result.complete_ = ends();
+  }
+  result.ended_at_ = Now();
+  close(socket);
+  return result;
+}
+
 int FreePort(const std::string& ip) {
   const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address = SocketAddress(ip, 0);
--- a/review/standins-2/scene.h
+++ b/review/standins-2/scene.h
@@ -142,6 +142,10 @@
          std::int64_t work_ms);
   ~Runner();
   const std::string& Id() const { return id_; }
+  // The entry that it would write now.
+  Json Entry() const;
+  // Writes its entry once more, as a heartbeat.
+  void Beat() { WriteEntry(); }
   // Writes `draining` and says so in all answers. Returns when the store has
   // accepted that.
   void Drain();
@@ -160,7 +164,7 @@
   std::int64_t work_ms_;
   std::atomic<bool> draining_{false};
   std::atomic<bool> stopping_{false};
-  std::mutex beat_mutex_;
+  mutable std::mutex beat_mutex_;
   std::uint64_t sequence_ = 0;
   std::int64_t born_ = 0;
   mutable std::mutex mutex_;
@@ -186,6 +190,15 @@
             const std::string& id,
             std::int64_t deadline_ms);
 
+// Sends one request for an event stream on a new connection and reads it to its
+// end. The answer is complete if its last chunk came.
+Answer CallStream(const std::string& address,
+                  const std::string& host,
+                  const std::string& path,
+                  const std::string& id,
+                  const std::string& prompt_prefix,
+                  std::int64_t deadline_ms);
+
 // A free port on this address.
 int FreePort(const std::string& ip);
 
