Quotas: drop the rounding rest of waiting costs

AddWaiting adds and subtracts fractional costs; a rest of about 4.5e-13 stayed in waiting_, and an entry with such a rest lends none of its quota.

A sum below a thousandth of a token counts as none.

--- a/packages/quota/src/account.cc
+++ b/packages/quota/src/account.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Smaller costs are rounding errors of sums of fractional costs.
+constexpr double kLeastCost = 1e-3;
+
 bool HasBase(const QuotaState& state) {
   return state.base_ppm_ > 0;
 }
@@ -328,7 +331,10 @@
     return;
   }
   Account& account = found->second;
-  account.waiting_ = std::max(0.0, account.waiting_ + cost);
+  account.waiting_ += cost;
+  if (account.waiting_ < kLeastCost) {
+    account.waiting_ = 0;
+  }
   if (account.waiting_ > 0) {
     state.urgent_.insert(key);
   } else {
--- a/packages/quota/test/bound_test.cc
+++ b/packages/quota/test/bound_test.cc
@@ -262,6 +262,24 @@
   BOOST_TEST(!fleet.Spend(0, 1));
 }
 
+// A rest of the sum would keep this entry from lending for good.
+BOOST_AUTO_TEST_CASE(WaitingCosts_WhenAllAreFractionalAndLeave_AddUpToNone) {
+  QuotaFleet fleet(1, Requests(1, 3));
+  fleet.bounds_ = {};
+  fleet.Start(0, true);
+  QuotaState& state = fleet.entries_[0].state_;
+  SetEntryCount(state, 1, fleet.now_);
+  fleet.Spend(0, 1);
+  for (const double cost : {0.1, 0.7, 0.2}) {
+    AddWaiting(state, QuotaFleet::kName, cost);
+  }
+  BOOST_TEST(state.urgent_.size() == 1U);
+  for (const double cost : {0.1, 0.7, 0.2}) {
+    AddWaiting(state, QuotaFleet::kName, -cost);
+  }
+  BOOST_TEST(state.urgent_.empty());
+}
+
 // Such a request fits no base share.
 BOOST_AUTO_TEST_CASE(Request_AsLargeAsTheBurst_IsAdmittedAtALoneEntry) {
   QuotaFleet fleet(26, {1000, 30'000, core::QuotaUnit::kTokens, 0});
