Hedges: send slow repeatable calls to a second server, within a limit

--hedge SHARE or SERVICE=SHARE (off by default) lets an entry send such a call to a second server beside the first, after the time that the slowest calls of its route take (Boost.Histogram, decayed). The first whole answer that is no error is delivered; the other attempt is cancelled. packages/hedge decides, without I/O; the extra sends are a fraction of the service's calls, and take at most half of the repeat budget. None goes out while the service is short of room, when most calls are slow, or to a server that is as slow.

--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -25,10 +25,19 @@
 #include "siskindrum/dispatch/repeat_budget.h"
 #include "siskindrum/dispatch/server_pool.h"
 #include "siskindrum/dispatch/use_view.h"
+#include "siskindrum/hedge/hedge.h"
 #include "siskindrum/quota/quota.h"
 
 namespace siskindrum::dispatch {
 
+// A second send of a plain call, beside its current attempt.
+struct HedgeAttempt {
+  std::uint32_t attempt_ = 0;
+  std::string server_;
+  TimePoint sent_at_{};
+  std::uint64_t counted_bytes_ = 0;  // In `request_bytes_` of `server_`.
+};
+
 // One request in progress at this entry.
 struct ActiveCall {
   RequestId id_;
@@ -61,9 +70,12 @@
   // No other prefill of this entry was queued at `server_` when this one was
   // sent.
   bool prefill_was_unqueued_ = false;
+  std::optional<HedgeAttempt> hedge_;
+  hedge::Verdict hedge_verdict_ = hedge::Verdict::kNotSlow;  // Last one.
 
   // Whole request.
-  std::uint32_t sends_ = 0;  // Attempts counted against the rule's retries.
+  std::uint32_t attempts_ = 0;  // Started so far.
+  std::uint32_t sends_ = 0;     // Attempts counted against the rule's retries.
   int connect_failures_ = 0;
   bool sent_before_ = false;     // Another send counts as a repeat.
   bool repeat_granted_ = false;  // A repeat was taken from the budget for it.
@@ -117,6 +129,11 @@
   std::uint64_t attempts_ = 0;
   std::uint64_t repeats_ = 0;
   std::uint64_t repeats_denied_ = 0;
+  std::uint64_t hedges_ = 0;  // Among the repeats.
+  std::uint64_t hedges_won_ = 0;
+  // Slow requests, by what was decided on a hedge.
+  std::array<std::uint64_t, static_cast<std::size_t>(hedge::Verdict::kCount)>
+      hedge_verdicts_{};
   std::uint64_t silences_endured_ = 0;  // Attempts that stayed where they were.
   std::uint64_t resumed_ = 0;
   std::uint64_t cut_ = 0;
@@ -152,6 +169,7 @@
   std::string peers_address_;
   std::vector<std::string> seeds_;  // Addresses of other entries.
   RepeatLimits repeats_;            // Shared by all entries.
+  hedge::HedgeLimits hedges_;
   // A key that was taken away admits no request later than this after its
   // removal, even while this entry cannot reach the store; zero: no such bound.
   Milliseconds revocation_limit_{0};
@@ -169,6 +187,7 @@
   access::Confirmation confirmation_;
   ServerPool pool_;
   RepeatBudget budget_;
+  hedge::HedgeState hedge_;
   Peers peers_;
   PeerUsage use_;
   Quarantine quarantine_;
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -234,7 +234,7 @@
 // Actions: the outputs of a dispatcher.
 
 // Sends the request to a server, after cancelling an attempt of the same
-// request that is still in progress.
+// request that is still in progress, unless it is sent beside that one.
 struct StartAttempt {
   RequestId request_;
   std::uint32_t attempt_ = 0;
@@ -261,6 +261,9 @@
   std::string organisation_;               // Of the caller; empty: none.
   bool removes_key_ = false;               // As in gateway::AttemptFields.
   std::optional<std::uint32_t> priority_;  // For engines; none: not stated.
+  // A second send of a plain call: the first whole answer that is no error is
+  // delivered, and ends the other attempt.
+  bool beside_ = false;
 };
 
 // Cancels the attempt if its server is still silent, and reports that it
--- a/packages/dispatch/include/siskindrum/dispatch/limits.h
+++ b/packages/dispatch/include/siskindrum/dispatch/limits.h
@@ -82,6 +82,8 @@
 // Fraction of the repeat bound that entries use. Their windows are not aligned,
 // so using all of it could exceed the bound.
 inline constexpr double kRepeatBoundFraction = 0.75;
+// Fraction of that which hedges may use, together with all other repeats.
+inline constexpr double kHedgeBoundFraction = 0.5;
 // The number of known entries must not have grown for this long before an entry
 // uses its share of the bound.
 inline constexpr Milliseconds kEntryCountSettleTime{3000};
--- a/packages/dispatch/include/siskindrum/dispatch/placement.h
+++ b/packages/dispatch/include/siskindrum/dispatch/placement.h
@@ -58,6 +58,9 @@
                             bool direct,
                             TimePoint now);
 
+// Returns how many calls a plain server answers at once. Thread-safe: no.
+std::uint32_t PlainSlots(const ServerState& server);
+
 // Returns the capacity of the decode engines in the failure domain of `engine`,
 // in tokens of memory, or in slots when the memory of the pool's engines is
 // unknown. An engine counted as full has no room. Usage by other entries is
--- a/packages/dispatch/include/siskindrum/dispatch/repeat_budget.h
+++ b/packages/dispatch/include/siskindrum/dispatch/repeat_budget.h
@@ -45,6 +45,14 @@
                       const std::string& pool,
                       core::TimePoint now);
 
+// The same for a repeat that no failure asks for. It leaves part of the budget
+// to failures. Thread-safe: no.
+bool TryConsumeHedge(RepeatBudget& budget,
+                     const RepeatLimits& limits,
+                     std::size_t sharers,
+                     const std::string& pool,
+                     core::TimePoint now);
+
 }  // namespace siskindrum::dispatch
 
 #endif  // SISKINDRUM_DISPATCH_REPEAT_BUDGET_H_
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -86,7 +86,7 @@
   }
   found->second.outcome_ = outcome;
   found->second.reason_ = reason;
-  found->second.attempts_ = call.attempt_;
+  found->second.attempts_ = call.attempts_;
   found->second.total_ =
       std::chrono::duration_cast<Milliseconds>(step.now_ - call.arrived_at_);
 }
@@ -100,6 +100,7 @@
   RecordEnd(step, call, outcome, detail);
   SettleQuota(step, call);
   ReleaseAttempt(step, call);
+  ReleaseHedge(step, call);
   ReleaseDecode(step, call);
   ReleaseHandle(step, call);
   step.dispatcher_.calls_.erase(call.id_);
@@ -396,12 +397,32 @@
        {"listed_ms", FormatMs(step.now_ - server.changed_at_)}}});
 }
 
+StartAttempt DescribeAttempt(const Step& step,
+                             const ActiveCall& call,
+                             Stage stage,
+                             const ServerState& server,
+                             std::uint32_t attempt) {
+  StartAttempt start;
+  start.request_ = call.id_;
+  start.attempt_ = attempt;
+  start.stage_ = stage;
+  start.server_ = server.info_.name_;
+  start.address_ = server.info_.address_;
+  start.incarnation_ = server.info_.incarnation_;
+  start.decided_at_ = step.now_;
+  start.deadline_ = call.deadline_;
+  start.organisation_ = call.organisation_;
+  start.removes_key_ = HasOrganisations(step.dispatcher_.configuration_);
+  start.priority_ = EnginePriority(step, call);
+  return start;
+}
+
 StartAttempt BeginAttempt(Step& step,
                           ActiveCall& call,
                           Stage stage,
                           ServerState& server) {
   ++step.dispatcher_.counters_.attempts_;
-  ++call.attempt_;
+  call.attempt_ = ++call.attempts_;
   call.stage_ = stage;
   call.server_ = server.info_.name_;
   call.sent_at_ = step.now_;
@@ -411,19 +432,7 @@
   call.counted_bytes_ =
       stage == Stage::kReserve ? 0 : call.call_.request_bytes_;
   server.request_bytes_ += call.counted_bytes_;
-  StartAttempt start;
-  start.request_ = call.id_;
-  start.attempt_ = call.attempt_;
-  start.stage_ = stage;
-  start.server_ = server.info_.name_;
-  start.address_ = server.info_.address_;
-  start.incarnation_ = server.info_.incarnation_;
-  start.decided_at_ = step.now_;
-  start.deadline_ = call.deadline_;
-  start.organisation_ = call.organisation_;
-  start.removes_key_ = HasOrganisations(step.dispatcher_.configuration_);
-  start.priority_ = EnginePriority(step, call);
-  return start;
+  return DescribeAttempt(step, call, stage, server, call.attempt_);
 }
 
 void LogAttempt(Step& step,
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -85,18 +85,33 @@
   return call != nullptr && call->attempt_ == attempt ? call : nullptr;
 }
 
+// Returns the request if this attempt was sent beside its current one.
+ActiveCall* FindHedged(Step& step, const RequestId& id, std::uint32_t attempt) {
+  ActiveCall* call = FindCall(step.dispatcher_, id);
+  return call != nullptr && call->hedge_.has_value() &&
+                 call->hedge_->attempt_ == attempt
+             ? call
+             : nullptr;
+}
+
+// `hedge` is the attempt if it was sent beside the current one, else null.
 void LogAttemptFailed(Step& step,
                       const ActiveCall& call,
+                      const HedgeAttempt* hedge,
                       const std::string& outcome,
                       const std::string& detail) {
+  const HedgeAttempt attempt =
+      hedge != nullptr
+          ? *hedge
+          : HedgeAttempt{call.attempt_, call.server_, call.sent_at_};
   step.actions_.emplace_back(
       core::LogEvent{"attempt_failed",
                      {{"request", call.call_.label_},
-                      {"attempt", std::to_string(call.attempt_)},
+                      {"attempt", std::to_string(attempt.attempt_)},
                       {"stage", ToString(call.stage_)},
-                      {"server", call.server_},
+                      {"server", attempt.server_},
                       {"outcome", outcome},
-                      {"ms", FormatMs(step.now_ - call.sent_at_)},
+                      {"ms", FormatMs(step.now_ - attempt.sent_at_)},
                       {"shared_parts", FormatParts(call.call_.shared_parts_)},
                       {"detail", detail}}});
 }
@@ -107,8 +122,8 @@
     return;
   }
   if (!event.ok_) {
-    LogAttemptFailed(step, *call, event.refused_ ? "refused" : "failed",
-                     event.detail_);
+    LogAttemptFailed(step, *call, nullptr,
+                     event.refused_ ? "refused" : "failed", event.detail_);
   }
   OnPrefillDone(step, *call, event);
 }
@@ -119,7 +134,7 @@
     return;
   }
   if (!event.ok_ && !event.refused_) {
-    LogAttemptFailed(step, *call, "failed", event.detail_);
+    LogAttemptFailed(step, *call, nullptr, "failed", event.detail_);
   }
   OnReserveDone(step, *call, event);
 }
@@ -138,18 +153,24 @@
 }
 
 void OnAttemptDone(Step& step, const AttemptDone& event) {
-  ActiveCall* call = FindAttempt(step, event.request_, event.attempt_);
+  ActiveCall* hedged = FindHedged(step, event.request_, event.attempt_);
+  ActiveCall* call = hedged != nullptr
+                         ? hedged
+                         : FindAttempt(step, event.request_, event.attempt_);
   if (call == nullptr) {
     return;
   }
   if (event.outcome_ != AttemptOutcome::kDelivered) {
     LogAttemptFailed(
-        step, *call, ToString(event.outcome_),
+        step, *call, hedged != nullptr ? &*call->hedge_ : nullptr,
+        ToString(event.outcome_),
         absl::StrCat(core::ToString(event.run_state_), " status ",
                      event.status_, " after event ",
                      event.last_event_.value_or(0), " ", event.detail_));
   }
-  if (call->stage_ == Stage::kPlain) {
+  if (hedged != nullptr) {
+    OnHedgeDone(step, *call, event);
+  } else if (call->stage_ == Stage::kPlain) {
     OnPlainDone(step, *call, event);
   } else {
     OnDecodeDone(step, *call, event);
@@ -313,6 +334,7 @@
     FailCallsIf(step, core::Reason::kDraining,
                 [](const ActiveCall& call) { return !call.answer_begun_; });
   }
+  HedgeSlowCalls(step);
   UpdateQuarantine(step);
   QueryRetainedPrompts(step);
   UpdateQuotas(step);
@@ -348,6 +370,8 @@
   call.pool_ = core::PickPool(outcome, step.dispatcher_.random_());
   RecordCall(step.dispatcher_.budget_, step.dispatcher_.options_.repeats_,
              call.pool_, step.now_);
+  hedge::RecordCall(step.dispatcher_.hedge_, step.dispatcher_.options_.hedges_,
+                    call.pool_, IsRepeatable(call), step.now_);
   if (outcome.kind_ == core::BackendKind::kPlain) {
     SendPlain(step, call);
   } else if (!RefuseNewQuarantined(step, call)) {
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -60,7 +60,13 @@
 // share: entries that all start or are killed at once would otherwise exceed
 // the bound. Thread-safe: no.
 std::size_t RepeatSharers(const Step& step);
-// Counts an attempt and fills in the fields common to all stages.
+// Returns the fields of an attempt that are common to all stages.
+StartAttempt DescribeAttempt(const Step& step,
+                             const ActiveCall& call,
+                             Stage stage,
+                             const ServerState& server,
+                             std::uint32_t attempt);
+// Counts an attempt, makes it the current one and describes it.
 StartAttempt BeginAttempt(Step& step,
                           ActiveCall& call,
                           Stage stage,
@@ -101,6 +107,27 @@
 void SendPlain(Step& step, ActiveCall& call);
 void OnPlainDone(Step& step, ActiveCall& call, const AttemptDone& event);
 
+// hedged_calls.cc: second sends of slow plain calls, as in
+// siskindrum/hedge/hedge.h.
+
+// Returns the kind of request whose response times are counted together; it is
+// kept across revisions of the rules.
+std::string LatencyClass(const ActiveCall& call);
+// Sends slow calls to a second server, within the operators' limit.
+void HedgeSlowCalls(Step& step);
+// Records how long the current attempt has taken, when it is answered or given
+// up as slow.
+void RecordCallTime(Step& step, const ActiveCall& call);
+// Records that the pool of the call had no room for it.
+void RecordShortOfRoom(Step& step, const ActiveCall& call);
+// Subtracts the call's second send from the load of its server.
+void ReleaseHedge(Step& step, ActiveCall& call);
+// Makes the second send the current attempt. Returns false if there is none.
+// Requires: the current one was released.
+bool PromoteHedge(ActiveCall& call);
+// Handles the outcome of a second send. Requires: it is in progress.
+void OnHedgeDone(Step& step, ActiveCall& call, const AttemptDone& event);
+
 // engine_call.cc
 // Chooses a decode engine with capacity and reserves it, or starts the next
 // stage if the pool takes no reservations.
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -290,6 +290,7 @@
     RecordResponse(*server);
   }
   ReleasePrefill(server, call);
+  ReleaseHedge(step, call);
   RecordTransfer(step, call, false);
   if (!call.answer_begun_) {
     call.begun_at_ = step.now_;
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -86,8 +86,7 @@
                  const PlacementRequest& request,
                  double fastest,
                  TimePoint now) {
-  const std::uint32_t slots =
-      server.info_.slots_ > 0 ? server.info_.slots_ : kDefaultPlainSlots;
+  const std::uint32_t slots = PlainSlots(server);
   const double mean = server.mean_ms_ > 0
                           ? server.mean_ms_
                           : static_cast<double>(kDefaultPlainTime.count());
@@ -206,6 +205,10 @@
 
 }  // namespace
 
+std::uint32_t PlainSlots(const ServerState& server) {
+  return server.info_.slots_ > 0 ? server.info_.slots_ : kDefaultPlainSlots;
+}
+
 admission::Capacity DecodeCapacity(const ServerPool& pool,
                                    const PlacementRequest& request,
                                    const ServerState& engine,
@@ -255,8 +258,7 @@
   if (request.max_request_bytes_ == 0 || server.request_bytes_ == 0) {
     return true;
   }
-  const std::uint64_t slots =
-      server.info_.slots_ > 0 ? server.info_.slots_ : kDefaultPlainSlots;
+  const std::uint64_t slots = PlainSlots(server);
   return server.request_bytes_ + request.request_bytes_ <=
          slots * request.max_request_bytes_;
 }
--- a/packages/dispatch/src/plain_call.cc
+++ b/packages/dispatch/src/plain_call.cc
@@ -10,11 +10,13 @@
       step.dispatcher_.pool_, MakePlacementRequest(step, call), step.now_);
   ServerState* server = FindServer(step.dispatcher_.pool_, name);
   if (server == nullptr) {
+    RecordShortOfRoom(step, call);
     HandleNoServer(step, call, core::ServerRole::kPlain);
     return;
   }
   std::string denied;
   if (!AllowAttempt(step, call, &denied)) {
+    RecordShortOfRoom(step, call);
     FailCall(step, call, core::Reason::kRetriesExhausted, denied);
     return;
   }
@@ -46,6 +48,7 @@
     call.run_state_ = RunState::kRan;
   }
   if (event.outcome_ == AttemptOutcome::kDelivered) {
+    RecordCallTime(step, call);
     ++dispatcher.counters_.delivered_;
     EndCall(step, call, "delivered");
     return;
@@ -56,6 +59,9 @@
     call.has_server_error_ = true;
     call.sent_before_ = true;
     ++call.sends_;
+    if (PromoteHedge(call)) {
+      return;
+    }
     if (IsRepeatable(call)) {
       SendPlain(step, call);
     } else {
@@ -67,9 +73,12 @@
     if (server != nullptr) {
       RecordRefusedAttempt(step, call, *server, event.misdirected_);
     }
+    RecordShortOfRoom(step, call);
     call.sent_before_ = true;
     ++call.sends_;
-    SendPlain(step, call);
+    if (!PromoteHedge(call)) {
+      SendPlain(step, call);
+    }
     return;
   }
   if (server != nullptr) {
@@ -77,6 +86,9 @@
   }
   call.run_state_ = core::MaxState(call.run_state_, event.run_state_);
   if (event.run_state_ == RunState::kNotRun) {
+    if (PromoteHedge(call)) {
+      return;
+    }
     if (++call.connect_failures_ < kMaxConnectAttempts) {
       SendPlain(step, call);
       return;
@@ -84,6 +96,9 @@
   } else {
     call.sent_before_ = true;
     ++call.sends_;
+    if (PromoteHedge(call)) {
+      return;
+    }
     if (IsRepeatable(call) && !call.answer_begun_) {
       SendPlain(step, call);
       return;
--- a/packages/dispatch/src/silence.cc
+++ b/packages/dispatch/src/silence.cc
@@ -25,6 +25,9 @@
 
 // Returns why the request has to stay where it is, or null when it may move.
 const char* FindObstacle(Step& step, ActiveCall& call) {
+  if (call.hedge_.has_value()) {
+    return "hedged";
+  }
   // After an abandoned prefill the decode engine prefills, and no retry of the
   // rule is used.
   const bool prefills = call.stage_ == Stage::kPrefill;
--- a/packages/entry/src/main.cc
+++ b/packages/entry/src/main.cc
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <iostream>
 #include <string>
+#include <vector>
 
 #include <boost/program_options.hpp>
 
@@ -76,6 +77,7 @@
 int main(int argc, char** argv) {
   std::string file;
   std::uint16_t operators_port = 0;
+  std::vector<std::string> hedge_limits;
   po::options_description description("Entry instance of siskindrum");
   description.add_options()("help", "show this text")(
       "version", "show the version")("settings", po::value(&file),
@@ -83,7 +85,10 @@
       "check", "check the settings file and exit")(
       "on-platform", "serve on the platform that wrote the settings file")(
       "operators-port", po::value(&operators_port),
-      "with --on-platform: port of metrics, dump and explanations");
+      "with --on-platform: port of metrics, dump and explanations")(
+      "hedge", po::value(&hedge_limits)->composing(),
+      "with --on-platform: SHARE or SERVICE=SHARE, extra sends of slow "
+      "requests as a fraction of all (0 to 0.2; default: none); repeatable");
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, description), values);
@@ -101,7 +106,8 @@
     return 0;
   }
   if (values.contains("on-platform")) {
-    return siskindrum::adapter::RunOnPlatform({file, operators_port});
+    return siskindrum::adapter::RunOnPlatform(
+        {file, operators_port, hedge_limits});
   }
   if (file.empty()) {
     std::cerr << "--settings FILE is needed\n" << description;
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -16,9 +16,7 @@
 // Successful answers of plain calls are buffered up to this size; larger ones
 // are streamed.
 constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
-// Limits of a body that must be buffered whole and of a single event; the
-// attempt fails above them.
-constexpr std::size_t kMaxBodyBytes = 4 * 1024 * 1024;
+// Limit of a single event; the attempt fails above it.
 constexpr std::size_t kMaxEventBytes = 256 * 1024;
 // Limit of the answer to a reservation or a prefill, which names a handle.
 constexpr std::uint64_t kMaxHandleAnswerBytes = 64 * 1024;
@@ -37,16 +35,6 @@
 using dispatch::AttemptOutcome;
 using dispatch::Stage;
 
-bool IsSuccess(const http::Head& head) {
-  return head.status_ / 100 == 2;
-}
-
-// Returns true for a status from which a caller concludes that its request did
-// not run.
-bool ImpliesNotRun(int status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 bool IsEventStream(const http::Head& head) {
   const std::string* type = http::FindField(head, "Content-Type");
   return type != nullptr &&
@@ -80,6 +68,14 @@
                                         fields.pause_, fields.pause_text_};
 }
 
+bool IsSuccess(const http::Head& head) {
+  return head.status_ / 100 == 2;
+}
+
+bool ImpliesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 std::string FormatControlRequest(ControlRequest request) {
   if (!request.body_.empty()) {
     request.head_.fields_.push_back(
@@ -135,14 +131,43 @@
 
 void Exchange::Finish() {
   done_ = true;
+  CancelSecond();
   request_body_.reset();
 }
 
+http::BackendCall Exchange::MakeCall(
+    const dispatch::StartAttempt& start) const {
+  http::BackendCall call;
+  call.address_ = start.address_;
+  call.bytes_ = RequestBytes(start);
+  if (start.stage_ != Stage::kReserve) {
+    call.body_ = request_body_;
+  }
+  call.head_only_ =
+      start.stage_ != Stage::kReserve && request_.head_.method_ == "HEAD";
+  call.use_new_connection_ =
+      start.stage_ != Stage::kReserve && SentBefore(start.address_);
+  call.write_deadline_ =
+      std::min(start.decided_at_ + dispatch::kMaxDecisionAge +
+                   dispatch::kServerConnectTimeout,
+               start.deadline_);
+  call.connect_timeout_ = dispatch::kServerConnectTimeout;
+  if (start.stage_ == Stage::kReserve || start.stage_ == Stage::kPrefill) {
+    call.max_answer_bytes_ = kMaxHandleAnswerBytes;
+  }
+  return call;
+}
+
 void Exchange::Start(const dispatch::StartAttempt& start) {
+  if (start.beside_) {
+    StartSecond(start);
+    return;
+  }
   if (done_ || start.attempt_ <= start_.attempt_) {
     return;
   }
   call_.Cancel();
+  CancelSecond();
   start_ = start;
   attempt_open_ = true;
   answer_.reset();
@@ -160,24 +185,7 @@
   connection_lost_ = false;
   started_at_ = http::MonotonicNow();
   last_progress_at_ = started_at_;
-  http::BackendCall call;
-  call.address_ = start.address_;
-  call.bytes_ = RequestBytes(start);
-  if (start.stage_ != Stage::kReserve) {
-    call.body_ = request_body_;
-  }
-  call.head_only_ =
-      start.stage_ != Stage::kReserve && request_.head_.method_ == "HEAD";
-  call.use_new_connection_ =
-      start.stage_ != Stage::kReserve && SentBefore(start.address_);
-  call.write_deadline_ =
-      std::min(start.decided_at_ + dispatch::kMaxDecisionAge +
-                   dispatch::kServerConnectTimeout,
-               start.deadline_);
-  call.connect_timeout_ = dispatch::kServerConnectTimeout;
-  if (start.stage_ == Stage::kReserve || start.stage_ == Stage::kPrefill) {
-    call.max_answer_bytes_ = kMaxHandleAnswerBytes;
-  }
+  http::BackendCall call = MakeCall(start);
   const auto self = shared_from_this();
   const std::uint32_t attempt = start.attempt_;
   call.on_head_ = [self, attempt](const http::Head& head) {
@@ -204,37 +212,49 @@
          IsSuccess(*answer_);
 }
 
-http::AnswerDecision Exchange::OnHead(std::uint32_t attempt,
-                                      const http::Head& head) {
-  if (attempt != start_.attempt_ || done_) {
-    return http::AnswerDecision::kFail;
-  }
+Exchange::CheckedHead Exchange::CheckHead(const dispatch::StartAttempt& start,
+                                          const http::CallHandle& call,
+                                          const http::Head& head) const {
   const AnswerFields fields = context_.dialect_.read_answer_(head, label_);
   // A reservation request bears no ID, so neither does its answer.
-  const AnswerMatch expected = start_.stage_ == Stage::kReserve
+  const AnswerMatch expected = start.stage_ == Stage::kReserve
                                    ? AnswerMatch::kUnknown
                                    : AnswerMatch::kThisRequest;
   if (fields.match_ != expected) {
     const bool is_stale =
-        fields.match_ != AnswerMatch::kUnknown || call_.ReusesConnection();
-    return is_stale ? http::AnswerDecision::kSkip : http::AnswerDecision::kFail;
+        fields.match_ != AnswerMatch::kUnknown || call.ReusesConnection();
+    return {is_stale ? http::AnswerDecision::kSkip
+                     : http::AnswerDecision::kFail,
+            {}};
   }
-  const auto notice = ReadNotice(fields, start_.server_, start_.incarnation_);
+  const auto notice = ReadNotice(fields, start.server_, start.incarnation_);
   if (notice.has_value()) {
     context_.post_(*notice);
   }
   const bool encoded = http::FindField(head, "Content-Encoding") != nullptr;
   const bool for_caller =
-      start_.stage_ == Stage::kPlain || start_.stage_ == Stage::kDecode;
+      start.stage_ == Stage::kPlain || start.stage_ == Stage::kDecode;
   const bool trusted = fields.authentic_ && !encoded && ContinuesAnswer(head);
   if (for_caller && IsSuccess(head) && !trusted) {
+    return {http::AnswerDecision::kFail, {}};
+  }
+  return {http::AnswerDecision::kAccept, fields};
+}
+
+http::AnswerDecision Exchange::OnHead(std::uint32_t attempt,
+                                      const http::Head& head) {
+  if (attempt != start_.attempt_ || done_) {
     return http::AnswerDecision::kFail;
   }
+  const CheckedHead checked = CheckHead(start_, call_, head);
+  if (checked.decision_ != http::AnswerDecision::kAccept) {
+    return checked.decision_;
+  }
   if (!answer_begun_) {
     is_event_stream_ = IsEventStream(head);
   }
   answer_ = head;
-  answer_fields_ = fields;
+  answer_fields_ = checked.fields_;
   return http::AnswerDecision::kAccept;
 }
 
@@ -293,6 +313,7 @@
 
 void Exchange::BeginAnswer() {
   answer_begun_ = true;
+  CancelSecond();
   RecordTiming(telemetry::Timing::kFirstToken);
   caller_->RespondHead(*answer_);
   context_.post_(dispatch::AnswerBegan{id_, start_.attempt_});
@@ -555,20 +576,25 @@
 }
 
 void Exchange::Sweep(core::TimePoint now) {
-  if (!IsSilent(now)) {
+  const bool second = IsSecondSilent(now);
+  if (!second && !IsSilent(now)) {
     return;
   }
-  if (start_.stage_ == Stage::kReserve) {
+  const dispatch::StartAttempt& start = second ? second_.start_ : start_;
+  if (start.stage_ == Stage::kReserve) {
     FailAttempt(Reason::kDeadline, kSilenceDetail);
   } else if (now - silence_reported_at_ >= kSilenceReportInterval) {
     silence_reported_at_ = now;
-    context_.post_(dispatch::AttemptSilent{id_, start_.attempt_});
+    context_.post_(dispatch::AttemptSilent{id_, start.attempt_});
   }
 }
 
 void Exchange::Abandon(const dispatch::AbandonAttempt& abandon) {
   if (abandon.attempt_ == start_.attempt_ && IsSilent(http::MonotonicNow())) {
     FailAttempt(Reason::kDeadline, kSilenceDetail);
+  } else if (abandon.attempt_ == second_.start_.attempt_ &&
+             IsSecondSilent(http::MonotonicNow())) {
+    FailSecond(Reason::kDeadline, kSilenceDetail);
   }
 }
 
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -23,6 +23,16 @@
   std::string body_;
 };
 
+// Limit of a body that must be buffered whole; the attempt fails above it.
+inline constexpr std::size_t kMaxBodyBytes = 4 * 1024 * 1024;
+
+// Returns whether the answer reports success. Thread-safe: yes.
+bool IsSuccess(const http::Head& head);
+
+// Returns true for a status from which a caller concludes that its request did
+// not run. Thread-safe: yes.
+bool ImpliesNotRun(int status);
+
 // Serializes a control request. Thread-safe: yes.
 std::string FormatControlRequest(ControlRequest request);
 
@@ -43,6 +53,19 @@
   memory::Budget* budget_ = nullptr;  // Null: nothing is counted.
 };
 
+// An attempt at a second server beside the current one. Its answer is buffered
+// whole.
+struct SecondAttempt {
+  dispatch::StartAttempt start_;
+  bool open_ = false;
+  http::CallHandle call_;
+  std::optional<http::Head> answer_;
+  AnswerFields fields_;
+  std::string body_;
+  memory::Charge charge_;
+  core::TimePoint started_at_{};
+};
+
 // One caller's request and its attempts at servers. It executes the
 // dispatcher's actions and reports their outcome as events. The only decision
 // that it makes itself is whether an answer proves that the request ran or did
@@ -55,7 +78,8 @@
            http::CallerRequest request,
            ExchangeContext& context);
 
-  // Sends the request to a server; cancels the previous attempt.
+  // Sends the request to a server; cancels the previous attempt unless it is
+  // sent beside that one.
   void Start(const dispatch::StartAttempt& start);
   // Cancels the attempt and reports it as failed, if it is the current one and
   // its server is still silent.
@@ -79,6 +103,35 @@
   bool IsDone() const { return done_; }
 
  private:
+  // What an answer is by its head: taken, or why not.
+  struct CheckedHead {
+    http::AnswerDecision decision_ = http::AnswerDecision::kFail;
+    AnswerFields fields_;
+  };
+  // Checks whose answer it is and whether the caller may get it.
+  CheckedHead CheckHead(const dispatch::StartAttempt& start,
+                        const http::CallHandle& call,
+                        const http::Head& head) const;
+  // Returns a call that sends the request as `start` says, without callbacks.
+  http::BackendCall MakeCall(const dispatch::StartAttempt& start) const;
+  // second_attempt.cc: the attempt beside the current one.
+  void StartSecond(const dispatch::StartAttempt& start);
+  http::AnswerDecision OnSecondHead(std::uint32_t attempt,
+                                    const http::Head& head);
+  void OnSecondBody(std::uint32_t attempt, std::string_view data);
+  void OnSecondEnd(std::uint32_t attempt, const http::CallResult& end);
+  // Answers the caller with the second attempt's answer.
+  void DeliverSecond();
+  void ReportSecond(dispatch::AttemptOutcome outcome,
+                    core::RunState run_state,
+                    core::Reason reason,
+                    const std::string& detail);
+  void FailSecond(core::Reason reason, const std::string& detail);
+  void CancelSecond();
+  // Returns whether the second attempt is the only one and its server has sent
+  // nothing for its timeout.
+  bool IsSecondSilent(core::TimePoint now) const;
+
   http::AnswerDecision OnHead(std::uint32_t attempt, const http::Head& head);
   // Returns whether a successful answer with this head may follow what the
   // caller has already received.
@@ -146,6 +199,7 @@
   AnswerFields answer_fields_;
   std::string body_;  // Buffered body of the current attempt.
   EventSplitter events_;
+  SecondAttempt second_;
   memory::Charge answer_charge_;  // For all that is buffered of answers.
   std::optional<StoredAnswer> stored_error_;
   bool answer_begun_ = false;
--- a/packages/gateway/src/operators.cc
+++ b/packages/gateway/src/operators.cc
@@ -82,6 +82,19 @@
   }
 }
 
+// Appends how many slow requests were hedged or not, and why.
+void AppendHedgeVerdicts(std::string& text,
+                         const dispatch::DispatchCounters& counters) {
+  absl::StrAppend(&text, "# TYPE siskindrum_hedge_verdicts_total counter\n");
+  for (std::size_t i = 0; i < counters.hedge_verdicts_.size(); ++i) {
+    if (counters.hedge_verdicts_[i] > 0) {
+      absl::StrAppend(&text, "siskindrum_hedge_verdicts_total{verdict=\"",
+                      hedge::ToString(static_cast<hedge::Verdict>(i)), "\"} ",
+                      counters.hedge_verdicts_[i], "\n");
+    }
+  }
+}
+
 // Accounts listed in a dump: those with the most refused requests.
 constexpr std::size_t kMaxDumpedAccounts = 64;
 
@@ -159,6 +172,8 @@
       {"crash_suspicions_total", counters.suspicions_},
       {"quarantines_total", counters.quarantines_},
       {"quarantined_requests_total", counters.quarantined_},
+      {"hedges_total", counters.hedges_},
+      {"hedges_won_total", counters.hedges_won_},
       {"silences_endured_total", counters.silences_endured_},
       {"continued_total", counters.resumed_},
       {"prefills_elsewhere_total", counters.prefills_elsewhere_},
@@ -204,6 +219,7 @@
     counts.push_back({names[i].c_str(), counters.failed_by_reason_[i]});
   }
   std::string text = metrics.ToText(counts);
+  AppendHedgeVerdicts(text, counters);
   AppendByRank(text, "ranked_waits_total", counters.waits_by_rank_);
   AppendByRank(text, "ranked_grants_total", counters.granted_by_rank_);
   AppendByRank(text, "ranked_refusals_total", counters.refused_by_rank_);
--- a/packages/gateway/test/exchange_test.cc
+++ b/packages/gateway/test/exchange_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <atomic>
 
 #include <boost/test/unit_test.hpp>
 
@@ -71,6 +72,25 @@
     }
     return nullptr;
   }
+  // Starts an attempt without waiting for its outcome.
+  std::uint32_t Send(const test::ScriptedServer& server, bool beside) {
+    dispatch::StartAttempt start;
+    start.attempt_ = ++attempts_;
+    start.stage_ = dispatch::Stage::kPlain;
+    start.address_ = server.Address();
+    start.decided_at_ = http::MonotonicNow();
+    start.deadline_ = start.decided_at_ + core::Milliseconds(test::kWaitMs);
+    start.beside_ = beside;
+    exchange_->Start(start);
+    return attempts_;
+  }
+  std::size_t CountDone(dispatch::AttemptOutcome outcome) const {
+    return static_cast<std::size_t>(std::count_if(
+        events_.begin(), events_.end(), [outcome](const auto& event) {
+          const auto* done = std::get_if<dispatch::AttemptDone>(&event);
+          return done != nullptr && done->outcome_ == outcome;
+        }));
+  }
   // Ends the exchange's side of the connection and returns what the caller got.
   std::string CallerText() {
     context_.restart();
@@ -114,6 +134,51 @@
   };
 }
 
+std::string PlainAnswer(int status, const std::string& body) {
+  return absl::StrCat("HTTP/1.1 ", status, " S\r\nId: 7\r\nMark: m\r\n",
+                      "Connection: close\r\nContent-Length: ", body.size(),
+                      "\r\n\r\n", body);
+}
+
+// Script of a server that answers once `go` is set, and sets `closed` when its
+// caller closes the connection.
+test::ScriptedServer::Script Answers(const std::string& bytes,
+                                     std::atomic<bool>& go,
+                                     std::atomic<bool>& closed) {
+  return [bytes, &go, &closed](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    for (int ms = 0; !go && ms < test::kWaitMs; ++ms) {
+      std::this_thread::sleep_for(core::Milliseconds(1));
+    }
+    peer.Send(bytes);
+    peer.ReadAll();
+    closed = true;
+  };
+}
+
+// A request at two servers at once.
+struct HedgedFixture : ExchangeFixture {
+  void StartBoth() {
+    Send(first_, false);
+    Send(second_, true);
+  }
+  void AwaitDone() {
+    RunUntil([this] { return Find<dispatch::AttemptDone>() != nullptr; });
+    BOOST_REQUIRE(Find<dispatch::AttemptDone>() != nullptr);
+  }
+
+  std::atomic<bool> first_go_{false};
+  std::atomic<bool> second_go_{false};
+  std::atomic<bool> first_closed_{false};
+  std::atomic<bool> second_closed_{false};
+  std::string second_answer_ = PlainAnswer(200, "two");
+  test::ScriptedServer first_{
+      Answers(PlainAnswer(200, "one"), first_go_, first_closed_)};
+  test::ScriptedServer second_{[this](test::Peer& peer, int connection) {
+    Answers(second_answer_, second_go_, second_closed_)(peer, connection);
+  }};
+};
+
 BOOST_FIXTURE_TEST_SUITE(Exchanges, ExchangeFixture)
 
 // The dispatcher may decide on the error before it has learned of the stream.
@@ -189,5 +254,122 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(HedgedExchanges, HedgedFixture)
+
+BOOST_AUTO_TEST_CASE(Answer_WhenTheSecondServerIsFirst_IsItsOwn) {
+  StartBoth();
+  second_go_ = true;
+  AwaitDone();
+  BOOST_TEST(Find<dispatch::AttemptDone>()->attempt_ == 2U);
+  BOOST_TEST(CountDone(dispatch::AttemptOutcome::kDelivered) == 1U);
+  // The loser is told by the end of its connection.
+  first_go_ = true;
+  RunUntil([this] { return first_closed_.load(); });
+  BOOST_TEST(first_closed_.load());
+  const std::string text = CallerText();
+  BOOST_TEST(absl::StrContains(text, "two"));
+  BOOST_TEST(!absl::StrContains(text, "one"));
+}
+
+BOOST_AUTO_TEST_CASE(Answer_WhenTheFirstServerIsFirst_EndsTheSecond) {
+  StartBoth();
+  first_go_ = true;
+  AwaitDone();
+  BOOST_TEST(Find<dispatch::AttemptDone>()->attempt_ == 1U);
+  second_go_ = true;
+  RunUntil([this] { return second_closed_.load(); });
+  BOOST_TEST(second_closed_.load());
+  BOOST_TEST(!absl::StrContains(CallerText(), "two"));
+}
+
+// Guards against a mixture of two answers, or two answers on one connection.
+BOOST_AUTO_TEST_CASE(Answers_WhenBothComeAtOnce_AreDeliveredOnce) {
+  StartBoth();
+  first_go_ = true;
+  second_go_ = true;
+  // Both have arrived before either is read.
+  std::this_thread::sleep_for(core::Milliseconds(50));
+  AwaitDone();
+  const std::string text = CallerText();
+  BOOST_TEST(CountDone(dispatch::AttemptOutcome::kDelivered) == 1U);
+  BOOST_TEST(absl::StrContains(text, "one") != absl::StrContains(text, "two"));
+  BOOST_TEST(text.find("HTTP/1.1") == text.rfind("HTTP/1.1"));
+}
+
+BOOST_AUTO_TEST_CASE(Answer_WhenTheSecondServerErrs_IsAwaitedFromTheFirst) {
+  second_answer_ = PlainAnswer(500, "oops");
+  StartBoth();
+  second_go_ = true;
+  AwaitDone();
+  BOOST_TEST((Find<dispatch::AttemptDone>()->outcome_ ==
+              dispatch::AttemptOutcome::kServerError));
+  BOOST_TEST(!exchange_->IsDone());
+  first_go_ = true;
+  RunUntil([this] { return exchange_->IsDone(); });
+  const std::string text = CallerText();
+  BOOST_TEST(absl::StrContains(text, "one"));
+  BOOST_TEST(!absl::StrContains(text, "oops"));
+}
+
+// An answer to another request proves that the connection is not ours.
+BOOST_AUTO_TEST_CASE(Answer_WhenTheSecondServersIsForeign_IsNotDelivered) {
+  second_answer_ =
+      "HTTP/1.1 200 OK\r\nId: 8\r\nMark: m\r\nContent-Length: 3\r\n\r\ntwo";
+  StartBoth();
+  second_go_ = true;
+  context_.restart();
+  context_.run_for(core::Milliseconds(100));
+  BOOST_TEST(!exchange_->IsDone());
+  first_go_ = true;
+  RunUntil([this] { return exchange_->IsDone(); });
+  BOOST_TEST(!absl::StrContains(CallerText(), "two"));
+}
+
+BOOST_AUTO_TEST_CASE(Answer_WhenTheSecondServersIsCut_IsNotDelivered) {
+  test::ScriptedServer cut([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send(
+        "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\n"
+        "Content-Length: 9\r\n\r\ntwo");
+  });
+  Send(first_, false);
+  Send(cut, true);
+  AwaitDone();
+  BOOST_TEST((Find<dispatch::AttemptDone>()->outcome_ ==
+              dispatch::AttemptOutcome::kFailed));
+  first_go_ = true;
+  RunUntil([this] { return exchange_->IsDone(); });
+  BOOST_TEST(absl::StrContains(CallerText(), "one"));
+}
+
+BOOST_AUTO_TEST_CASE(Caller_WhenItLeaves_EndsBothAttempts) {
+  StartBoth();
+  context_.restart();
+  context_.run_for(core::Milliseconds(50));
+  exchange_->Cancel();
+  first_go_ = true;
+  second_go_ = true;
+  RunUntil([this] { return first_closed_ && second_closed_; });
+  BOOST_TEST(first_closed_.load());
+  BOOST_TEST(second_closed_.load());
+  BOOST_TEST(CountDone(dispatch::AttemptOutcome::kDelivered) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Attempt_WhenTheFirstIsLost_GoesOnAtTheSecond) {
+  test::ScriptedServer lost(
+      [](test::Peer& peer, int) { peer.ReadUntil("\r\n\r\n"); });
+  Send(lost, false);
+  Send(second_, true);
+  AwaitDone();
+  BOOST_TEST((Find<dispatch::AttemptDone>()->outcome_ ==
+              dispatch::AttemptOutcome::kFailed));
+  BOOST_TEST(!exchange_->IsDone());
+  second_go_ = true;
+  RunUntil([this] { return exchange_->IsDone(); });
+  BOOST_TEST(absl::StrContains(CallerText(), "two"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace siskindrum::gateway
