Where: tell where a request would go now, without sending it

Operators could only explain a request after it had been sent.

siskindrumctl where (and the operators' page /where) asks a running entry what would happen to a request now: rule and line, organisation and quota, wait or refusal with its reason, every server with the parts of its cost, the chosen engines, and whether a second send would follow. The dispatcher decides it by HandleEvent on a copy of its state, which leaves out the decision records; the placement returns its costs by part and can record its choices. A caller's key goes in a header, and appears in no answer.

--- a/packages/ctl/src/commands_p.h
+++ b/packages/ctl/src/commands_p.h
@@ -26,6 +26,7 @@
 // Each runs one command and returns the exit code of the process.
 int CheckCommand(const Arguments& arguments);
 int ExplainCommand(const Arguments& arguments);
+int WhereCommand(const Arguments& arguments);
 int DumpCommand(const Arguments& arguments);
 int StatusCommand(const Arguments& arguments);
 int KeyCommand(const Arguments& arguments);
--- a/packages/ctl/src/main.cc
+++ b/packages/ctl/src/main.cc
@@ -19,6 +19,8 @@
     {"check", siskindrum::ctl::CheckCommand, "check a rules file"},
     {"explain", siskindrum::ctl::ExplainCommand,
      "tell which line decides a request, and why it went where it went"},
+    {"where", siskindrum::ctl::WhereCommand,
+     "tell where a request would go now, without sending it"},
     {"dump", siskindrum::ctl::DumpCommand, "print the state of an entry"},
     {"status", siskindrum::ctl::StatusCommand, "show entries in one table"},
     {"key", siskindrum::ctl::KeyCommand, "make an Idempotency-Key"},
--- a/packages/ctl/src/operator_commands.cc
+++ b/packages/ctl/src/operator_commands.cc
@@ -11,11 +11,13 @@
 #include <boost/program_options.hpp>
 #include <nlohmann/json.hpp>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_split.h"
 #include "commands_p.h"
+#include "siskindrum/rules/encoding.h"
 #include "siskindrum/rules/explain.h"
 #include "siskindrum/rules/rules.h"
 
@@ -43,7 +45,8 @@
 
 bool Fetch(const std::string& address,
            const std::string& path,
-           std::string* out) {
+           std::string* out,
+           const httplib::Headers& headers = {}) {
   const std::size_t colon = address.rfind(':');
   int port = 0;
   if (colon == std::string::npos ||
@@ -53,7 +56,7 @@
   }
   httplib::Client client(address.substr(0, colon), port);
   client.set_read_timeout(kAnswerLimit);
-  const auto answer = client.Get(path);
+  const auto answer = client.Get(path, headers);
   if (!answer) {
     std::cerr << address << ": " << httplib::to_string(answer.error()) << "\n";
     return false;
@@ -181,6 +184,65 @@
   return kExitGood;
 }
 
+int WhereCommand(const Arguments& arguments) {
+  std::string entry;
+  std::string key_file;
+  po::options_description description(
+      "siskindrumctl where --entry IP:PORT --path PATH [options]");
+  description.add_options()("help", "show this text")(
+      "entry", po::value(&entry)->required(), "operators' address")(
+      "json", "print JSON")("key-file", po::value(&key_file),
+                            "file with the caller's key");
+  // Options that are passed on as parameters of the question.
+  const struct {
+    const char* name_;
+    const char* help_;
+  } parameters[] = {
+      {"path", "path of the request"},
+      {"method", "its HTTP method (POST)"},
+      {"host", "its host"},
+      {"model", "its model"},
+      {"organisation", "its organisation, in place of a key"},
+      {"prompt", "length of its prompt in tokens"},
+      {"max_tokens", "most tokens of its answer"},
+      {"answer", "expected tokens of its answer"},
+      {"parts", "shared parts of its prompt, hexadecimal, with commas"},
+      {"time_left", "milliseconds until its deadline"},
+  };
+  for (const auto& parameter : parameters) {
+    description.add_options()(parameter.name_, po::value<std::string>(),
+                              parameter.help_);
+  }
+  po::variables_map values;
+  int exit_code = 0;
+  if (!ParseOptions(arguments, description, {}, &values, &exit_code)) {
+    return exit_code;
+  }
+  std::string target =
+      values.contains("json") ? "/where?format=json" : "/where?format=text";
+  for (const auto& parameter : parameters) {
+    if (values.contains(parameter.name_)) {
+      absl::StrAppend(
+          &target, "&", parameter.name_, "=",
+          rules::EncodeValue(values[parameter.name_].as<std::string>()));
+    }
+  }
+  httplib::Headers headers;
+  std::string key;
+  if (!key_file.empty()) {
+    if (!ReadFile(key_file, &key)) {
+      return kExitUsage;
+    }
+    headers.emplace("Where-Key", std::string(absl::StripAsciiWhitespace(key)));
+  }
+  std::string text;
+  if (!Fetch(entry, target, &text, headers)) {
+    return kExitBad;
+  }
+  std::cout << text;
+  return kExitGood;
+}
+
 int DumpCommand(const Arguments& arguments) {
   std::string entry;
   po::options_description description("siskindrumctl dump --entry IP:PORT");
--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -176,6 +176,21 @@
   core::QuotaBounds quota_bounds_;  // Shared by all entries.
 };
 
+// Records of the last requests, for explanations. A copy is empty: copies of a
+// dispatcher answer what-if questions and are short-lived.
+struct DecisionLog {
+  DecisionLog() = default;
+  DecisionLog(const DecisionLog&) {}
+  DecisionLog& operator=(const DecisionLog&) = delete;
+  DecisionLog(DecisionLog&&) = default;
+  DecisionLog& operator=(DecisionLog&&) = default;
+  ~DecisionLog() = default;
+
+  // By the caller's label.
+  std::unordered_map<std::string, core::DecisionRecord> records_;
+  std::deque<std::string> order_;  // Labels; the oldest first.
+};
+
 // State and decisions of one entry. Each entry chooses servers from the load
 // that it sent itself and from usage reports of its peers; no entry owns a
 // server. Owned by one thread.
@@ -212,9 +227,9 @@
   // Keyed by pool, host and path of the rule.
   std::unordered_map<std::string, AnswerLengthStats> answer_lengths_;
   std::unordered_map<RequestId, ActiveCall, core::RequestIdHash> calls_;
-  // Keyed by the caller's label.
-  std::unordered_map<std::string, core::DecisionRecord> decisions_;
-  std::deque<std::string> decision_order_;
+  DecisionLog decisions_;
+  // Records the choices of servers; null: they are not recorded.
+  std::vector<WeighedChoice>* trace_ = nullptr;
   TimePoint started_at_{};       // First event.
   TimePoint list_changed_at_{};  // Last applied list change.
   bool roles_changed_ = false;
--- a/packages/dispatch/include/siskindrum/dispatch/placement.h
+++ b/packages/dispatch/include/siskindrum/dispatch/placement.h
@@ -1,6 +1,8 @@
 #ifndef SISKINDRUM_DISPATCH_PLACEMENT_H_
 #define SISKINDRUM_DISPATCH_PLACEMENT_H_
 
+#include <array>
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -10,6 +12,56 @@
 
 namespace siskindrum::dispatch {
 
+// Parts of a server's cost. The server with the lowest sum is chosen.
+enum class CostPart {
+  kErrors,         // Recent share of errors.
+  kRemote,         // In another failure domain.
+  kUnlisted,       // Gone from the list; used only if no other is left.
+  kSuspended,      // Failed or refused recently.
+  kAvoided,        // Failed this request.
+  kSlowness,       // Slower than the fastest server of the pool.
+  kLoad,           // Calls or memory in use.
+  kQueue,          // Calls beyond its slots.
+  kSilence,        // Calls unanswered for longer than usual.
+  kFull,           // No slots or memory to spare.
+  kPrefill,        // Expected time of the prefill.
+  kTransferDelay,  // Recent delay of results on their way from it.
+  kChance,         // Random, so that entries do not choose alike.
+  kCount
+};
+
+// Returns the part in snake_case. Thread-safe: yes.
+const char* ToString(CostPart part);
+
+// Cost in milliseconds, by part.
+class PlacementCost {
+ public:
+  double& operator[](CostPart part) {
+    return parts_[static_cast<std::size_t>(part)];
+  }
+  double operator[](CostPart part) const {
+    return parts_[static_cast<std::size_t>(part)];
+  }
+  double Total() const;
+
+ private:
+  std::array<double, static_cast<std::size_t>(CostPart::kCount)> parts_{};
+};
+
+// A server of the pool and role that was asked for.
+struct WeighedServer {
+  std::string name_;
+  PlacementCost cost_;
+  const char* excluded_ = nullptr;  // Why it was not weighed; null: it was.
+};
+
+// One choice among the servers of a pool.
+struct WeighedChoice {
+  core::ServerRole role_ = core::ServerRole::kPlain;
+  std::string chosen_;  // Empty: none.
+  std::vector<WeighedServer> servers_;
+};
+
 // The properties of a request that determine its placement.
 struct PlacementRequest {
   std::string pool_;
@@ -22,6 +74,8 @@
   const core::PoolSettings* pool_settings_ = nullptr;  // May be null.
   std::vector<std::string> avoid_;  // Servers that failed this request.
   std::uint64_t draw_ = 0;          // Random seed for breaking near ties.
+  // Choices are appended here; null: they are not recorded.
+  std::vector<WeighedChoice>* trace_ = nullptr;
 };
 
 // The engines chosen for the first attempt of a model request.
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -80,8 +80,9 @@
                const ActiveCall& call,
                const std::string& outcome,
                const std::string& reason) {
-  const auto found = step.dispatcher_.decisions_.find(call.call_.label_);
-  if (found == step.dispatcher_.decisions_.end()) {
+  const auto found =
+      step.dispatcher_.decisions_.records_.find(call.call_.label_);
+  if (found == step.dispatcher_.decisions_.records_.end()) {
     return;
   }
   found->second.outcome_ = outcome;
@@ -108,8 +109,9 @@
 
 // Adds the chosen server and the candidates of its role to the decision record.
 void RecordChoice(Step& step, const ActiveCall& call) {
-  const auto found = step.dispatcher_.decisions_.find(call.call_.label_);
-  if (found == step.dispatcher_.decisions_.end() ||
+  const auto found =
+      step.dispatcher_.decisions_.records_.find(call.call_.label_);
+  if (found == step.dispatcher_.decisions_.records_.end() ||
       call.stage_ == Stage::kReserve) {
     return;
   }
@@ -217,6 +219,7 @@
   request.max_request_bytes_ = call.configuration_->rules_.callers_.body_bytes_;
   request.avoid_ = call.avoid_;
   request.draw_ = call.draw_;
+  request.trace_ = step.dispatcher_.trace_;
   return request;
 }
 
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -355,13 +355,13 @@
   record.shape_ = call.call_.shape_;
   record.home_ = dispatcher.options_.name_;
   const std::string& label = call.call_.label_;
-  if (!dispatcher.decisions_.contains(label)) {
-    dispatcher.decision_order_.push_back(label);
+  if (!dispatcher.decisions_.records_.contains(label)) {
+    dispatcher.decisions_.order_.push_back(label);
   }
-  dispatcher.decisions_[label] = std::move(record);
-  if (dispatcher.decision_order_.size() > kMaxDecisionRecords) {
-    dispatcher.decisions_.erase(dispatcher.decision_order_.front());
-    dispatcher.decision_order_.pop_front();
+  dispatcher.decisions_.records_[label] = std::move(record);
+  if (dispatcher.decisions_.order_.size() > kMaxDecisionRecords) {
+    dispatcher.decisions_.records_.erase(dispatcher.decisions_.order_.front());
+    dispatcher.decisions_.order_.pop_front();
   }
 }
 
@@ -491,8 +491,9 @@
 
 const core::DecisionRecord* FindDecision(const Dispatcher& dispatcher,
                                          const std::string& label) {
-  const auto found = dispatcher.decisions_.find(label);
-  return found == dispatcher.decisions_.end() ? nullptr : &found->second;
+  const auto found = dispatcher.decisions_.records_.find(label);
+  return found == dispatcher.decisions_.records_.end() ? nullptr
+                                                       : &found->second;
 }
 
 }  // namespace siskindrum::dispatch
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -8,6 +8,7 @@
 
 #include "siskindrum/dispatch/dispatcher.h"
 #include "siskindrum/dispatch/limits.h"
+#include "siskindrum/dispatch/preview.h"
 
 namespace siskindrum::dispatch {
 
@@ -115,6 +116,9 @@
 std::string LatencyClass(const ActiveCall& call);
 // Sends slow calls to a second server, within the operators' limit.
 void HedgeSlowCalls(Step& step);
+// Returns what would become of the call if it stayed unanswered and nothing
+// else changed. Counts an extra send; for copies of a dispatcher.
+HedgeForecast ForecastHedge(Step& step, const ActiveCall& call);
 // Records how long the current attempt has taken, when it is answered or given
 // up as slow.
 void RecordCallTime(Step& step, const ActiveCall& call);
--- a/packages/dispatch/src/hedged_calls.cc
+++ b/packages/dispatch/src/hedged_calls.cc
@@ -117,22 +117,30 @@
   call.hedge_verdict_ = verdict;
 }
 
-void HedgeCall(Step& step, ActiveCall& call) {
-  if (!MayServeKey(step, call)) {
-    return;
-  }
+// Decides on a hedge, and takes it from the repeat budget if one is to be sent.
+Verdict JudgeHedge(Step& step,
+                   const ActiveCall& call,
+                   const hedge::HedgeFacts& facts) {
   Dispatcher& dispatcher = step.dispatcher_;
-  const hedge::HedgeFacts facts = GatherFacts(step, call);
-  Verdict verdict = hedge::DecideHedge(
+  const Verdict verdict = hedge::DecideHedge(
       dispatcher.hedge_, dispatcher.options_.hedges_, facts, step.now_);
   if (verdict == Verdict::kSend &&
       !TryConsumeHedge(dispatcher.budget_, dispatcher.options_.repeats_,
                        RepeatSharers(step), call.pool_, step.now_)) {
-    verdict = Verdict::kNoRepeat;
+    return Verdict::kNoRepeat;
+  }
+  return verdict;
+}
+
+void HedgeCall(Step& step, ActiveCall& call) {
+  if (!MayServeKey(step, call)) {
+    return;
   }
+  const hedge::HedgeFacts facts = GatherFacts(step, call);
+  const Verdict verdict = JudgeHedge(step, call, facts);
   RecordVerdict(step, call, verdict);
   if (verdict == Verdict::kSend) {
-    SendHedge(step, call, *FindServer(dispatcher.pool_, facts.server_));
+    SendHedge(step, call, *FindServer(step.dispatcher_.pool_, facts.server_));
   }
 }
 
@@ -161,6 +169,20 @@
   }
 }
 
+HedgeForecast ForecastHedge(Step& step, const ActiveCall& call) {
+  HedgeForecast forecast;
+  hedge::HedgeFacts facts = GatherFacts(step, call);
+  const auto delay = hedge::HedgeDelay(step.dispatcher_.hedge_,
+                                       step.dispatcher_.options_.hedges_,
+                                       call.pool_, facts.class_, step.now_);
+  forecast.delay_ = delay.value_or(Milliseconds(0));
+  facts.elapsed_ += forecast.delay_;
+  facts.time_left_ -= forecast.delay_;
+  forecast.verdict_ = JudgeHedge(step, call, facts);
+  forecast.server_ = facts.server_;
+  return forecast;
+}
+
 void RecordCallTime(Step& step, const ActiveCall& call) {
   if (!UsesHedges(step, call)) {
     return;
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <numeric>
+#include <utility>
 
 #include "siskindrum/dispatch/limits.h"
 
@@ -40,23 +42,25 @@
          request.avoid_.end();
 }
 
-// Cost components that apply to every role of a server.
-double CommonCost(const ServerState& server,
-                  const PlacementRequest& request,
-                  double remote_penalty_ms,
-                  TimePoint now) {
-  double cost = server.error_share_ * kErrorMs;
+// Cost parts that apply to every role of a server.
+PlacementCost CommonCost(const ServerState& server,
+                         const PlacementRequest& request,
+                         double remote_penalty_ms,
+                         TimePoint now) {
+  PlacementCost cost;
+  cost[CostPart::kErrors] = server.error_share_ * kErrorMs;
   if (server.info_.domain_ != request.domain_) {
-    cost += remote_penalty_ms;
+    cost[CostPart::kRemote] = remote_penalty_ms;
   }
   if (server.listing_ == Listing::kUnlisted) {
-    cost += kUnlistedCost;
+    cost[CostPart::kUnlisted] = kUnlistedCost;
   }
   if (server.suspended_until_ > now) {
-    cost += kSuspendedCost + ToMs(server.suspended_until_ - now);
+    cost[CostPart::kSuspended] =
+        kSuspendedCost + ToMs(server.suspended_until_ - now);
   }
   if (IsAvoided(request, server.info_.name_)) {
-    cost += kAvoidedCost;
+    cost[CostPart::kAvoided] = kAvoidedCost;
   }
   return cost;
 }
@@ -82,24 +86,25 @@
                      : Fade(excess, server.measured_at_, kSlowHalfLife, now);
 }
 
-double PlainCost(const ServerState& server,
-                 const PlacementRequest& request,
-                 double fastest,
-                 TimePoint now) {
+PlacementCost PlainCost(const ServerState& server,
+                        const PlacementRequest& request,
+                        double fastest,
+                        TimePoint now) {
   const std::uint32_t slots = PlainSlots(server);
   const double mean = server.mean_ms_ > 0
                           ? server.mean_ms_
                           : static_cast<double>(kDefaultPlainTime.count());
-  double cost = CommonCost(server, request, kRemotePlainPenaltyMs, now) +
-                SlownessMs(server, fastest, now);
-  cost += kBusyShareMs * server.calls_ / slots;
+  PlacementCost cost = CommonCost(server, request, kRemotePlainPenaltyMs, now);
+  cost[CostPart::kSlowness] = SlownessMs(server, fastest, now);
+  cost[CostPart::kLoad] = kBusyShareMs * server.calls_ / slots;
   if (server.calls_ >= slots) {
-    cost += mean * (server.calls_ + 1 - slots) / slots;
+    cost[CostPart::kQueue] = mean * (server.calls_ + 1 - slots) / slots;
   }
   // A server that leaves its calls unanswered for longer than twice the mean
   // may be dead.
   if (server.calls_ > 0) {
-    cost += std::max(0.0, ToMs(now - server.silent_since_) - 2 * mean);
+    cost[CostPart::kSilence] =
+        std::max(0.0, ToMs(now - server.silent_since_) - 2 * mean);
   }
   return cost;
 }
@@ -124,12 +129,12 @@
          server.full_until_ > now;
 }
 
-double DecodeCost(const ServerState& server,
-                  const PlacementRequest& request,
-                  TimePoint now) {
-  double cost = CommonCost(server, request, kRemoteDecodePenaltyMs, now);
+PlacementCost DecodeCost(const ServerState& server,
+                         const PlacementRequest& request,
+                         TimePoint now) {
+  PlacementCost cost = CommonCost(server, request, kRemoteDecodePenaltyMs, now);
   if (LacksSlots(server, now)) {
-    cost += kFullCost;
+    cost[CostPart::kFull] = kFullCost;
   }
   double load = static_cast<double>(server.calls_) / DecodeSlots(server);
   const std::uint32_t memory = request.pool_settings_ != nullptr
@@ -139,11 +144,12 @@
     const double own = static_cast<double>(server.held_tokens_) +
                        request.prompt_tokens_ + request.answer_tokens_;
     if (own > kFullShare * memory) {
-      cost += kFullCost;
+      cost[CostPart::kFull] += kFullCost;
     }
     load = std::max(load, (own + server.peer_held_tokens_) / memory);
   }
-  return cost + kLoadMs * load;
+  cost[CostPart::kLoad] = kLoadMs * load;
+  return cost;
 }
 
 double DirectPrefillMs(const ServerState& server,
@@ -177,6 +183,24 @@
   double cost_ = std::numeric_limits<double>::max();
 };
 
+// Returns why the server may not be chosen, or null.
+const char* FindExclusion(const ServerPool& pool,
+                          const PlacementRequest& request,
+                          const ServerState& server,
+                          core::ServerRole role,
+                          TimePoint now) {
+  if (role == core::ServerRole::kPrefill && server.role_change_until_ > now) {
+    return "changing role";
+  }
+  if (!HasRequestRoom(server, request)) {
+    return "no room for the body";
+  }
+  if (!IsInService(pool, server, now)) {
+    return "leaving or gone";
+  }
+  return IsPaused(pool, server, now) ? "paused" : nullptr;
+}
+
 template <class Cost>
 Choice Cheapest(const ServerPool& pool,
                 const PlacementRequest& request,
@@ -185,26 +209,73 @@
                 TimePoint now,
                 Cost cost) {
   Choice best;
+  WeighedChoice weighed{role, "", {}};
   std::uint64_t draw = request.draw_;
   for (const auto& [name, server] : pool.servers_) {
-    const bool changing_role =
-        role == core::ServerRole::kPrefill && server.role_change_until_ > now;
-    if (!FitsRole(server, role) || changing_role ||
-        server.info_.service_ != request.pool_ ||
-        !HasRequestRoom(server, request) ||
-        !AcceptsNewWork(pool, server, now)) {
+    if (!FitsRole(server, role) || server.info_.service_ != request.pool_) {
       continue;
     }
-    const double total = cost(server) + jitter_ms * NextRandom(draw);
-    if (total < best.cost_) {
-      best = {&server, total};
+    const char* excluded = FindExclusion(pool, request, server, role, now);
+    PlacementCost parts;
+    if (excluded == nullptr) {
+      parts = cost(server);
+      parts[CostPart::kChance] = jitter_ms * NextRandom(draw);
+      const double total = parts.Total();
+      if (total < best.cost_) {
+        best = {&server, total};
+        weighed.chosen_ = name;
+      }
+    }
+    if (request.trace_ != nullptr) {
+      weighed.servers_.push_back({name, parts, excluded});
     }
   }
+  if (request.trace_ != nullptr) {
+    request.trace_->push_back(std::move(weighed));
+  }
   return best;
 }
 
 }  // namespace
 
+const char* ToString(CostPart part) {
+  switch (part) {
+    case CostPart::kErrors:
+      return "errors";
+    case CostPart::kRemote:
+      return "remote";
+    case CostPart::kUnlisted:
+      return "unlisted";
+    case CostPart::kSuspended:
+      return "suspended";
+    case CostPart::kAvoided:
+      return "avoided";
+    case CostPart::kSlowness:
+      return "slowness";
+    case CostPart::kLoad:
+      return "load";
+    case CostPart::kQueue:
+      return "queue";
+    case CostPart::kSilence:
+      return "silence";
+    case CostPart::kFull:
+      return "full";
+    case CostPart::kPrefill:
+      return "prefill";
+    case CostPart::kTransferDelay:
+      return "transfer_delay";
+    case CostPart::kChance:
+      return "chance";
+    case CostPart::kCount:
+      break;
+  }
+  return "unknown";
+}
+
+double PlacementCost::Total() const {
+  return std::accumulate(parts_.begin(), parts_.end(), 0.0);
+}
+
 std::uint32_t PlainSlots(const ServerState& server) {
   return server.info_.slots_ > 0 ? server.info_.slots_ : kDefaultPlainSlots;
 }
@@ -322,9 +393,10 @@
       pool, request, core::ServerRole::kDecode,
       kDecodeJitterAnswers * OwnLoadMs(request), now,
       [&](const ServerState& server) {
-        return DecodeCost(server, request, now) +
-               (direct ? DirectPrefillMs(server, request.prompt_tokens_, now)
-                       : 0);
+        PlacementCost cost = DecodeCost(server, request, now);
+        cost[CostPart::kPrefill] =
+            direct ? DirectPrefillMs(server, request.prompt_tokens_, now) : 0;
+        return cost;
       });
   if (best.server_ == nullptr) {
     return {};
@@ -341,13 +413,17 @@
   if (decode.decode_.empty()) {
     return {};
   }
-  const Choice prefill = Cheapest(
-      pool, request, core::ServerRole::kPrefill, kPrefillJitterMs, now,
-      [&](const ServerState& server) {
-        return CommonCost(server, request, kRemotePrefillPenaltyMs, now) +
-               EstimatePrefillMs(server, request.prompt_tokens_, now) +
-               CurrentDelayMs(server.transfer_delay_, now);
-      });
+  const Choice prefill =
+      Cheapest(pool, request, core::ServerRole::kPrefill, kPrefillJitterMs, now,
+               [&](const ServerState& server) {
+                 PlacementCost cost =
+                     CommonCost(server, request, kRemotePrefillPenaltyMs, now);
+                 cost[CostPart::kPrefill] =
+                     EstimatePrefillMs(server, request.prompt_tokens_, now);
+                 cost[CostPart::kTransferDelay] =
+                     CurrentDelayMs(server.transfer_delay_, now);
+                 return cost;
+               });
   if (prefill.server_ == nullptr) {
     return direct;
   }
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -223,9 +223,9 @@
   if (fields.match_ != expected) {
     const bool is_stale =
         fields.match_ != AnswerMatch::kUnknown || call.ReusesConnection();
-    return {is_stale ? http::AnswerDecision::kSkip
-                     : http::AnswerDecision::kFail,
-            {}};
+    return {
+        is_stale ? http::AnswerDecision::kSkip : http::AnswerDecision::kFail,
+        {}};
   }
   const auto notice = ReadNotice(fields, start.server_, start.incarnation_);
   if (notice.has_value()) {
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "absl/strings/match.h"
 #include "absl/strings/strip.h"
 #include "control_client_p.h"
 #include "exchange_p.h"
@@ -19,6 +20,7 @@
 #include "siskindrum/http/clock.h"
 #include "siskindrum/peer/incarnation.h"
 #include "siskindrum/telemetry/log_writer.h"
+#include "where_p.h"
 
 namespace siskindrum::gateway {
 
@@ -44,6 +46,9 @@
 // Refusals for lack of memory are logged once in this time.
 constexpr core::Milliseconds kMemoryLogInterval{1000};
 constexpr auto kMemoryUses = static_cast<std::size_t>(memory::Use::kCount);
+// Key of the caller that an operator asks about. Not a parameter, since targets
+// are logged.
+constexpr char kWhereKeyHeader[] = "Where-Key";
 // Probes and operators send no bodies worth mentioning.
 constexpr std::uint64_t kMaxOperatorBody = 4 * 1024;
 
@@ -177,7 +182,7 @@
     handlers.on_request_ =
         [this](const std::shared_ptr<http::CallerConnection>& caller,
                const http::CallerRequest& request) {
-          OnOperatorRequest(*caller, request.head_.target_);
+          OnOperatorRequest(*caller, request.head_);
         };
     return handlers;
   }
@@ -199,8 +204,31 @@
     return text;
   }
 
+  std::string WhereAnswer(const WhereQuestion& question) {
+    std::string text;
+    decisions_.Read([&](const dispatch::Dispatcher& dispatcher) {
+      text = WhereText(dispatcher, question, http::MonotonicNow());
+    });
+    return text;
+  }
+
   void OnOperatorRequest(http::CallerConnection& caller,
-                         const std::string& target) {
+                         const http::Head& head) {
+    const std::string& target = head.target_;
+    if (target == "/where" || absl::StartsWith(target, "/where?")) {
+      const std::string* key = http::FindField(head, kWhereKeyHeader);
+      const auto question = ParseWhere(target, key == nullptr ? "" : *key);
+      if (!question.has_value()) {
+        caller.Respond(TextHead(400), question.error() + "\n");
+        return;
+      }
+      const OperatorPage page = MakeOperatorPage(
+          "/where",
+          [&](const std::string& /*target*/) { return WhereAnswer(*question); },
+          log_);
+      caller.Respond(TextHead(page.status_), page.text_);
+      return;
+    }
     const OperatorPage page = MakeOperatorPage(
         target, [this](const std::string& each) { return OperatorText(each); },
         log_);
--- a/packages/gateway/src/operators.cc
+++ b/packages/gateway/src/operators.cc
@@ -287,7 +287,9 @@
     return {500, "the page cannot be written; see the log\n"};
   }
   if (text.empty()) {
-    return {404, "expected /metrics, /dump or /explain?request=ID\n"};
+    return {
+        404,
+        "expected /metrics, /dump, /explain?request=ID or /where?path=PATH\n"};
   }
   return {200, std::move(text)};
 }
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -100,6 +100,54 @@
   }
 }
 
+// An operator's question sends nothing, and names no key.
+BOOST_AUTO_TEST_CASE(Where_TellsTheServerAndSendsNothing) {
+  std::atomic<int> requests{0};
+  test::ScriptedServer server([&requests](test::Peer& peer, int) {
+    if (!peer.ReadUntil("\r\n\r\n").empty()) {
+      ++requests;
+      peer.Send(Answer("", "done"));
+    }
+  });
+  const auto configuration = *rules::MakeConfiguration(
+      2,
+      absl::StrCat("organisation one keys=secret1 # asked by Ann\n", kRules));
+  gateway_->Post(dispatch::ConfigurationRead{configuration, "test"});
+  gateway_->Post(dispatch::ConfigurationConfirmed{
+      http::MonotonicNow() + std::chrono::hours(1), 2, configuration->digest_,
+      nullptr});
+  AddServer("desk-1", "plain", core::ServerRole::kPlain, server.Address());
+  BOOST_REQUIRE(AwaitOperatorText("/dump", "desk-1"));
+  const auto ask = [this](const std::string& target, const std::string& key) {
+    test::Peer peer = test::Peer::Connect(operators_port_);
+    peer.Send(absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: h\r\n",
+                           key.empty() ? "" : "Where-Key: ", key,
+                           key.empty() ? "" : "\r\n",
+                           "Connection: close\r\n\r\n"));
+    return peer.ReadAll();
+  };
+  const std::string text = ask("/where?path=%2fread%2f1", "secret1");
+  BOOST_TEST_INFO(text);
+  BOOST_TEST(absl::StrContains(text, "It would go to desk-1."));
+  BOOST_TEST(absl::StrContains(text, "Organisation one"));
+  BOOST_TEST(absl::StrContains(text, "No second send would follow: off."));
+  BOOST_TEST(!absl::StrContains(text, "secret"));
+  const std::string as_json =
+      ask("/where?path=/read/1&organisation=one&format=json", "");
+  BOOST_TEST(absl::StrContains(as_json, "\"server\": \"desk-1\""));
+  BOOST_TEST(!absl::StrContains(as_json, "secret"));
+  BOOST_TEST(
+      absl::StrContains(ask("/where?path=/read/1", "wrong"), "unauthorised"));
+  BOOST_TEST(absl::StrContains(ask("/where?path=/read/1&organisation=two", ""),
+                               "no organisation"));
+  for (const char* target :
+       {"/where", "/where?path=", "/where?path=/a&x=1", "/where?path=%zz",
+        "/where?path=/a&prompt=-1", "/where?path=/a&parts=x"}) {
+    BOOST_TEST(absl::StartsWith(ask(target, ""), "HTTP/1.1 400"), target);
+  }
+  BOOST_TEST(requests == 0);
+}
+
 BOOST_AUTO_TEST_CASE(NonRepeatableCall_WhenTheConnectionIsLost_IsNotRetried) {
   std::atomic<int> requests{0};
   test::ScriptedServer server([&requests](test::Peer& peer, int) {
--- a/packages/rules/include/siskindrum/rules/explain.h
+++ b/packages/rules/include/siskindrum/rules/explain.h
@@ -8,6 +8,10 @@
 
 namespace siskindrum::rules {
 
+// Names the line of a rule, who asked for it and what it does. Thread-safe:
+// yes.
+std::string ExplainRule(const core::Rule& rule);
+
 // Tells line by line why a request of this shape matches the rule it matches.
 // Thread-safe: yes.
 std::string ExplainShape(const core::RuleSet& rules,
--- a/packages/rules/src/explain.cc
+++ b/packages/rules/src/explain.cc
@@ -40,13 +40,6 @@
   return text;
 }
 
-std::string DescribeRule(const Rule& rule) {
-  return absl::StrCat("Line ", rule.line_, " decides (\"",
-                      ToLine(rule.comment_),
-                      "\"): ", DescribeOutcome(rule.outcome_), ".\n  ",
-                      ToLine(rule.text_), "\n");
-}
-
 std::string DescribeServers(const core::DecisionRecord& record) {
   const bool plain = record.rule_->outcome_.kind_ == core::BackendKind::kPlain;
   if (record.decode_.empty()) {
@@ -81,13 +74,20 @@
 
 }  // namespace
 
+std::string ExplainRule(const Rule& rule) {
+  return absl::StrCat("Line ", rule.line_, " decides (\"",
+                      ToLine(rule.comment_),
+                      "\"): ", DescribeOutcome(rule.outcome_), ".\n  ",
+                      ToLine(rule.text_), "\n");
+}
+
 std::string ExplainShape(const core::RuleSet& rules,
                          const core::RequestShape& shape) {
   std::string text;
   for (const Rule& rule : rules.rules_) {
     const char* mismatch = core::FirstMismatch(rule.match_, shape);
     if (mismatch == nullptr) {
-      return text + DescribeRule(rule);
+      return text + ExplainRule(rule);
     }
     absl::StrAppend(&text, "Line ", rule.line_, " does not apply: its ",
                     mismatch, " differs.\n");
@@ -101,7 +101,7 @@
       record.shape_.organisation_.empty() ? "an unnamed organisation"
                                           : ToLine(record.shape_.organisation_),
       " (", record.shape_.prompt_tokens_, " prompt tokens), rules revision ",
-      record.configuration_->revision_, ".\n", DescribeRule(*record.rule_),
+      record.configuration_->revision_, ".\n", ExplainRule(*record.rule_),
       DescribeServers(record), "Outcome: ", ToLine(record.outcome_),
       record.reason_.empty() ? ""
                              : absl::StrCat(" (", ToLine(record.reason_), ")"),
