--- a/packages/dispatch/src/hedged_calls.cc
+++ b/packages/dispatch/src/hedged_calls.cc
@@ -108,13 +108,23 @@
   step.actions_.emplace_back(std::move(start));
 }
 
-// Counts each reason for which the request is not hedged once.
+// Counts and logs a verdict on a slow call, once while it stays the same.
 void RecordVerdict(Step& step, ActiveCall& call, Verdict verdict) {
-  if (verdict != call.hedge_verdict_ && verdict != Verdict::kNotSlow) {
-    ++step.dispatcher_.counters_
-          .hedge_verdicts_[static_cast<std::size_t>(verdict)];
+  if (verdict == call.hedge_verdict_ || verdict == Verdict::kNotSlow) {
+    return;
   }
   call.hedge_verdict_ = verdict;
+  ++step.dispatcher_.counters_
+        .hedge_verdicts_[static_cast<std::size_t>(verdict)];
+  if (verdict != Verdict::kSend && verdict != Verdict::kNotRepeatable) {
+    step.actions_.emplace_back(
+        core::LogEvent{"hedge_withheld",
+                       {{"request", call.call_.label_},
+                        {"pool", call.pool_},
+                        {"server", call.server_},
+                        {"verdict", hedge::ToString(verdict)},
+                        {"ms", FormatMs(step.now_ - call.sent_at_)}}});
+  }
 }
 
 // Decides on a hedge, and takes it from the repeat budget if one is to be sent.
