--- a/packages/dispatch/src/plain_call.cc
+++ b/packages/dispatch/src/plain_call.cc
@@ -16,7 +16,6 @@
   }
   std::string denied;
   if (!AllowAttempt(step, call, &denied)) {
-    RecordShortOfRoom(step, call);
     FailCall(step, call, core::Reason::kRetriesExhausted, denied);
     return;
   }
--- a/packages/dispatch/test/hedged_calls_test.cc
+++ b/packages/dispatch/test/hedged_calls_test.cc
@@ -214,6 +214,14 @@
   BOOST_TEST(Withheld(hedge::Verdict::kShortOfRoom) > 0U);
 }
 
+// Errors of the servers' own are no sign that room is short.
+BOOST_AUTO_TEST_CASE(Reads_WhenAServerErrs_AreHedged) {
+  const RequestId failed = Arrive("/read/1");
+  Done(failed, AttemptOutcome::kServerError, RunState::kRan);
+  Done(failed, AttemptOutcome::kServerError, RunState::kRan);
+  StartHedged();
+}
+
 // Load: more requests than places, as in a burst.
 BOOST_AUTO_TEST_CASE(Reads_WhenAllPlacesAreTaken_AreNotHedged) {
   const std::uint64_t before = dispatcher_.counters_.hedges_;
