--- a/packages/gateway/src/where.cc
+++ b/packages/gateway/src/where.cc
@@ -246,6 +246,8 @@
   }
   if (preview.hedge_.has_value()) {
     text += DescribeHedge(*preview.hedge_);
+  } else if (preview.outcome_ == PreviewOutcome::kSent) {
+    text += "No second send would follow: streams are never hedged.\n";
   }
   return text;
 }
