Hedges: a server that was not reached costs no attempt

A hedge whose connection failed before a byte was sent used up one of the attempts of the rule, although it reached no server: the request then had no repeat left when its first attempt failed. /dump names the server of a hedge. dispatch_test passes (257 cases).

--- a/packages/dispatch/src/hedged_calls.cc
+++ b/packages/dispatch/src/hedged_calls.cc
@@ -271,7 +271,10 @@
       RecordFailure(*server, step.now_);
     }
   }
-  ++call.sends_;
+  // A server that no byte reached is none of those that the rule allows.
+  const bool unsent = event.outcome_ == AttemptOutcome::kFailed &&
+                      event.run_state_ == RunState::kNotRun;
+  call.sends_ += unsent ? 0 : 1;
 }
 
 }  // namespace siskindrum::dispatch
--- a/packages/dispatch/test/hedged_calls_test.cc
+++ b/packages/dispatch/test/hedged_calls_test.cc
@@ -151,6 +151,14 @@
   BOOST_TEST((Verdict(id).run_state_ == RunState::kMayHaveRun));
 }
 
+BOOST_AUTO_TEST_CASE(Read_WhenTheSecondServerIsNotReached_MayStillRepeat) {
+  const RequestId id = StartHedged();
+  DoneAt(id, 1, AttemptOutcome::kFailed, RunState::kNotRun);
+  DoneAt(id, 0, AttemptOutcome::kFailed);
+  BOOST_TEST(Starts(id, Stage::kPlain) == 3U);
+  BOOST_TEST(!IsRefused(id));
+}
+
 // The second server may still run it, so the refusal must not say otherwise.
 BOOST_AUTO_TEST_CASE(Read_WhenOneRefusesAndOneIsLost_MayHaveRun) {
   const RequestId id = StartHedged();
--- a/packages/gateway/src/operators.cc
+++ b/packages/gateway/src/operators.cc
@@ -66,6 +66,7 @@
           {"stage", dispatch::ToString(call.stage_)},
           {"server", call.server_},
           {"attempt", call.attempt_},
+          {"hedge_server", call.hedge_.has_value() ? call.hedge_->server_ : ""},
           {"sends", call.sends_},
           {"verdict", core::ToString(call.run_state_)},
           {"age_ms", AgeMs(now, call.arrived_at_)}};
