Hedges: hedge when it saves most, not at the limit's own percentile

The delay was the time that only the limit's share of a class exceeds. Where more requests than that are slow, it lay among the slow answers: with 3 % of the answers at 240 ms and the others at 30 to 60 ms, limits of 1 and 2 % sent 0 and 0.55 % and changed nothing.

The delay is now the one with which the allowed second sends save most, by the mean of the times beyond it; where slow answers are little slower than others none is sent, unless a request takes twice as long as any. Requests given up for their hedge count as longer ones do, so that hedges do not hide what they replace.

--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -120,8 +120,8 @@
 // else changed. Counts an extra send; for copies of a dispatcher.
 HedgeForecast ForecastHedge(Step& step, const ActiveCall& call);
 // Records how long the current attempt has taken, when it is answered or given
-// up as slow.
-void RecordCallTime(Step& step, const ActiveCall& call);
+// up as slow (`longer`).
+void RecordCallTime(Step& step, const ActiveCall& call, bool longer);
 // Records that the pool of the call had no room for it.
 void RecordShortOfRoom(Step& step, const ActiveCall& call);
 // Subtracts the call's second send from the load of its server.
--- a/packages/dispatch/src/hedged_calls.cc
+++ b/packages/dispatch/src/hedged_calls.cc
@@ -193,7 +193,7 @@
   return forecast;
 }
 
-void RecordCallTime(Step& step, const ActiveCall& call) {
+void RecordCallTime(Step& step, const ActiveCall& call, bool longer) {
   if (!UsesHedges(step, call)) {
     return;
   }
@@ -201,10 +201,11 @@
   const core::Nanoseconds took = step.now_ - call.sent_at_;
   // One time for each call: later attempts follow failures and slow answers.
   if (call.attempt_ == 1) {
-    hedge::RecordClassTime(state, call.pool_, LatencyClass(call), took,
+    hedge::RecordClassTime(state, call.pool_, LatencyClass(call), took, longer,
                            step.now_);
   }
-  hedge::RecordServerTime(state, call.pool_, call.server_, took, step.now_);
+  hedge::RecordServerTime(state, call.pool_, call.server_, took, longer,
+                          step.now_);
 }
 
 void RecordShortOfRoom(Step& step, const ActiveCall& call) {
@@ -244,7 +245,7 @@
   Dispatcher& dispatcher = step.dispatcher_;
   if (event.outcome_ == AttemptOutcome::kDelivered) {
     ++dispatcher.counters_.hedges_won_;
-    RecordCallTime(step, call);  // Of the first attempt: at least so long.
+    RecordCallTime(step, call, true);  // Of the first attempt.
     ReleaseAttempt(step, call);
     PromoteHedge(call);
     OnPlainDone(step, call, event);
--- a/packages/dispatch/src/plain_call.cc
+++ b/packages/dispatch/src/plain_call.cc
@@ -47,7 +47,7 @@
     call.run_state_ = RunState::kRan;
   }
   if (event.outcome_ == AttemptOutcome::kDelivered) {
-    RecordCallTime(step, call);
+    RecordCallTime(step, call, false);
     ++dispatcher.counters_.delivered_;
     EndCall(step, call, "delivered");
     return;
--- a/packages/hedge/include/siskindrum/hedge/hedge.h
+++ b/packages/hedge/include/siskindrum/hedge/hedge.h
@@ -100,17 +100,20 @@
                 TimePoint now);
 
 // Record the time of an answer, or the least time of one that was given up as
-// slow: for requests of its class, and for the server. Without the second kind
-// hedges would hide the slow answers that they replace. Thread-safe: no.
+// slow (`longer`): for requests of its class, and for the server. Without the
+// second kind hedges would hide the slow answers that they replace.
+// Thread-safe: no.
 void RecordClassTime(HedgeState& state,
                      const std::string& service,
                      const std::string& request_class,
                      Nanoseconds took,
+                     bool longer,
                      TimePoint now);
 void RecordServerTime(HedgeState& state,
                       const std::string& service,
                       const std::string& server,
                       Nanoseconds took,
+                      bool longer,
                       TimePoint now);
 
 // Records that a server of the service had no room, or that none took a
@@ -123,9 +126,11 @@
 // Thread-safe: no.
 void RecordHedge(HedgeState& state, const std::string& service);
 
-// Returns the time without an answer after which a request is slow: as many
-// requests of the class take longer as the limit allows to send again. None
-// while it is unknown, or for a service without hedges. Thread-safe: no.
+// Returns the time without an answer after which a request is slow: the one
+// with which the second sends that the limit allows save most time; if none
+// would save any by what is known, twice the longest time known, since a longer
+// one is that of a stuck server. None while it is unknown, and for a service
+// without hedges. Thread-safe: no.
 std::optional<Milliseconds> HedgeDelay(const HedgeState& state,
                                        const HedgeLimits& limits,
                                        const std::string& service,
--- a/packages/hedge/include/siskindrum/hedge/latency.h
+++ b/packages/hedge/include/siskindrum/hedge/latency.h
@@ -38,6 +38,10 @@
 // Adds one response time. Thread-safe: no.
 void RecordLatency(LatencyStats& stats, Nanoseconds took, TimePoint now);
 
+// Adds a response that was given up after this time and would have taken
+// longer. It counts as the known longer times do. Thread-safe: no.
+void RecordLongerLatency(LatencyStats& stats, Nanoseconds took, TimePoint now);
+
 // Returns how many recent response times are known. Thread-safe: no.
 double CountLatencies(const LatencyStats& stats, TimePoint now);
 
@@ -46,6 +50,20 @@
 std::optional<Milliseconds> LatencyQuantile(const LatencyStats& stats,
                                             double quantile);
 
+// What a second request saves on average, if it takes as long as others do.
+struct SecondRequest {
+  Milliseconds delay_{0};  // After the first.
+  double saves_ms_ = 0;    // For each request of the class.
+};
+
+// Returns the delay that saves most when at most the fraction `sent` of the
+// requests gets a second one, among delays that at most the fraction `slow`
+// exceed. None when no second request saves time, as when long times are
+// little longer than usual. Thread-safe: no.
+std::optional<SecondRequest> BestSecondRequest(const LatencyStats& stats,
+                                               double sent,
+                                               double slow);
+
 }  // namespace siskindrum::hedge
 
 #endif  // SISKINDRUM_HEDGE_LATENCY_H_
--- a/packages/hedge/src/hedge.cc
+++ b/packages/hedge/src/hedge.cc
@@ -20,6 +20,10 @@
 // Requests of a class that are hedged at most, as a fraction: a request is not
 // slow if many take longer.
 constexpr double kMaxSlowShare = 0.25;
+// A request that takes this many times as long as nearly all known ones is at a
+// stuck server.
+constexpr int kStuckFactor = 2;
+constexpr double kNearlyAll = 0.999;
 // No hedges for this long after a sign that room is short.
 constexpr Milliseconds kShortageTime{1000};
 // An entry that takes more of the places does not hedge. It sees only its own
@@ -43,6 +47,14 @@
   return all[name];
 }
 
+void Record(LatencyStats& stats, Nanoseconds took, bool longer, TimePoint now) {
+  if (longer) {
+    RecordLongerLatency(stats, took, now);
+  } else {
+    RecordLatency(stats, took, now);
+  }
+}
+
 // Returns the distribution if it has enough response times, else null.
 const LatencyStats* FindKnown(const std::map<std::string, LatencyStats>& all,
                               const std::string& name,
@@ -63,9 +75,9 @@
 
 // Returns the part of the repeatable requests that the limit, which counts all
 // requests of the service, allows to send again.
-double SlowShare(const ServiceLoad& load, double share) {
+double SentShare(const ServiceLoad& load, double share) {
   return load.repeatable_ <= 0
-             ? kMaxSlowShare
+             ? 0
              : std::min(kMaxSlowShare, share * load.calls_ / load.repeatable_);
 }
 
@@ -174,18 +186,20 @@
                      const std::string& service,
                      const std::string& request_class,
                      Nanoseconds took,
+                     bool longer,
                      TimePoint now) {
-  RecordLatency(FindOrAdd(state.classes_, StatsKey(service, request_class)),
-                took, now);
+  Record(FindOrAdd(state.classes_, StatsKey(service, request_class)), took,
+         longer, now);
 }
 
 void RecordServerTime(HedgeState& state,
                       const std::string& service,
                       const std::string& server,
                       Nanoseconds took,
+                      bool longer,
                       TimePoint now) {
-  RecordLatency(FindOrAdd(state.servers_, StatsKey(service, server)), took,
-                now);
+  Record(FindOrAdd(state.servers_, StatsKey(service, server)), took, longer,
+         now);
 }
 
 void RecordShortage(HedgeState& state,
@@ -209,10 +223,14 @@
   }
   const LatencyStats* known = FindKnown(
       state.classes_, StatsKey(service, request_class), kMinClassAnswers, now);
-  return known == nullptr
-             ? std::nullopt
-             : LatencyQuantile(*known, 1 - SlowShare(load->second,
-                                                     ShareOf(limits, service)));
+  if (known == nullptr) {
+    return std::nullopt;
+  }
+  const auto best = BestSecondRequest(
+      *known, SentShare(load->second, ShareOf(limits, service)), kMaxSlowShare);
+  return best.has_value()
+             ? best->delay_
+             : kStuckFactor * LatencyQuantile(*known, kNearlyAll).value();
 }
 
 Verdict DecideHedge(const HedgeState& state,
--- a/packages/hedge/src/latency.cc
+++ b/packages/hedge/src/latency.cc
@@ -24,6 +24,20 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+double ToBinned(Nanoseconds took) {
+  return std::clamp(ToMs(took), kShortestMs, kLongestMs - 1);
+}
+
+void Decay(LatencyStats& stats, TimePoint now) {
+  stats.bins_ *= core::Fade(1, stats.decayed_at_, kHalfLife, now);
+  stats.decayed_at_ = now;
+}
+
+Milliseconds UpperEdge(const LatencyAxis& axis, int bin) {
+  return Milliseconds(
+      static_cast<std::int64_t>(std::ceil(axis.bin(bin).upper())));
+}
+
 }  // namespace
 
 LatencyBins MakeLatencyBins() {
@@ -32,9 +46,25 @@
 }
 
 void RecordLatency(LatencyStats& stats, Nanoseconds took, TimePoint now) {
-  stats.bins_ *= core::Fade(1, stats.decayed_at_, kHalfLife, now);
-  stats.decayed_at_ = now;
-  stats.bins_(std::clamp(ToMs(took), kShortestMs, kLongestMs - 1));
+  Decay(stats, now);
+  stats.bins_(ToBinned(took));
+  stats.weight_ = bh::algorithm::sum(stats.bins_);
+}
+
+void RecordLongerLatency(LatencyStats& stats, Nanoseconds took, TimePoint now) {
+  Decay(stats, now);
+  const LatencyAxis& axis = stats.bins_.axis();
+  const int first = axis.index(ToBinned(took)) + 1;
+  double longer = 0;
+  for (int bin = first; bin < axis.size(); ++bin) {
+    longer += stats.bins_.at(bin);
+  }
+  if (longer <= 0) {
+    stats.bins_(ToBinned(took));
+  }
+  for (int bin = first; bin < axis.size() && longer > 0; ++bin) {
+    stats.bins_.at(bin) *= 1 + 1 / longer;
+  }
   stats.weight_ = bh::algorithm::sum(stats.bins_);
 }
 
@@ -56,8 +86,38 @@
       break;
     }
   }
-  return Milliseconds(
-      static_cast<std::int64_t>(std::ceil(axis.bin(bin).upper())));
+  return UpperEdge(axis, bin);
+}
+
+std::optional<SecondRequest> BestSecondRequest(const LatencyStats& stats,
+                                               double sent,
+                                               double slow) {
+  const LatencyAxis& axis = stats.bins_.axis();
+  double sum = 0;
+  for (int bin = 0; bin < axis.size(); ++bin) {
+    sum += stats.bins_.at(bin) * axis.bin(bin).center();
+  }
+  const double mean = sum / stats.weight_;
+  std::optional<SecondRequest> best;
+  double longer = 0;  // Weight and sum of times above the delay.
+  double longer_sum = 0;
+  for (int bin = axis.size() - 1; bin > 0; --bin) {
+    longer += stats.bins_.at(bin);
+    longer_sum += stats.bins_.at(bin) * axis.bin(bin).center();
+    const double part = longer / stats.weight_;
+    if (part > slow) {
+      break;
+    }
+    if (longer <= 0) {
+      continue;
+    }
+    const double left = longer_sum / longer - axis.bin(bin).lower();
+    const double saves = std::min(sent, part) * (left - mean);
+    if (saves > (best.has_value() ? best->saves_ms_ : 0)) {
+      best = SecondRequest{UpperEdge(axis, bin - 1), saves};
+    }
+  }
+  return best;
 }
 
 }  // namespace siskindrum::hedge
