--- a/packages/dispatch/test/hedged_calls_test.cc
+++ b/packages/dispatch/test/hedged_calls_test.cc
@@ -97,13 +97,12 @@
   // Advances by 10 ms.
   void Advance() {
     now_ += Milliseconds(10);
-    for (const auto& [id, starts] : starts_) {
-      for (; seen_[id] < starts.size(); ++seen_[id]) {
-        const Milliseconds takes(random_() % 33 == 0 ? 240
-                                                     : 30 + random_() % 30);
-        answers_.push_back(
-            {id, seen_[id], starts[seen_[id]].decided_at_ + takes});
-      }
+    for (; next_start_ < order_.size(); ++next_start_) {
+      const RequestId id = order_[next_start_];
+      const std::size_t start = starts_seen_[id]++;
+      const Milliseconds takes(random_() % 33 == 0 ? 240 : 30 + random_() % 30);
+      answers_.push_back(
+          {id, start, starts_.at(id).at(start).decided_at_ + takes});
     }
     std::erase_if(answers_, [this](const Answer& answer) {
       if (answer.due_ > now_) {
@@ -126,7 +125,8 @@
 
   std::mt19937 random_{1};
   std::map<RequestId, TimePoint> arrived_;  // Not answered yet.
-  std::map<RequestId, std::size_t> seen_;   // Starts with an answer due.
+  std::size_t next_start_ = 0;              // In `order_`.
+  std::map<RequestId, std::size_t> starts_seen_;
   std::vector<Answer> answers_;
   std::vector<double> times_;
 };
