Answers: refuse a status out of HTTP's range

Callers saw an answer whose status was 000, and before that any three digits: 099, 600 and 999 were passed on as well.

Cause: the parser's library takes any three digits as a status, and nothing after it looked. A status of 000 is neither a success, a server's error nor a promise that nothing ran, so the exchange delivered it as the answer of a call that ran.

Change: the parser fails with kMalformed at the start line of an answer whose status is not from 100 to 599 (RFC 9110, 15). All that packages/http reads goes through it: answers to callers, prefills, reservations, prompt lists and the store. The attempt fails as after any malformed answer: it may have run, so it is repeated only where that is allowed, and the caller gets 502 otherwise. A "not run" in such an answer is not believed.

--- a/packages/gateway/test/broken_answer_test.cc
+++ b/packages/gateway/test/broken_answer_test.cc
@@ -151,6 +151,32 @@
   BOOST_TEST((is_cut_off || answer.starts_with("HTTP/1.1 502 ")));
 }
 
+// Answers whose status is out of HTTP's range, as servers in trouble send them.
+constexpr const char* kAnswersWithInvalidStatus[] = {
+    "HTTP/1.1 000 Oops\r\nId: 7\r\nMark: m\r\nContent-Length: 4\r\n\r\noops",
+    "HTTP/1.1 000 Oops\r\nId: 7\r\nMark: m\r\nNot-Run: 1\r\n"
+    "Content-Length: 0\r\n\r\n",
+    "HTTP/1.1 000 \r\nId: 7\r\nMark: m\r\nContent-Type: text/event-stream\r\n"
+    "\r\nid: 1\ndata: x\n\n",
+    "HTTP/1.1 099 Oops\r\nId: 7\r\nMark: m\r\nContent-Length: 4\r\n\r\noops",
+    "HTTP/1.1 600 Oops\r\nId: 7\r\nMark: m\r\nContent-Length: 4\r\n\r\noops",
+    "HTTP/1.1 999 Oops\r\nId: 7\r\nMark: m\r\nContent-Length: 4\r\n\r\noops",
+};
+
+BOOST_DATA_TEST_CASE(Answer_WhenItsStatusIsOutOfRange_IsNotDelivered,
+                     boost::unit_test::data::make(kAnswersWithInvalidStatus) *
+                         boost::unit_test::data::make({"/once", "/read",
+                                                       "/stream", "/resume"}),
+                     answer,
+                     path) {
+  test::ScriptedServer server(Sends(answer));
+  AddServer("s", "plain", core::ServerRole::kPlain, server.Address());
+  AddServer("d", "engines", core::ServerRole::kDecode, server.Address());
+  const std::string received = SendRequest(path);
+  BOOST_TEST_INFO(received);
+  BOOST_TEST(received.starts_with("HTTP/1.1 502 "));
+}
+
 BOOST_AUTO_TEST_CASE(LargeAnswer_WhenItIsCut_EndsWithoutTheLastChunk) {
   test::ScriptedServer server(
       Sends("HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\n"
--- a/packages/http/include/siskindrum/http/parser.h
+++ b/packages/http/include/siskindrum/http/parser.h
@@ -13,7 +13,7 @@
 
 enum class ParseError {
   kNone,
-  kMalformed,  // Includes ambiguous framing of the body.
+  kMalformed,  // Also a status out of range, or ambiguous framing of the body.
   kHeadTooLarge,
   kBodyTooLarge,
   kFramingTooLarge,  // A chunk header, or the trailers.
--- a/packages/http/src/parser.cc
+++ b/packages/http/src/parser.cc
@@ -19,6 +19,10 @@
 // chunk.
 constexpr std::size_t kShortestLastChunk = 5;
 
+// Statuses outside this range are invalid (RFC 9110, 15).
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
+
 // The part of a message parsed so far. Shared by the request and the response
 // parser.
 struct ParsedMessage {
@@ -66,7 +70,11 @@
   void on_response_impl(int status,
                         string_view reason,
                         int version,
-                        error_code& /*error*/) override {
+                        error_code& error) override {
+    if (status < kMinStatus || status > kMaxStatus) {
+      error = beast::http::error::bad_status;
+      return;
+    }
     message_.head_.status_ = status;
     message_.head_.reason_ = std::string(reason);
     message_.head_.version_ = version;
--- a/packages/http/test/parser_test.cc
+++ b/packages/http/test/parser_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "siskindrum/http/message.h"
 #include "siskindrum/http/parser.h"
 
@@ -130,6 +131,25 @@
   }
 }
 
+// Statuses range from 100 to 599 (RFC 9110, 15).
+BOOST_AUTO_TEST_CASE(Feed_WhenTheStatusIsOutOfRange_Fails) {
+  for (const char* status : {"000", "001", "099", "600", "999", "20", "2000",
+                             "-20", "2 0", "abc", ""}) {
+    const auto parser = Response(absl::StrCat(
+        "HTTP/1.1 ", status, " Oops\r\nContent-Length: 2\r\n\r\nno"));
+    BOOST_TEST_INFO(status);
+    BOOST_TEST((parser->Error() == ParseError::kMalformed));
+    BOOST_TEST(!parser->IsHeadDone());
+    BOOST_TEST(body_.empty());
+  }
+  for (const char* status : {"100", "200", "299", "418", "599"}) {
+    const auto parser = Response(absl::StrCat(
+        "HTTP/1.1 ", status, " Fine\r\nContent-Length: 0\r\n\r\n"));
+    BOOST_TEST_INFO(status);
+    BOOST_TEST(parser->IsDone());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Feed_WhenTheHeadIsTooLarge_Fails) {
   const auto parser = Request(
       "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(300, 'x') + "\r\n\r\n");
