Answers: a reset that a write saw ends no answer

Callers saw a part of an answer as the whole: a server answered a long upload at once, without a length, sent some of the body and reset the connection while the upload was still being written.

Cause: the kernel hands out the error of a connection once, to the first call on the socket. When a write and a read are pending and a reset arrives, the reactor performs the write first. The write got the reset and its error was dropped; the read then got nothing but an end of the connection, as after an orderly close, and that completes an answer without a length.

Change: the connection keeps the error that a write got, and its end then completes nothing. A broken pipe is left out: the kernel reports it only when the server had ended its answer in an orderly way, or after the read got the loss itself.

--- a/packages/gateway/test/broken_answer_test.cc
+++ b/packages/gateway/test/broken_answer_test.cc
@@ -13,6 +13,8 @@
 
 // Servers whose answers break off, and servers that take over from them.
 struct BrokenAnswerFixture : GatewayFixture {
+  using GatewayFixture::GatewayFixture;
+
   static test::ScriptedServer::Script Sends(const std::string& bytes) {
     return [bytes](test::Peer& peer, int) {
       peer.ReadUntil("\r\n\r\n");
@@ -213,6 +215,52 @@
   BOOST_TEST(SendRequest("/once").starts_with("HTTP/1.1 502 "));
 }
 
+// A server that answers at once, without a length, and resets its connection
+// while the caller's upload is still being written to it.
+struct EarlyResetFixture : BrokenAnswerFixture {
+  static constexpr std::uint64_t kMemoryLimit = 256 * 1024 * 1024;
+  // Less than a request may hold, more than the kernel's buffers.
+  static constexpr std::size_t kUploadBytes = 4000 * 1000;
+  static constexpr int kReceiveBufferBytes = 16 * 1024;
+
+  EarlyResetFixture() : BrokenAnswerFixture(kMemoryLimit) {}
+
+  static test::ScriptedServer::Script AnswersAndResets(
+      const std::string& answer) {
+    return [answer](test::Peer& peer, int) {
+      peer.ReadUntil("\r\n\r\n");
+      peer.Send(answer);
+      peer.AwaitFullReceiveBuffer();
+      peer.Reset();
+    };
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(UnframedAnswer_WhenItIsResetDuringTheUpload_IsLost,
+                        EarlyResetFixture) {
+  test::ScriptedServer server(
+      AnswersAndResets(std::string(kUnframedHead) + "part"),
+      kReceiveBufferBytes);
+  AddServer("s", "plain", core::ServerRole::kPlain, server.Address());
+  const std::string answer =
+      SendRequest("/once", std::string(kUploadBytes, 'x'));
+  BOOST_TEST_INFO(answer);
+  BOOST_TEST(answer.starts_with("HTTP/1.1 502 "));
+}
+
+BOOST_FIXTURE_TEST_CASE(UnframedStream_WhenItIsResetDuringTheUpload_IsCutOff,
+                        EarlyResetFixture) {
+  test::ScriptedServer server(
+      AnswersAndResets(kUnframedStreamHead + Events(1, 3)),
+      kReceiveBufferBytes);
+  AddServer("d", "engines", core::ServerRole::kDecode, server.Address());
+  const std::string answer =
+      SendRequest("/stream", std::string(kUploadBytes, 'x'));
+  BOOST_TEST_INFO(answer);
+  BOOST_TEST(absl::StrContains(answer, "id: 3\ndata: x\n\n"));
+  BOOST_TEST(!answer.ends_with(http::kLastChunk));
+}
+
 BOOST_AUTO_TEST_CASE(UnframedStream_WhenItEndsBetweenEvents_IsWhole) {
   test::ScriptedServer server(Sends(kUnframedStreamHead + Events(1, 3)));
   AddServer("d", "engines", core::ServerRole::kDecode, server.Address());
--- a/packages/gateway/test/gateway_fixture.h
+++ b/packages/gateway/test/gateway_fixture.h
@@ -126,8 +126,10 @@
 
 // A gateway on its own thread in front of scripted servers.
 struct GatewayFixture {
-  GatewayFixture() {
+  // A memory limit also bounds the kernel's buffers; zero: neither is bounded.
+  explicit GatewayFixture(std::uint64_t memory_limit = 0) {
     GatewayOptions options;
+    options.memory_limit_ = memory_limit;
     options.decisions_.name_ = "entry";
     options.decisions_.domain_ = "east";
     options.callers_address_ =
--- a/packages/http/src/backend_connection.cc
+++ b/packages/http/src/backend_connection.cc
@@ -121,6 +121,7 @@
   state_ = State::kInCall;
   sent_ = false;
   written_ = false;
+  write_error_ = {};
   skipping_ = false;
   rejected_ = false;
   answer_bytes_ = 0;
@@ -146,15 +147,23 @@
   boost::asio::async_write(socket_, buffers,
                            [self = shared_from_this(), body = call_.body_](
                                const error_code& error, std::size_t /*count*/) {
-                             // Write errors are handled by the read: the
-                             // server may have answered before it stopped
-                             // reading.
-                             if (!error) {
-                               self->written_ = true;
-                             }
+                             self->OnWritten(error);
                            });
 }
 
+// The read ends the call, also after a failed write: the server may have
+// answered before it stopped reading. But the kernel reports the loss of a
+// connection only once, and a read after a write that got the error sees
+// nothing but an end. A broken pipe is no such loss: it follows an orderly end
+// that the read sees too, or a loss that the read got.
+void BackendConnection::OnWritten(const error_code& error) {
+  if (!error) {
+    written_ = true;
+  } else if (error != boost::asio::error::broken_pipe) {
+    write_error_ = error;
+  }
+}
+
 void BackendConnection::Read() {
   if (reading_ || paused_ || state_ == State::kClosed) {
     return;
@@ -182,14 +191,7 @@
     return;
   }
   if (error) {
-    if (error == boost::asio::error::eof && !skipping_) {
-      parser_->FeedEof();
-      if (parser_->IsDone()) {
-        FinishAnswer();
-        return;
-      }
-    }
-    End(CallFailure::kConnectionLost, error.message());
+    OnReadEnd(write_error_ ? write_error_ : error);
     return;
   }
   answer_bytes_ += count;
@@ -206,6 +208,19 @@
   }
 }
 
+// Ends the call at the end or the loss of its connection. Only an orderly end
+// completes an answer without a length.
+void BackendConnection::OnReadEnd(const error_code& error) {
+  if (error == boost::asio::error::eof && !skipping_) {
+    parser_->FeedEof();
+    if (parser_->IsDone()) {
+      FinishAnswer();
+      return;
+    }
+  }
+  End(CallFailure::kConnectionLost, error.message());
+}
+
 void BackendConnection::Parse() {
   const auto self = shared_from_this();
   while (state_ == State::kInCall && !pending_.empty()) {
--- a/packages/http/src/backend_connection_p.h
+++ b/packages/http/src/backend_connection_p.h
@@ -55,8 +55,10 @@
   void OnConnected(const boost::system::error_code& error);
   void BeginCall();
   void Write();
+  void OnWritten(const boost::system::error_code& error);
   void Read();
   void OnRead(const boost::system::error_code& error, std::size_t count);
+  void OnReadEnd(const boost::system::error_code& error);
   void Parse();
   void ResetParser();
   void OnHead();
@@ -81,6 +83,8 @@
   bool paused_ = false;
   bool sent_ = false;
   bool written_ = false;
+  // Loss of the connection that a write got in place of the read.
+  boost::system::error_code write_error_;
   bool skipping_ = false;
   bool rejected_ = false;
   core::TimePoint connect_until_{};
--- a/packages/http/test/backend_pool_test.cc
+++ b/packages/http/test/backend_pool_test.cc
@@ -1,11 +1,13 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <future>
 #include <optional>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "absl/strings/str_cat.h"
 #include "loopback.h"
 #include "siskindrum/http/backend_pool.h"
 #include "siskindrum/http/clock.h"
@@ -161,6 +163,86 @@
   BOOST_TEST((outcome.end_->failure_ == CallFailure::kConnectionLost));
 }
 
+// A server that answers while the request is being written: the error of a
+// reset may reach the pending write in place of the pending read.
+struct EarlyAnswerFixture : PoolFixture {
+  static constexpr int kReceiveBufferBytes = 64 * 1024;
+  static constexpr std::size_t kUploadBytes = 16 * 1024 * 1024;
+
+  // Sends `answer`, waits until the upload is stuck and then calls `end` while
+  // the caller does not run: it finds all that has happened at once.
+  test::ScriptedServer::Script AnswersEarly(const std::string& answer,
+                                            void (*end)(test::Peer& peer)) {
+    return [this, answer, end](test::Peer& peer, int) {
+      peer.ReadUntil("\r\n\r\n");
+      peer.Send(answer);
+      peer.AwaitFullReceiveBuffer();
+      is_stuck_ = true;
+      caller_stands_still_.get_future().wait();
+      end(peer);
+      has_ended_.set_value();
+    };
+  }
+  static void Reset(test::Peer& peer) { peer.Reset(); }
+  // Ends the answer in an orderly way and then resets the connection.
+  static void EndAndReset(test::Peer& peer) {
+    peer.ShutDownSending();
+    std::this_thread::sleep_for(core::Milliseconds(50));
+    peer.Reset();
+  }
+  Outcome Upload(const test::ScriptedServer& server) {
+    Outcome outcome;
+    BackendCall call = MakeCall(server.Address(), outcome);
+    call.bytes_ = absl::StrCat(
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ", kUploadBytes,
+        "\r\n\r\n", std::string(kUploadBytes, 'x'));
+    pool_.Send(std::move(call));
+    RunUntil([this] { return is_stuck_.load(); });
+    caller_stands_still_.set_value();
+    has_ended_.get_future().wait();
+    RunUntil([&outcome] { return outcome.end_.has_value(); });
+    BOOST_REQUIRE(outcome.end_.has_value());
+    return outcome;
+  }
+
+  std::atomic<bool> is_stuck_{false};
+  std::promise<void> caller_stands_still_;
+  std::promise<void> has_ended_;
+};
+
+BOOST_FIXTURE_TEST_CASE(Send_WhenAnUnframedAnswerIsResetDuringTheUpload_Fails,
+                        EarlyAnswerFixture) {
+  test::ScriptedServer server(
+      AnswersEarly("HTTP/1.1 200 OK\r\nId: 7\r\n\r\npart", Reset),
+      kReceiveBufferBytes);
+  const Outcome outcome = Upload(server);
+  BOOST_TEST((outcome.end_->failure_ == CallFailure::kConnectionLost));
+  BOOST_TEST(outcome.end_->sent_);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    Send_WhenAnUnframedAnswerEndsBeforeTheUploadIsReset_Succeeds,
+    EarlyAnswerFixture) {
+  test::ScriptedServer server(
+      AnswersEarly("HTTP/1.1 200 OK\r\nId: 7\r\n\r\nwhole", EndAndReset),
+      kReceiveBufferBytes);
+  const Outcome outcome = Upload(server);
+  BOOST_TEST((outcome.end_->failure_ == CallFailure::kNone));
+  BOOST_TEST(outcome.body_ == "whole");
+}
+
+BOOST_FIXTURE_TEST_CASE(Send_WhenAWholeAnswerComesBeforeTheReset_Succeeds,
+                        EarlyAnswerFixture) {
+  test::ScriptedServer server(AnswersEarly("HTTP/1.1 413 Too Large\r\nId: 7\r\n"
+                                           "Content-Length: 5\r\n\r\nwhole",
+                                           Reset),
+                              kReceiveBufferBytes);
+  const Outcome outcome = Upload(server);
+  BOOST_TEST((outcome.end_->failure_ == CallFailure::kNone));
+  BOOST_TEST(outcome.status_ == 413);
+  BOOST_TEST(outcome.body_ == "whole");
+}
+
 BOOST_AUTO_TEST_CASE(Send_WhenTheConnectionIsRefused_ReportsNothingSent) {
   std::string address;
   {
--- a/packages/http/test/loopback.h
+++ b/packages/http/test/loopback.h
@@ -1,13 +1,16 @@
 #ifndef SISKINDRUM_HTTP_TEST_LOOPBACK_H_
 #define SISKINDRUM_HTTP_TEST_LOOPBACK_H_
 
+#include <chrono>
 #include <functional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -89,6 +92,29 @@
                      : "";
   }
 
+  // Waits until this side's full receive buffer stops the sender: the number of
+  // unread bytes stays the same for a while. Returns at once when the
+  // connection is lost. Requires: nothing else reads.
+  void AwaitFullReceiveBuffer() const {
+    constexpr int kCheckMs = 20;
+    constexpr int kChecks = 10;
+    int unread = 0;
+    int same = 0;
+    for (int waited = 0; waited < kWaitMs && same < kChecks;
+         waited += kCheckMs) {
+      pollfd lost{fd_, 0, 0};  // Errors are reported without being asked for.
+      if (poll(&lost, 1, kCheckMs) > 0) {
+        return;
+      }
+      int now_unread = 0;
+      ioctl(fd_, FIONREAD, &now_unread);
+      same = now_unread == unread && unread > 0 ? same + 1 : 0;
+      unread = now_unread;
+    }
+  }
+
+  // Ends the sending direction only.
+  void ShutDownSending() const { shutdown(fd_, SHUT_WR); }
   // Closes the connection with a TCP reset.
   void Reset() {
     const linger hard{1, 0};
@@ -117,8 +143,14 @@
  public:
   using Script = std::function<void(Peer&, int connection)>;
 
-  explicit ScriptedServer(Script script) : script_(std::move(script)) {
+  // Zero bytes leave the size of the receive buffer to the kernel.
+  explicit ScriptedServer(Script script, int receive_buffer_bytes = 0)
+      : script_(std::move(script)) {
     fd_ = socket(AF_INET, SOCK_STREAM, 0);
+    if (receive_buffer_bytes > 0) {
+      setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+                 sizeof receive_buffer_bytes);
+    }
     sockaddr_in address = Loopback(0);
     bind(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof address);
     listen(fd_, 64);
