Backend: read answers with the parser of packages/http

Callers of the product's own interface got answers of status 000, 099, 600 and 999; answers with a field whose name held a blank or a control byte; and, where that field was Content-Length or Transfer-Encoding, a body that was not the server's. An endless answer filled the memory of the entry, and one in the start line ended its process: a stack overflow.

Cause: packages/backend read answers with a client of its own, cpp-httplib. It takes any status and any name of a field, drops lines that are no field, limits neither a line nor a body, and matches the start line with a recursive regular expression. packages/http has had these checks for long; this was the second reader of answers, without them.

Change: one exchange now runs over a socket of its own and http::MessageParser, which bounds head, chunk headers and trailers; HttpRequest::max_body_bytes_ bounds a body that is returned whole (16 MB), and interim answers count as silence. The request is written while the answer is read, so that an early answer is seen, and an error that a write got ends no answer. Method, path and query leave as the caller gave them; the library encoded the path once more ("+" became "%2B"). Bytes that could end the request line are still encoded (Run_WhenThePathHoldsControlBytes_EncodesThem). Addresses are ip:port, as the settings have always required.

Already handled, their tests are kept: a reset of an answer without a length, alone and during an upload, in this package (the library failed at the write); all endless answers on the event-driven path (EndlessAnswers/*: start line, fields, chunk headers, trailers, chunks, bodies without a length, interim answers and answers to other requests, to plain callers and to streams, while another caller's requests are answered and memory grows by less than 64 MB).

--- a/packages/backend/include/siskindrum/backend/http_call.h
+++ b/packages/backend/include/siskindrum/backend/http_call.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include <tl/expected.hpp>
@@ -27,7 +26,11 @@
   std::string content_type_ = "application/json";
   std::string body_;
   core::Milliseconds connect_timeout_{1000};
-  core::Milliseconds silence_timeout_{10000};  // Without a byte.
+  // Without progress: a byte written, the head of the answer, a byte of its
+  // body.
+  core::Milliseconds silence_timeout_{10000};
+  // Of a body that is returned with the answer; the call fails above it.
+  std::size_t max_body_bytes_ = 16 * 1024 * 1024;
 };
 
 struct HttpAnswer {
@@ -43,7 +46,10 @@
 
 // One HTTP exchange after another, each on a connection of its own, that
 // another thread can stop. A failure to connect is kNotRun; any failure after
-// that is kMayHaveRun, since bytes may have reached the server.
+// that is kMayHaveRun, since bytes may have reached the server. Bytes that are
+// no answer in HTTP fail with kBadAnswer, and so does a head of more than 64
+// KiB or a body above its limit. An answer without a length is whole only if
+// its connection ended in an orderly way.
 class HttpCall {
  public:
   HttpCall();
@@ -52,7 +58,8 @@
   HttpCall& operator=(const HttpCall&) = delete;
 
   // Runs one exchange. With a sink, the body of a 200 goes to it instead of the
-  // answer. Thread-safe: one Run at a time.
+  // answer, and its size is the sink's to limit. Thread-safe: one Run at a
+  // time.
   tl::expected<HttpAnswer, core::Verdict> Run(const HttpRequest& request,
                                               const BodySink& sink = nullptr);
 
@@ -67,9 +74,6 @@
   std::unique_ptr<State> state_;
 };
 
-// Splits "ip:port". Requires: an address that was checked. Thread-safe: yes.
-std::pair<std::string, int> SplitAddress(const std::string& address);
-
 }  // namespace siskindrum::backend
 
 #endif  // SISKINDRUM_BACKEND_HTTP_CALL_H_
--- a/packages/backend/src/http_call.cc
+++ b/packages/backend/src/http_call.cc
@@ -1,57 +1,101 @@
 #include "siskindrum/backend/http_call.h"
 
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <atomic>
+#include <cerrno>
+#include <cstring>
 
-#include <httplib.h>
+#include <netinet/tcp.h>
 
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
+#include "exchange_p.h"
+#include "siskindrum/http/endpoint.h"
 
 namespace siskindrum::backend {
 
 namespace {
 
-constexpr int kOk = 200;
-
-core::Verdict FailureOf(httplib::Error error, const std::string& address) {
-  core::Verdict verdict;
-  verdict.detail_ = absl::StrCat(address, ": ", httplib::to_string(error));
-  const bool before_send = error == httplib::Error::Connection ||
-                           error == httplib::Error::ConnectionTimeout ||
-                           error == httplib::Error::BindIPAddress;
-  verdict.run_state_ =
-      before_send ? core::RunState::kNotRun : core::RunState::kMayHaveRun;
-  verdict.reason_ = before_send ? core::Reason::kConnectFailed
-                                : core::Reason::kConnectionLost;
-  return verdict;
-}
+// Closes its file descriptor with the object.
+class Socket {
+ public:
+  explicit Socket(int fd) : fd_(fd) {}
+  ~Socket() {
+    if (fd_ >= 0) {
+      close(fd_);
+    }
+  }
+  Socket(const Socket&) = delete;
+  Socket& operator=(const Socket&) = delete;
+  int Get() const { return fd_; }
+
+ private:
+  int fd_;
+};
 
-core::Verdict StoppedVerdict() {
-  return {core::RunState::kNotRun, core::Reason::kCallerGone,
-          "stopped before it was sent", core::Milliseconds(0)};
+core::Verdict NotRun(core::Reason reason, const std::string& detail) {
+  return {core::RunState::kNotRun, reason, detail, core::Milliseconds(0)};
 }
 
-httplib::Request MakeRequest(const HttpRequest& request) {
-  httplib::Request made;
-  made.method = request.method_;
-  made.path = request.path_;
-  made.body = request.body_;
-  for (const Header& header : request.headers_) {
-    made.headers.emplace(header.name_, header.value_);
+// Waits for a connection attempt. Returns zero, or the error of the attempt.
+int AwaitConnected(int socket, core::Milliseconds timeout) {
+  pollfd polled{socket, POLLOUT, 0};
+  const core::TimePoint until = std::chrono::steady_clock::now() + timeout;
+  while (true) {
+    const auto left = std::chrono::ceil<core::Milliseconds>(
+        until - std::chrono::steady_clock::now());
+    if (left.count() <= 0) {
+      return ETIMEDOUT;
+    }
+    const int ready = poll(&polled, 1, static_cast<int>(left.count()));
+    if (ready > 0) {
+      break;
+    }
+    if (ready < 0 && errno != EINTR) {
+      return errno;
+    }
   }
-  if (!request.body_.empty() && !made.has_header("Content-Type")) {
-    made.headers.emplace("Content-Type", request.content_type_);
+  int error = 0;
+  socklen_t size = sizeof error;
+  getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size);
+  return error;
+}
+
+// Connects a non-blocking socket. Returns zero, or the error of the attempt.
+int Connect(int socket,
+            const boost::asio::ip::tcp::endpoint& endpoint,
+            core::Milliseconds timeout) {
+  const int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  if (connect(socket, endpoint.data(),
+              static_cast<socklen_t>(endpoint.size())) == 0) {
+    return 0;
   }
-  return made;
+  return errno == EINPROGRESS ? AwaitConnected(socket, timeout) : errno;
 }
 
 }  // namespace
 
 struct HttpCall::State {
   absl::Mutex mutex_;
-  httplib::Client* client_ = nullptr;  // Of the exchange in progress.
+  int socket_ = -1;  // Of the exchange in progress. Guarded by mutex_.
   std::atomic<bool> stopped_{false};
+
+  // Makes Stop end what happens on this socket. Returns false after Stop.
+  bool Register(int socket) {
+    absl::MutexLock lock(&mutex_);
+    if (!stopped_) {
+      socket_ = socket;
+    }
+    return !stopped_;
+  }
+  void Unregister() {
+    absl::MutexLock lock(&mutex_);
+    socket_ = -1;
+  }
 };
 
 HttpCall::HttpCall() : state_(std::make_unique<State>()) {}
@@ -60,63 +104,45 @@
 tl::expected<HttpAnswer, core::Verdict> HttpCall::Run(
     const HttpRequest& request,
     const BodySink& sink) {
-  const auto [host, port] = SplitAddress(request.address_);
-  if (port == 0) {
+  const auto endpoint = http::ParseEndpoint(request.address_);
+  if (!endpoint.has_value()) {
     return tl::unexpected(
-        core::Verdict{core::RunState::kNotRun, core::Reason::kConnectFailed,
-                      "server has no address", core::Milliseconds(0)});
+        NotRun(core::Reason::kConnectFailed, endpoint.error()));
   }
-  httplib::Client client(host, port);
-  client.set_tcp_nodelay(true);
-  client.set_connection_timeout(request.connect_timeout_);
-  client.set_read_timeout(request.silence_timeout_);
-  client.set_write_timeout(request.silence_timeout_);
-  httplib::Request made = MakeRequest(request);
-  int status = 0;
-  std::string error_body;
-  if (sink) {
-    made.response_handler = [&](const httplib::Response& response) {
-      status = response.status;
-      return true;
-    };
-    made.content_receiver = [&](const char* data, std::size_t size,
-                                std::uint64_t, std::uint64_t) {
-      if (status == kOk) {
-        return sink(data, size);
-      }
-      error_body.append(data, size);
-      return true;
-    };
+  const Socket socket(::socket(endpoint->protocol().family(),
+                               SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (socket.Get() < 0) {
+    return tl::unexpected(
+        NotRun(core::Reason::kConnectFailed,
+               absl::StrCat(request.address_, ": ", std::strerror(errno))));
   }
-  {
-    absl::MutexLock lock(&state_->mutex_);
-    if (state_->stopped_) {
-      return tl::unexpected(StoppedVerdict());
-    }
-    state_->client_ = &client;
+  if (!state_->Register(socket.Get())) {
+    return tl::unexpected(
+        NotRun(core::Reason::kCallerGone, "stopped before it was sent"));
   }
-  httplib::Result result = client.send(made);
-  {
-    absl::MutexLock lock(&state_->mutex_);
-    state_->client_ = nullptr;
+  const int error = Connect(socket.Get(), *endpoint, request.connect_timeout_);
+  if (error != 0) {
+    state_->Unregister();
+    return tl::unexpected(
+        NotRun(core::Reason::kConnectFailed,
+               absl::StrCat(request.address_, ": ", std::strerror(error))));
   }
-  if (!result) {
-    return tl::unexpected(FailureOf(result.error(), request.address_));
+  auto answer = Exchange(socket.Get(), request, sink, state_->stopped_).Run();
+  state_->Unregister();
+  if (!answer.has_value()) {
+    return tl::unexpected(core::Verdict{
+        core::RunState::kMayHaveRun, answer.error().reason_,
+        absl::StrCat(request.address_, ": ", answer.error().detail_),
+        core::Milliseconds(0)});
   }
-  HttpAnswer answer;
-  answer.status_ = result->status;
-  answer.content_type_ = result->get_header_value("Content-Type");
-  answer.body_ = sink ? error_body : std::move(result->body);
-  answer.not_run_ = result->get_header_value("X-Not-Run") == "true";
-  answer.draining_ = result->get_header_value("X-Draining") == "true";
-  return answer;
+  return std::move(*answer);
 }
 
 void HttpCall::Stop() {
   absl::MutexLock lock(&state_->mutex_);
   state_->stopped_ = true;
-  if (state_->client_ != nullptr) {
-    state_->client_->stop();
+  if (state_->socket_ >= 0) {
+    shutdown(state_->socket_, SHUT_RDWR);
   }
 }
 
@@ -124,14 +150,4 @@
   return state_->stopped_;
 }
 
-std::pair<std::string, int> SplitAddress(const std::string& address) {
-  const std::size_t colon = address.rfind(':');
-  int port = 0;
-  if (colon == std::string::npos ||
-      !absl::SimpleAtoi(address.substr(colon + 1), &port)) {
-    return {"", 0};
-  }
-  return {address.substr(0, colon), port};
-}
-
 }  // namespace siskindrum::backend
--- a/packages/gateway/test/control_client_test.cc
+++ b/packages/gateway/test/control_client_test.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "control_client_p.h"
+#include "endless_answer.h"
 #include "gateway_fixture.h"
 #include "siskindrum/http/clock.h"
 
@@ -36,39 +37,14 @@
   }
 };
 
-// What a server sends once, and then again and again until the caller closes.
-struct EndlessAnswer {
-  const char* begin_;
-  std::string again_;
-};
-
-std::ostream& operator<<(std::ostream& out, const EndlessAnswer& answer) {
-  return out << answer.begin_;
+std::vector<test::EndlessAnswer> EndlessAnswersToLists() {
+  std::vector<test::EndlessAnswer> answers = test::EndlessAnswers();
+  answers.push_back(
+      {"answers to other requests", "",
+       "HTTP/1.1 200 OK\r\nId: 6\r\nContent-Length: 5\r\n\r\nother"});
+  return answers;
 }
 
-const EndlessAnswer kEndlessAnswers[] = {
-    // In the head.
-    {"HTTP/1.1 200 OK\r\nX: ", std::string(4096, 'x')},
-    // In a chunk header.
-    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-     std::string(4096, 'x')},
-    // In the extension of a chunk header.
-    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=",
-     std::string(4096, 'x')},
-    // In the trailers.
-    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
-     "X: " + std::string(4096, 'x') + "\r\n"},
-    // In a body of chunks.
-    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-     http::FormatChunk(std::string(4096, 'x'))},
-    // In a body that the end of the connection delimits.
-    {"HTTP/1.1 200 OK\r\n\r\n", std::string(4096, 'x')},
-    // Interim answers.
-    {"", "HTTP/1.1 100 Continue\r\n\r\n"},
-    // Answers to other requests.
-    {"", "HTTP/1.1 200 OK\r\nId: 6\r\nContent-Length: 5\r\n\r\nother"},
-};
-
 BOOST_FIXTURE_TEST_SUITE(ControlClients, ControlClientFixture)
 
 BOOST_AUTO_TEST_CASE(List_WhenAnotherRequestsAnswerComesFirst_IsTaken) {
@@ -90,18 +66,12 @@
 
 // Guards against an entry whose memory grows with what a faulty server sends.
 BOOST_DATA_TEST_CASE(List_WhenTheAnswerDoesNotEnd_FailsAndClosesTheConnection,
-                     boost::unit_test::data::make(kEndlessAnswers),
+                     boost::unit_test::data::make(EndlessAnswersToLists()),
                      answer) {
   constexpr std::size_t kMostBytes = 32 * 1024 * 1024;
   std::promise<bool> was_closed;
   test::ScriptedServer server([&](test::Peer& peer, int) {
-    peer.ReadUntil("\r\n\r\n");
-    bool is_open = peer.Send(answer.begin_);
-    for (std::size_t sent = 0; is_open && sent < kMostBytes;
-         sent += answer.again_.size()) {
-      is_open = peer.Send(answer.again_);
-    }
-    was_closed.set_value(!is_open);
+    was_closed.set_value(test::SendUntilClosed(peer, answer, kMostBytes));
   });
   client_.Send(dispatch::ListRetainedPrompts{"d", server.Address()});
   RunUntilResult();
