siskindrumctl: read the pages of an entry as backend calls do

Operators saw a page with a field whose name held a blank as if it were whole, and the text of an answer of status 000 as the entry's reason. An endless answer filled the memory of the command; in the start line it ended it.

--- a/packages/ctl/src/operator_commands.cc
+++ b/packages/ctl/src/operator_commands.cc
@@ -5,18 +5,18 @@
 #include <iostream>
 #include <random>
 #include <sstream>
-
-#include <httplib.h>
+#include <utility>
+#include <vector>
 
 #include <boost/program_options.hpp>
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/ascii.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_split.h"
 #include "commands_p.h"
+#include "siskindrum/backend/http_call.h"
 #include "siskindrum/rules/encoding.h"
 #include "siskindrum/rules/explain.h"
 #include "siskindrum/rules/rules.h"
@@ -30,6 +30,7 @@
 
 constexpr int kOk = 200;
 constexpr std::chrono::seconds kAnswerLimit{5};
+constexpr std::size_t kMaxPageBytes = 64 * 1024 * 1024;
 
 bool ReadFile(const std::string& file, std::string* out) {
   std::ifstream stream(file);
@@ -43,27 +44,28 @@
   return true;
 }
 
+// Gets a page of an entry. Prints why to standard error, and returns false,
+// when there is no whole answer of status 200.
 bool Fetch(const std::string& address,
            const std::string& path,
            std::string* out,
-           const httplib::Headers& headers = {}) {
-  const std::size_t colon = address.rfind(':');
-  int port = 0;
-  if (colon == std::string::npos ||
-      !absl::SimpleAtoi(address.substr(colon + 1), &port)) {
-    std::cerr << "--entry: expected IP:PORT, not " << address << "\n";
-    return false;
-  }
-  httplib::Client client(address.substr(0, colon), port);
-  client.set_read_timeout(kAnswerLimit);
-  const auto answer = client.Get(path, headers);
-  if (!answer) {
-    std::cerr << address << ": " << httplib::to_string(answer.error()) << "\n";
+           std::vector<backend::Header> headers = {}) {
+  backend::HttpRequest request;
+  request.address_ = address;
+  request.method_ = "GET";
+  request.path_ = path;
+  request.headers_ = std::move(headers);
+  request.silence_timeout_ = kAnswerLimit;
+  request.max_body_bytes_ = kMaxPageBytes;
+  backend::HttpCall call;
+  auto answer = call.Run(request);
+  if (!answer.has_value()) {
+    std::cerr << answer.error().detail_ << "\n";
     return false;
   }
-  *out = answer->body;
-  if (answer->status != kOk) {
-    std::cerr << address << ": " << answer->body;
+  *out = std::move(answer->body_);
+  if (answer->status_ != kOk) {
+    std::cerr << address << ": " << *out;
     return false;
   }
   return true;
@@ -227,13 +229,14 @@
           rules::EncodeValue(values[parameter.name_].as<std::string>()));
     }
   }
-  httplib::Headers headers;
+  std::vector<backend::Header> headers;
   std::string key;
   if (!key_file.empty()) {
     if (!ReadFile(key_file, &key)) {
       return kExitUsage;
     }
-    headers.emplace("Where-Key", std::string(absl::StripAsciiWhitespace(key)));
+    headers.push_back(
+        {"Where-Key", std::string(absl::StripAsciiWhitespace(key))});
   }
   std::string text;
   if (!Fetch(entry, target, &text, headers)) {
