Answers: test names of fields with a blank or a control byte

Reported by other operators: an answer with such a name reached clients, with that line passed on or with a body that was not the server's.

On the event-driven path this was already handled, and nothing changes for it: the parser refuses the name wherever it stands, before, after or as the field that determines the length, and in trailers. The tests are kept: Parser/ Feed_WhenTheNameOfAFieldIsInvalid_Fails and ..OfATrailer..

--- a/packages/gateway/test/broken_answer_test.cc
+++ b/packages/gateway/test/broken_answer_test.cc
@@ -179,6 +179,56 @@
   BOOST_TEST(received.starts_with("HTTP/1.1 502 "));
 }
 
+// Answers with a blank or a control byte in the name of a field.
+const std::string kAnswersWithInvalidNames[] = {
+    "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\nX Y: 1\r\n"
+    "Content-Length: 4\r\n\r\noops",
+    "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\nX : 1\r\n"
+    "Content-Length: 4\r\n\r\noops",
+    "HTTP/1.1 200 OK\r\nX\x01Y: 1\r\nId: 7\r\nMark: m\r\n"
+    "Content-Length: 4\r\n\r\noops",
+    std::string("HTTP/1.1 200 OK\r\nX\0Y: 1\r\n", 26) +
+        "Id: 7\r\nMark: m\r\nContent-Length: 4\r\n\r\noops",
+    "HTTP/1.1 404 Oops\r\nId: 7\r\nMark: m\r\nX\x7f: 1\r\n"
+    "Content-Length: 4\r\n\r\noops",
+    "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\nContent-Length : 4\r\n\r\n"
+    "oops and more",
+    "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\nContent-Length\t: 4\r\n\r\n"
+    "oops and more",
+    "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\nTransfer-Encoding : chunked\r\n"
+    "\r\n4\r\noops\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\nTransfer-Encoding: chunked\r\n"
+    "\r\n4\r\noops\r\n0\r\nX Y: 1\r\n\r\n",
+};
+
+BOOST_DATA_TEST_CASE(Answer_WhenTheNameOfAFieldIsInvalid_IsNotDelivered,
+                     boost::unit_test::data::make(kAnswersWithInvalidNames) *
+                         boost::unit_test::data::make({"/once", "/read"}),
+                     answer,
+                     path) {
+  test::ScriptedServer server(Sends(answer));
+  AddServer("s", "plain", core::ServerRole::kPlain, server.Address());
+  const std::string received = SendRequest(path);
+  BOOST_TEST_INFO(received);
+  BOOST_TEST(received.starts_with("HTTP/1.1 502 "));
+  BOOST_TEST(!absl::StrContains(received, "oops"));
+}
+
+BOOST_DATA_TEST_CASE(Stream_WhenTheNameOfAFieldIsInvalid_IsNotWhole,
+                     boost::unit_test::data::make(kAnswersWithInvalidNames),
+                     answer) {
+  test::ScriptedServer server(Sends(answer));
+  AddServer("d", "engines", core::ServerRole::kDecode, server.Address());
+  const std::string received = SendRequest("/stream");
+  BOOST_TEST_INFO(received);
+  // Trailers come when the body has been passed on.
+  const bool is_cut_off =
+      absl::StrContains(answer, "0\r\nX Y") &&
+      absl::StrContains(received, "Transfer-Encoding: chunked") &&
+      !received.ends_with(http::kLastChunk);
+  BOOST_TEST((is_cut_off || received.starts_with("HTTP/1.1 502 ")));
+}
+
 BOOST_AUTO_TEST_CASE(LargeAnswer_WhenItIsCut_EndsWithoutTheLastChunk) {
   test::ScriptedServer server(
       Sends("HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\n"
--- a/packages/http/test/parser_test.cc
+++ b/packages/http/test/parser_test.cc
@@ -150,6 +150,57 @@
   }
 }
 
+// Names of fields with a blank or a control byte, also in names that would
+// determine the length of the body.
+const std::string kBadNames[] = {
+    "X Y",
+    "X ",
+    " X",
+    "X\t",
+    "\tX",
+    std::string("X\0Y", 3),
+    "X\x01",
+    "X\rY",
+    "X\x1f",
+    "X\x7f",
+    "",
+    "Content-Length ",
+    " Content-Length",
+    "Content-Length\x01",
+    "Content -Length",
+    "Transfer-Encoding ",
+    "Transfer-Encoding\t",
+};
+
+BOOST_AUTO_TEST_CASE(Feed_WhenTheNameOfAFieldIsInvalid_Fails) {
+  for (const std::string& name : kBadNames) {
+    const std::string heads[] = {
+        absl::StrCat(name, ": 2\r\nContent-Length: 2\r\n\r\n"),
+        absl::StrCat("Content-Length: 2\r\n", name, ": 2\r\n\r\n"),
+        absl::StrCat(name, ": chunked\r\n\r\n"),
+    };
+    for (const std::string& head : heads) {
+      body_.clear();
+      const auto parser = Response("HTTP/1.1 200 OK\r\n" + head + "no");
+      BOOST_TEST_INFO(head);
+      BOOST_TEST((parser->Error() == ParseError::kMalformed));
+      BOOST_TEST(!parser->IsHeadDone());
+      BOOST_TEST(body_.empty());
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Feed_WhenTheNameOfATrailerIsInvalid_Fails) {
+  for (const std::string& name : kBadNames) {
+    const auto parser = Response(absl::StrCat(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n",
+        name, ": 2\r\n\r\n"));
+    BOOST_TEST_INFO(name);
+    BOOST_TEST((parser->Error() == ParseError::kMalformed));
+    BOOST_TEST(!parser->IsDone());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Feed_WhenTheHeadIsTooLarge_Fails) {
   const auto parser = Request(
       "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(300, 'x') + "\r\n\r\n");
