Peers: bound the messages of a connection that have not ended

An entry grew by all that a faulty peer sent: messages that begin and never end, each below the limit of one message. One connection may open 1,000 of 2 MB.

A stream above it is refused, which tells its sender that the message was not handled; the other messages and connections go on. A peer's answers were never kept (nothing in them matters), and one that does not come in 2 s ends the connection.

--- a/packages/peer/src/connection.cc
+++ b/packages/peer/src/connection.cc
@@ -18,6 +18,8 @@
 constexpr std::size_t kReadBytes = 64 * 1024;
 constexpr std::int32_t kWindowBytes = 4 * 1024 * 1024;
 constexpr std::uint32_t kMaxStreams = 1000;
+// Of all messages of a connection that have begun and not ended.
+constexpr std::size_t kMaxIncomingBytes = 8 * kMaxMessageBytes;
 // A peer answers as soon as it has read a message.
 constexpr core::Milliseconds kAnswerTime{2000};
 
@@ -73,7 +75,14 @@
   return 0;
 }
 
-int OnData(nghttp2_session*,
+// Releases the bytes of a message and keeps none that follow.
+void DropMessage(Connection& connection, Incoming& incoming) {
+  connection.incoming_bytes_ -= incoming.bytes_.size();
+  incoming.bytes_ = {};
+  incoming.dropped_ = true;
+}
+
+int OnData(nghttp2_session* session,
            std::uint8_t,
            std::int32_t stream,
            const std::uint8_t* data,
@@ -84,13 +93,22 @@
     return 0;
   }
   Incoming& incoming = connection.incoming_[stream];
+  if (incoming.dropped_) {
+    return 0;
+  }
   if (incoming.bytes_.size() + length > kMaxMessageBytes) {
-    incoming.too_long_ = true;
-    incoming.bytes_.clear();
+    DropMessage(connection, incoming);
+    return 0;
   }
-  if (!incoming.too_long_) {
-    incoming.bytes_.append(reinterpret_cast<const char*>(data), length);
+  if (connection.incoming_bytes_ + length > kMaxIncomingBytes) {
+    DropMessage(connection, incoming);
+    // The sender learns that its message was not handled.
+    nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, stream,
+                              NGHTTP2_REFUSED_STREAM);
+    return 0;
   }
+  connection.incoming_bytes_ += length;
+  incoming.bytes_.append(reinterpret_cast<const char*>(data), length);
   return 0;
 }
 
@@ -111,8 +129,9 @@
   }
   Incoming incoming = std::move(it->second);
   connection.incoming_.erase(it);
+  connection.incoming_bytes_ -= incoming.bytes_.size();
   const bool known =
-      incoming.path_good_ && incoming.fleet_good_ && !incoming.too_long_;
+      incoming.path_good_ && incoming.fleet_good_ && !incoming.dropped_;
   bool good = false;
   if (known) {
     // The caller is C code, through which no exception may pass.
@@ -132,7 +151,11 @@
                   std::uint32_t error,
                   void* user) {
   auto& connection = *static_cast<Connection*>(user);
-  connection.incoming_.erase(stream);
+  const auto unfinished = connection.incoming_.find(stream);
+  if (unfinished != connection.incoming_.end()) {
+    DropMessage(connection, unfinished->second);
+    connection.incoming_.erase(unfinished);
+  }
   const auto it = connection.outgoing_.find(stream);
   if (it == connection.outgoing_.end()) {
     return 0;
--- a/packages/peer/src/connection_p.h
+++ b/packages/peer/src/connection_p.h
@@ -27,7 +27,7 @@
   std::string bytes_;
   bool path_good_ = false;
   bool fleet_good_ = false;
-  bool too_long_ = false;
+  bool dropped_ = false;  // Too long, or one too many: its bytes are not kept.
 };
 
 // What connections share with their node.
@@ -51,6 +51,7 @@
   std::deque<Outgoing> waiting_;  // Until connected.
   std::map<std::int32_t, Outgoing> outgoing_;
   std::map<std::int32_t, Incoming> incoming_;
+  std::size_t incoming_bytes_ = 0;  // Of all messages in `incoming_`.
 };
 
 // Makes the session; false when memory is short.
