--- a/packages/backend/test/http_call_test.cc
+++ b/packages/backend/test/http_call_test.cc
@@ -198,6 +198,7 @@
 
   explicit EndlessServer(const test::EndlessAnswer& answer)
       : server_([this, answer](test::Peer& peer, int) {
+          peer.ReadUntil("\r\n\r\n");
           was_closed_.set_value(
               test::SendUntilClosed(peer, answer, kMostBytes));
         }) {}
--- a/packages/ctl/test/operator_commands_test.cc
+++ b/packages/ctl/test/operator_commands_test.cc
@@ -102,6 +102,7 @@
   constexpr std::size_t kMostBytes = 256 * 1024 * 1024;
   std::promise<bool> was_closed;
   test::ScriptedServer entry([&](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
     // Interim answers take until the time limit, not the size limit.
     const bool is_interim = answer.begin_.empty();
     was_closed.set_value(test::SendUntilClosed(
--- a/packages/gateway/test/control_client_test.cc
+++ b/packages/gateway/test/control_client_test.cc
@@ -71,6 +71,7 @@
   constexpr std::size_t kMostBytes = 32 * 1024 * 1024;
   std::promise<bool> was_closed;
   test::ScriptedServer server([&](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
     was_closed.set_value(test::SendUntilClosed(peer, answer, kMostBytes));
   });
   client_.Send(dispatch::ListRetainedPrompts{"d", server.Address()});
--- a/packages/gateway/test/endless_answer_test.cc
+++ b/packages/gateway/test/endless_answer_test.cc
@@ -3,9 +3,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
-#include <fstream>
-
-#include <unistd.h>
 
 #include "endless_answer.h"
 #include "gateway_fixture.h"
@@ -27,13 +24,6 @@
   static constexpr std::size_t kMostBytes = std::size_t{1} << 34;
   static constexpr std::size_t kMaxGrowth = 64 * 1024 * 1024;
 
-  // Returns the memory of this process in bytes.
-  static std::size_t ResidentBytes() {
-    std::size_t total = 0;
-    std::size_t resident = 0;
-    std::ifstream("/proc/self/statm") >> total >> resident;
-    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
-  }
   // Reads and drops an answer.
   void SendAndDrop(const std::string& path) const {
     test::Peer peer = test::Peer::Connect(port_);
@@ -53,6 +43,7 @@
                      path) {
   std::atomic<int> closed{0};
   test::ScriptedServer faulty([&](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
     closed += test::SendUntilClosed(peer, answer, kMostBytes) ? 1 : 0;
   });
   test::ScriptedServer sound([](test::Peer& peer, int) {
@@ -65,7 +56,7 @@
   const auto& engine = is_plain ? sound : faulty;
   AddServer("s", "plain", core::ServerRole::kPlain, plain.Address());
   AddServer("d", "engines", core::ServerRole::kDecode, engine.Address());
-  const std::size_t before = ResidentBytes();
+  const std::size_t before = test::ResidentBytes();
   std::size_t most = before;
   std::atomic<bool> ended{false};
   std::thread caller([&] {
@@ -75,7 +66,7 @@
   while (!ended) {
     BOOST_TEST(SendRequest(is_plain ? "/stream" : "/once")
                    .starts_with("HTTP/1.1 200 "));
-    most = std::max(most, ResidentBytes());
+    most = std::max(most, test::ResidentBytes());
     std::this_thread::sleep_for(core::Milliseconds(20));
   }
   caller.join();
--- a/packages/http/test/endless_answer.h
+++ b/packages/http/test/endless_answer.h
@@ -2,10 +2,13 @@
 #define SISKINDRUM_HTTP_TEST_ENDLESS_ANSWER_H_
 
 #include <cstddef>
+#include <fstream>
 #include <ostream>
 #include <string>
 #include <vector>
 
+#include <unistd.h>
+
 #include "loopback.h"
 
 namespace siskindrum::test {
@@ -45,12 +48,11 @@
   };
 }
 
-// Reads a request and sends the answer until the caller closes (true), or
-// `most` bytes were sent (false).
+// Sends the answer until the caller closes (true), or `most` bytes were sent
+// (false).
 inline bool SendUntilClosed(Peer& peer,
                             const EndlessAnswer& answer,
                             std::size_t most) {
-  peer.ReadUntil("\r\n\r\n");
   bool is_open = peer.Send(answer.begin_);
   for (std::size_t sent = 0; is_open && sent < most;
        sent += answer.again_.size()) {
@@ -59,6 +61,14 @@
   return !is_open;
 }
 
+// Returns the memory of this process in bytes.
+inline std::size_t ResidentBytes() {
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  std::ifstream("/proc/self/statm") >> total >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 }  // namespace siskindrum::test
 
 #endif  // SISKINDRUM_HTTP_TEST_ENDLESS_ANSWER_H_
--- a/packages/peer/test/unfinished_message_test.cc
+++ b/packages/peer/test/unfinished_message_test.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <fstream>
 #include <thread>
 
 #include <arpa/inet.h>
@@ -13,6 +12,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "endless_answer.h"
 #include "loopback.h"
 #include "siskindrum/peer/codec.h"
 #include "siskindrum/peer/node.h"
@@ -140,13 +140,6 @@
 struct EndlessPeerFixture {
   static constexpr std::size_t kMaxGrowth = 64 * 1024 * 1024;
 
-  // Returns the memory of this process in bytes.
-  static std::size_t ResidentBytes() {
-    std::size_t total = 0;
-    std::size_t resident = 0;
-    std::ifstream("/proc/self/statm") >> total >> resident;
-    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
-  }
   std::string Address() const {
     return "127.0.0.1:" + std::to_string(receiver_port_);
   }
@@ -176,10 +169,10 @@
 BOOST_AUTO_TEST_CASE(Node_WhenAPeerEndsNoMessage_KeepsAFewOfThem) {
   BOOST_REQUIRE(receiver_.Start().has_value());
   BOOST_REQUIRE(sound_.Start().has_value());
-  const std::size_t before = ResidentBytes();
+  const std::size_t before = test::ResidentBytes();
   EndlessPeer endless(receiver_port_);
   endless.Run();
-  BOOST_TEST(ResidentBytes() - before < kMaxGrowth);
+  BOOST_TEST(test::ResidentBytes() - before < kMaxGrowth);
   sound_.Send(Address(), "sound", 1);
   BOOST_TEST(AwaitReceived(1));
   BOOST_TEST(failed_ == 0);
