Orders: elect the one entry that gives them

What was seen: at the first start of a deployment one machine's list of seeds lacked the first machine.

Cause: each entry decided from its own settings alone, that the first seed of its list gives orders. That is one entry only if all lists begin alike; the platform's pages say that they may be stale. The specification assumed the same first seed for all, so the model check proved the rule under the very condition that failed.

Change: packages/election. The candidate is the lowest of its seeds; it needs the votes of all entries that it knows: its seeds, those that voters report, and the entries that it has heard from. An entry votes once, and a restarted one not at all, so two candidates with a common voter cannot both be elected. A pre-vote, which binds nobody, keeps a candidate that is not the lowest from taking votes. MayGiveOrders and may_change_roles_ are gone. The specification draws the lists; without each of its guards there is a counter-example.

--- a/packages/core/include/siskindrum/core/peer_message.h
+++ b/packages/core/include/siskindrum/core/peer_message.h
@@ -222,6 +222,31 @@
   std::vector<QuotaReturnRow> rows_;
 };
 
+// Rounds of the election of the entry that changes engine roles, in order. A
+// pre-vote binds nobody.
+enum class VoteRound : std::uint8_t { kPreVote, kVote, kCount };
+
+// Asks the receiver to vote for the sender.
+struct VoteRequest {
+  VoteRound round_ = VoteRound::kPreVote;
+  std::string candidate_;  // Peer address of the sender.
+};
+
+enum class Vote : std::uint8_t {
+  kGranted,
+  kRestarted,        // An earlier process at this address may have voted.
+  kVotedForAnother,  // A vote is never taken back.
+  kKnowsLowerSeed,   // Its own seeds name a lower address.
+  kCount,
+};
+
+struct VoteReply {
+  VoteRound round_ = VoteRound::kPreVote;  // Of the request.
+  Vote vote_ = Vote::kGranted;
+  std::string voter_;               // Peer address of the sender.
+  std::vector<std::string> seeds_;  // Of the sender.
+};
+
 using PeerBody = std::variant<Gossip,
                               ConfigurationRequest,
                               ConfigurationBody,
@@ -242,7 +267,9 @@
                               QuarantineReport,
                               QuotaAsk,
                               QuotaLoan,
-                              QuotaReturn>;
+                              QuotaReturn,
+                              VoteRequest,
+                              VoteReply>;
 
 struct PeerMessage {
   std::string from_;
--- a/packages/core/src/router.cc
+++ b/packages/core/src/router.cc
@@ -43,6 +43,8 @@
           [](const QuotaAsk&) {},          // Unused: it has no quotas.
           [](const QuotaLoan&) {},
           [](const QuotaReturn&) {},
+          [](const VoteRequest&) {},  // Unused: it changes no roles.
+          [](const VoteReply&) {},
       },
       message.body_);
 }
--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -25,6 +25,7 @@
 #include "siskindrum/dispatch/repeat_budget.h"
 #include "siskindrum/dispatch/server_pool.h"
 #include "siskindrum/dispatch/use_view.h"
+#include "siskindrum/election/election.h"
 #include "siskindrum/hedge/hedge.h"
 #include "siskindrum/quota/quota.h"
 
@@ -161,9 +162,8 @@
   std::string domain_;
   core::Incarnation incarnation_ = 0;
   std::uint64_t seed_ = 0;
-  // Only this process of the deployment may change engine roles.
-  bool may_change_roles_ = false;
-  // Engines may retain prompts from earlier processes of the deployment.
+  // This is not the first start of the deployment: engines may retain prompts
+  // from its earlier processes, and this process changes no engine roles.
   bool restarted_ = false;
   // Address of this entry for peers; empty: no peers.
   std::string peers_address_;
@@ -207,6 +207,7 @@
   PeerUsage use_;
   Quarantine quarantine_;
   QuarantineNews quarantine_news_;
+  election::Election election_;  // Of the entry that changes engine roles.
   quota::QuotaState quota_;
   std::vector<RequestId> quota_waiting_;  // For loans, in arrival order.
   double release_draw_ = 0;  // In [0, 1); of this entry's release delay.
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -3,7 +3,6 @@
 #include "absl/strings/str_cat.h"
 #include "dispatcher_p.h"
 #include "siskindrum/core/overloaded.h"
-#include "siskindrum/dispatch/stage_plan.h"
 
 namespace siskindrum::dispatch {
 
@@ -272,36 +271,6 @@
   UpdateReady(step);
 }
 
-// Changes prefill engines to decode if this process may change roles. Does so
-// once, soon after the start, when the server list has settled.
-void ChangeEngineRoles(Step& step) {
-  Dispatcher& dispatcher = step.dispatcher_;
-  if (!dispatcher.options_.may_change_roles_ || dispatcher.roles_changed_ ||
-      !dispatcher.list_read_ ||
-      step.now_ - dispatcher.list_changed_at_ < kRoleChangeSettleTime) {
-    return;
-  }
-  dispatcher.roles_changed_ = true;
-  if (step.now_ - dispatcher.started_at_ > kRoleChangeWindow) {
-    return;
-  }
-  for (const std::string& name :
-       PrefillEnginesToConvert(dispatcher.pool_, step.now_)) {
-    ++dispatcher.counters_.orders_;
-    ServerState* server = FindServer(dispatcher.pool_, name);
-    server->role_change_until_ = step.now_ + kRoleChangeTimeout;
-    dispatcher.peers_.next_round_at_ = step.now_;
-    step.actions_.emplace_back(SwitchToDecode{name, server->info_.address_,
-                                              server->info_.incarnation_});
-    step.actions_.emplace_back(core::LogEvent{
-        "engine_turned",
-        {{"server", name},
-         {"pool", server->info_.service_},
-         {"domain", server->info_.domain_},
-         {"list_age_ms", FormatMs(step.now_ - dispatcher.list_changed_at_)}}});
-  }
-}
-
 // Ends the requests for which the condition holds, whatever their stage.
 template <class Condition>
 void FailCallsIf(Step& step, core::Reason reason, Condition condition) {
@@ -428,6 +397,8 @@
   dispatcher.peers_.seeds_ = options.seeds_;
   dispatcher.quota_ = quota::MakeQuotaState(
       {options.quota_bounds_, options.incarnation_, !options.restarted_});
+  dispatcher.election_ =
+      election::MakeElection({options.peers_address_, !options.restarted_});
   core::MemberRow& self = dispatcher.peers_.membership_.self_;
   self.name_ = options.name_;
   self.address_ = options.peers_address_;
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -274,6 +274,19 @@
 // Sends news to peers and drops what is too old.
 void UpdateQuarantine(Step& step);
 
+// role_changes.cc: changes of engine roles, by the entry that is elected to
+// make them, as in siskindrum/election/election.h.
+
+// Changes prefill engines to decode once this entry is elected. Does so once,
+// soon after the first start, when the server list has settled.
+void ChangeEngineRoles(Step& step);
+void OnVoteRequest(Step& step,
+                   const std::string& from,
+                   const core::VoteRequest& request);
+void OnVoteReply(Step& step,
+                 const std::string& from,
+                 const core::VoteReply& reply);
+
 // peers.cc: messages between entries.
 
 // Sends the report to random peers. Returns how many.
--- a/packages/dispatch/src/peers.cc
+++ b/packages/dispatch/src/peers.cc
@@ -26,7 +26,7 @@
   MemberRow& self = dispatcher.peers_.membership_.self_;
   self.role_changing_servers_.clear();
   for (const auto& [name, server] : dispatcher.pool_.servers_) {
-    if (dispatcher.options_.may_change_roles_ &&
+    if (dispatcher.election_.elected_ &&
         server.role_change_until_ > step.now_) {
       self.role_changing_servers_.push_back(name);
     }
@@ -373,6 +373,12 @@
           [&](const core::QuotaReturn& body) {
             OnQuotaReturn(step, message, body);
           },
+          [&](const core::VoteRequest& body) {
+            OnVoteRequest(step, message.from_, body);
+          },
+          [&](const core::VoteReply& body) {
+            OnVoteReply(step, message.from_, body);
+          },
           [&](const auto&) {
             step.actions_.emplace_back(core::LogEvent{
                 "peer_message_ignored", {{"from", message.from_}}});
--- a/packages/dispatch/test/peers_test.cc
+++ b/packages/dispatch/test/peers_test.cc
@@ -187,7 +187,9 @@
         name, name[0] == 'p' ? core::ServerRole::kPrefill
                              : core::ServerRole::kDecode));
   }
-  At("east:1").options_.may_change_roles_ = true;
+  for (const char* address : {"east:1", "east:2"}) {
+    At(address).peers_.seeds_ = {"east:1"};
+  }
   for (const char* address : {"east:1", "east:2"}) {
     Configure(address, 5);
     List(address, engines, 5);
--- a/packages/dispatch/test/stage_plan_test.cc
+++ b/packages/dispatch/test/stage_plan_test.cc
@@ -1,7 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include "dispatcher_fixture.h"
-#include "siskindrum/dispatch/limits.h"
 #include "siskindrum/dispatch/stage_plan.h"
 
 namespace siskindrum::dispatch {
@@ -59,71 +58,5 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-struct RoleChangeFixture {
-  // Starts a dispatcher whose pool has two prefill engines to convert.
-  void Start(bool may_change_roles) {
-    DispatcherOptions options;
-    options.may_change_roles_ = may_change_roles;
-    dispatcher_ = MakeDispatcher(options);
-    List({"p1", "p2", "p3", "p4"}, core::ServerRole::kPrefill);
-    List({"d1", "d2", "d3", "d4", "d5"}, core::ServerRole::kDecode);
-  }
-  void List(const std::vector<std::string>& names, core::ServerRole role) {
-    ListChanges changes;
-    for (const std::string& name : names) {
-      changes.seen_.push_back(DispatcherFixture::Engine(name, role));
-    }
-    Handle(ListSeen{changes});
-  }
-  void Handle(const Event& event) {
-    std::vector<Action> actions;
-    HandleEvent(dispatcher_, event, now_, actions);
-    for (const Action& action : actions) {
-      role_changes_ += std::holds_alternative<SwitchToDecode>(action) ? 1 : 0;
-    }
-  }
-  void Pass(Milliseconds time) {
-    for (const TimePoint until = now_ + time; now_ < until;) {
-      now_ += Milliseconds(20);
-      Handle(Ticked{});
-    }
-  }
-
-  Dispatcher dispatcher_;
-  TimePoint now_{std::chrono::hours(1)};
-  int role_changes_ = 0;
-};
-
-BOOST_FIXTURE_TEST_SUITE(RoleChanges, RoleChangeFixture)
-
-BOOST_AUTO_TEST_CASE(Entry_WhenTheListIsSettled_ChangesRolesOnlyOnce) {
-  Start(true);
-  Pass(Milliseconds(1000));
-  BOOST_TEST(role_changes_ == 0);
-  Pass(Milliseconds(1000));
-  BOOST_TEST(role_changes_ == 2);
-  List({"p5", "p6"}, core::ServerRole::kPrefill);
-  Pass(Milliseconds(20000));
-  BOOST_TEST(role_changes_ == 2);
-}
-
-BOOST_AUTO_TEST_CASE(Entry_WhenTheListSettlesTooLate_ChangesNoRoles) {
-  Start(true);
-  for (int i = 0; i < 9; ++i) {
-    Pass(Milliseconds(1000));
-    List({"d1"}, core::ServerRole::kDecode);
-  }
-  Pass(Milliseconds(5000));
-  BOOST_TEST(role_changes_ == 0);
-}
-
-BOOST_AUTO_TEST_CASE(Entry_WithoutPermission_ChangesNoRoles) {
-  Start(false);
-  Pass(Milliseconds(20000));
-  BOOST_TEST(role_changes_ == 0);
-}
-
-BOOST_AUTO_TEST_SUITE_END()
-
 }  // namespace
 }  // namespace siskindrum::dispatch
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -551,6 +551,24 @@
   TakeRows(json.at(1), m.rows_);
 }
 
+Json Put(const VoteRequest& m) {
+  return Json::array({PutEnum(m.round_), m.candidate_});
+}
+void Take(const Json& json, VoteRequest& m) {
+  m.round_ = TakeEnum<VoteRound>(json.at(0));
+  m.candidate_ = json.at(1).get<std::string>();
+}
+
+Json Put(const VoteReply& m) {
+  return Json::array({PutEnum(m.round_), PutEnum(m.vote_), m.voter_, m.seeds_});
+}
+void Take(const Json& json, VoteReply& m) {
+  m.round_ = TakeEnum<VoteRound>(json.at(0));
+  m.vote_ = TakeEnum<Vote>(json.at(1));
+  m.voter_ = json.at(2).get<std::string>();
+  m.seeds_ = json.at(3).get<std::vector<std::string>>();
+}
+
 template <std::size_t Index = 0>
 PeerBody TakeBody(std::size_t kind, const Json& json) {
   if constexpr (Index < std::variant_size_v<PeerBody>) {
--- a/packages/peer/test/peer_test.cc
+++ b/packages/peer/test/peer_test.cc
@@ -83,7 +83,9 @@
                        {{{4, 5}, 2, Milliseconds(60)}}},
       QuotaAsk{9, Milliseconds(6000), {{UINT64_MAX, 500000, 6, 7, 8}}},
       QuotaLoan{9, 7, {{3, 40000, Milliseconds(5900), 1'000'000'000}}, true},
-      QuotaReturn{9, {{3, 250}}}};
+      QuotaReturn{9, {{3, 250}}},
+      VoteRequest{VoteRound::kVote, "a:1"},
+      VoteReply{VoteRound::kVote, Vote::kKnowsLowerSeed, "a:2", {"a:1"}}};
 }
 
 BOOST_AUTO_TEST_SUITE(Peer)
--- a/tools/model_check.sh
+++ b/tools/model_check.sh
@@ -45,7 +45,7 @@
   check stream bad "$guard"
 done
 check orders good
-for guard in ANY_START ANY_SEED; do check orders bad "$guard"; done
+for guard in OWN_LIST VOTE_AGAIN ANY_START NO_REPORT; do check orders bad "$guard"; done
 check quota good
 for guard in NO_WAIT FROM_LOAN NO_NUMBER NO_INCARNATION GIVE_LATE ABSOLUTE \
   KEEP_EARLIER TAKE_EARLIER; do
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -10,9 +10,11 @@
 cp -r "$root/CMakeLists.txt" "$root/packages" "$root/platform" "$work/"
 cmake -S "$work" -B "$work/build" -G Ninja -DCMAKE_BUILD_TYPE=Debug \
   -DCMAKE_CXX_FLAGS=-O1 >/dev/null
-cmake --build "$work/build" --target core_test dispatch_test hedge_test http_test quota_test >/dev/null
+cmake --build "$work/build" --target core_test dispatch_test \
+  election_test hedge_test http_test quota_test >/dev/null
 export RC_PARAMS="seed=1 max_success=100"
-for program in core_test dispatch_test hedge_test http_test quota_test; do
+for program in core_test dispatch_test election_test hedge_test http_test \
+  quota_test; do
   "$work/build/$program" >/dev/null || {
     echo "the unchanged $program fails"
     exit 1
