Orders: number them by their holder

Cause: each process counted fencing numbers from 1, on the ground that only one process ever gives orders.

Change: the number is a hash of the holder's peer address, the same in all of its orders. Equal numbers of one holder are valid, and each engine gets one order.

An engine that checks numbers refuses the lower one.

--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -306,6 +306,7 @@
   std::string server_;
   std::string address_;
   core::Incarnation incarnation_ = 0;
+  std::uint64_t fencing_number_ = 0;  // The same in all orders of an entry.
 };
 
 // Queries an engine for its retained prompts. A missing answer counts as none.
--- a/packages/dispatch/src/role_changes.cc
+++ b/packages/dispatch/src/role_changes.cc
@@ -41,7 +41,8 @@
   server->role_change_until_ = step.now_ + kRoleChangeTimeout;
   dispatcher.peers_.next_round_at_ = step.now_;
   step.actions_.emplace_back(
-      SwitchToDecode{name, server->info_.address_, server->info_.incarnation_});
+      SwitchToDecode{name, server->info_.address_, server->info_.incarnation_,
+                     election::FencingNumber(dispatcher.election_)});
   step.actions_.emplace_back(core::LogEvent{
       "engine_turned",
       {{"server", name},
--- a/packages/dispatch/test/role_changes_test.cc
+++ b/packages/dispatch/test/role_changes_test.cc
@@ -52,6 +52,15 @@
     }
     return orders;
   }
+  std::set<std::uint64_t> FencingNumbers(std::size_t entry) {
+    std::set<std::uint64_t> numbers;
+    for (const Action& action : entries_.at(AddressOf(entry)).actions_) {
+      if (const auto* order = std::get_if<SwitchToDecode>(&action)) {
+        numbers.insert(order->fencing_number_);
+      }
+    }
+    return numbers;
+  }
   bool HasLogged(std::size_t entry, const std::string& name) {
     for (const Action& action : entries_.at(AddressOf(entry)).actions_) {
       const auto* log = std::get_if<core::LogEvent>(&action);
@@ -126,6 +135,20 @@
   BOOST_TEST(Orders(2) == 0U);
 }
 
+// Guards against orders of two entries that engines cannot tell apart, where no
+// entry can know of the other.
+BOOST_AUTO_TEST_CASE(Entries_WhenTheirGroupsNeverMeet_OrderWithOwnNumbers) {
+  StartWithEngines(2);
+  SetSeeds(0, {0});
+  SetSeeds(1, {1});
+  Pass(kLongerThanTheWindow);
+  BOOST_TEST(Orders(0) == 2U);
+  BOOST_TEST(Orders(1) == 2U);
+  BOOST_TEST(FencingNumbers(0).size() == 1U);
+  BOOST_TEST(FencingNumbers(1).size() == 1U);
+  BOOST_TEST((FencingNumbers(0) != FencingNumbers(1)));
+}
+
 // Lists without a common address are joined by what the entries hear of each
 // other.
 BOOST_AUTO_TEST_CASE(Entries_WhenOnlyGossipJoinsTheirSeeds_ChangeNoRolesTwice) {
--- a/packages/election/include/siskindrum/election/election.h
+++ b/packages/election/include/siskindrum/election/election.h
@@ -97,6 +97,12 @@
 // no.
 void HandleVoteReply(Election& election, const core::VoteReply& reply);
 
+// Returns the fencing number of this entry's orders: positive, the same for its
+// lifetime, and a hash of its address, so that engines do not take the orders
+// of two entries for those of one. Fits in 53 bits, as readers of JSON may keep
+// numbers as doubles. Thread-safe: yes.
+std::uint64_t FencingNumber(const Election& election);
+
 // Returns the addresses of the voters that have not voted for this entry.
 // Thread-safe: no.
 std::vector<std::string> MissingVoters(const Election& election);
--- a/packages/election/src/election.cc
+++ b/packages/election/src/election.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "siskindrum/core/hash.h"
+
 namespace siskindrum::election {
 
 namespace {
@@ -131,6 +133,12 @@
   AddVoters(election, reply.seeds_);
 }
 
+std::uint64_t FencingNumber(const Election& election) {
+  constexpr int kBits = 53;
+  const std::uint64_t hash = core::Hash64(election.options_.address_);
+  return std::max<std::uint64_t>(hash >> (64 - kBits), 1);
+}
+
 std::vector<std::string> MissingVoters(const Election& election) {
   std::vector<std::string> missing;
   for (const auto& [address, voter] : election.voters_) {
--- a/packages/gateway/src/control_client.cc
+++ b/packages/gateway/src/control_client.cc
@@ -52,11 +52,9 @@
 }
 
 void ControlClient::Send(const dispatch::SwitchToDecode& order) {
-  // Only one process sends orders, and each order once, so a counter within the
-  // process is a valid fencing number.
   SendIgnoringAnswer({order.server_, order.address_, order.incarnation_},
                      context_.dialect_.make_decode_order_(
-                         order.server_, context_.name_, ++last_fencing_number_),
+                         order.server_, context_.name_, order.fencing_number_),
                      "order_not_given");
 }
 
--- a/packages/gateway/src/control_client_p.h
+++ b/packages/gateway/src/control_client_p.h
@@ -1,7 +1,6 @@
 #ifndef SISKINDRUM_GATEWAY_CONTROL_CLIENT_P_H_
 #define SISKINDRUM_GATEWAY_CONTROL_CLIENT_P_H_
 
-#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -49,7 +48,6 @@
                           const std::string& failure_event);
 
   ControlClientContext context_;
-  std::uint64_t last_fencing_number_ = 0;
 };
 
 }  // namespace siskindrum::gateway
