Store calls: keep the malformed endless chunk header as a case

The case of an endless chunk header was changed from letters, which are malformed at once, to zeros, which are not.

--- a/packages/gateway/test/control_client_test.cc
+++ b/packages/gateway/test/control_client_test.cc
@@ -39,6 +39,9 @@
 
 std::vector<test::EndlessAnswer> EndlessAnswersToLists() {
   std::vector<test::EndlessAnswer> answers = test::EndlessAnswers();
+  answers.push_back({"malformed chunk header",
+                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                     std::string(4096, 'x')});
   answers.push_back(
       {"answers to other requests", "",
        "HTTP/1.1 200 OK\r\nId: 6\r\nContent-Length: 5\r\n\r\nother"});
