--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -3,17 +3,13 @@
 
 #include <atomic>
 #include <future>
-#include <mutex>
-#include <set>
 
 #include <boost/asio/post.hpp>
 
 #include "absl/strings/match.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "gateway_fixture.h"
 #include "loopback.h"
-#include "siskindrum/gateway/event_splitter.h"
 #include "siskindrum/http/clock.h"
 #include "siskindrum/http/endpoint.h"
 
@@ -191,100 +187,6 @@
   BOOST_TEST(SendRequest("/once").starts_with("HTTP/1.1 503 "));
 }
 
-BOOST_AUTO_TEST_CASE(Server_WhenAnAnswerSaysThatItLeaves_GetsNoMoreCalls) {
-  std::atomic<int> requests{0};
-  test::ScriptedServer server([&requests](test::Peer& peer, int) {
-    if (!peer.ReadUntil("\r\n\r\n").empty()) {
-      ++requests;
-      peer.Send(Answer("Leaving: 1\r\n", "done"));
-    }
-  });
-  AddServer("s", "plain", core::ServerRole::kPlain, server.Address());
-  BOOST_TEST(SendRequest("/once").ends_with("done"));
-  AddServer("s", "plain", core::ServerRole::kPlain, server.Address());
-  BOOST_TEST(SendRequest("/once").starts_with("HTTP/1.1 503 "));
-  BOOST_TEST(requests == 1);
-}
-
-BOOST_AUTO_TEST_CASE(Server_WhenAStreamInProgressSaysLeaving_GetsNoMoreCalls) {
-  std::atomic<int> requests{0};
-  std::promise<void> end;
-  std::shared_future<void> ended = end.get_future().share();
-  test::ScriptedServer engine([&requests, ended](test::Peer& peer, int) {
-    if (!peer.ReadUntil("\r\n\r\n").empty()) {
-      ++requests;
-      std::string head = kStreamHead;
-      head.insert(head.find("\r\n") + 2, "Leaving: 1\r\n");
-      peer.Send(head + http::FormatChunk(Events(1, 3)));
-      ended.wait();
-    }
-  });
-  AddServer("d", "engines", core::ServerRole::kDecode, engine.Address());
-  test::Peer caller = test::Peer::Connect(port_);
-  caller.Send(
-      "POST /stream HTTP/1.1\r\nHost: h\r\nId: 7\r\n"
-      "Content-Length: 0\r\n\r\n");
-  BOOST_TEST(absl::StrContains(caller.ReadUntil("id: 3"), "id: 3"));
-  BOOST_TEST(SendRequest("/stream").starts_with("HTTP/1.1 503 "));
-  BOOST_TEST(requests == 1);
-  end.set_value();
-}
-
-// The decode engine leaves during the prefill, so that the gateway frees the
-// result; the prefill engine's answer to that says that it leaves, too.
-BOOST_AUTO_TEST_CASE(Server_WhenAControlAnswerSaysLeaving_GetsNoMorePrefills) {
-  std::atomic<int> prefills{0};
-  test::ScriptedServer decode([](test::Peer& peer, int) {
-    peer.ReadUntil("\r\n\r\n");
-    peer.Send(Answer("Content-Type: text/event-stream\r\n", Events(1, 3)));
-  });
-  test::ScriptedServer prefill([&](test::Peer& peer, int) {
-    for (;;) {
-      const std::string request = peer.ReadUntil("\r\n\r\n");
-      if (request.empty()) {
-        return;
-      }
-      const bool frees = absl::StartsWith(request, "DELETE /free/kv ");
-      if (!frees) {
-        ++prefills;
-        AddServer("d", "engines", core::ServerRole::kDecode, decode.Address(),
-                  true);
-      }
-      peer.Send(frees ? "HTTP/1.1 200 OK\r\nLeaving: 1\r\n"
-                        "Content-Length: 0\r\n\r\n"
-                      : Answer("", "kv"));
-    }
-  });
-  AddServer("p", "engines", core::ServerRole::kPrefill, prefill.Address());
-  AddServer("d", "engines", core::ServerRole::kDecode, decode.Address());
-  BOOST_TEST(SendRequest("/stream").starts_with("HTTP/1.1 503 "));
-  BOOST_TEST(AwaitOperatorText("/dump", "\"said_leaving\": true"));
-  AddServer("d", "engines", core::ServerRole::kDecode, decode.Address());
-  BOOST_TEST(absl::StrContains(SendRequest("/stream"), "id: 3"));
-  BOOST_TEST(prefills == 1);
-}
-
-BOOST_AUTO_TEST_CASE(Server_WhenItRefusesWithAPause_GetsNothingUntilItsEnd) {
-  std::atomic<int> requests{0};
-  test::ScriptedServer server([&requests](test::Peer& peer, int) {
-    while (!peer.ReadUntil("\r\n\r\n").empty()) {
-      peer.Send(++requests > 1
-                    ? Answer("", "done")
-                    : "HTTP/1.1 503 Busy\r\nId: 7\r\nNot-Run: 1\r\nPause: 1\r\n"
-                      "Content-Length: 0\r\n\r\n");
-    }
-  });
-  AddServer("s", "plain", core::ServerRole::kPlain, server.Address());
-  const core::TimePoint start = http::MonotonicNow();
-  BOOST_TEST(SendRequest("/once").starts_with("HTTP/1.1 503 "));
-  while (requests == 1 &&
-         http::MonotonicNow() < start + core::Milliseconds(test::kWaitMs)) {
-    SendRequest("/once");
-  }
-  BOOST_TEST((http::MonotonicNow() - start >= core::Milliseconds(1500)));
-  BOOST_TEST(requests == 2);
-}
-
 BOOST_AUTO_TEST_CASE(RepeatableCall_WhenAnAnswerIsTruncated_IsRetried) {
   test::ScriptedServer server([](test::Peer& peer, int connection) {
     peer.ReadUntil("\r\n\r\n");
@@ -373,81 +275,6 @@
   BOOST_TEST(requests == 0);
 }
 
-// A server that keeps sending data after `head` until the connection is closed
-// or kByteLimit was sent, which is far more than the gateway may buffer.
-struct EndlessServer {
-  static constexpr std::size_t kByteLimit = 64 * 1024 * 1024;
-
-  explicit EndlessServer(const std::string& head)
-      : server_([this, head](test::Peer& peer, int) {
-          peer.ReadUntil("\r\n\r\n");
-          peer.Send(head);
-          const std::string piece(64 * 1024, 'x');
-          while (sent_bytes_ < kByteLimit && peer.Send(piece)) {
-            sent_bytes_ += piece.size();
-          }
-          ended_ = true;
-        }) {}
-
-  std::atomic<std::size_t> sent_bytes_{0};
-  std::atomic<bool> ended_{false};
-  test::ScriptedServer server_;
-};
-
-BOOST_AUTO_TEST_CASE(ErrorAnswer_WhenItsBodyExceedsTheLimit_IsAbortedWith502) {
-  EndlessServer endless(
-      "HTTP/1.1 500 X\r\nId: 7\r\nMark: m\r\n"
-      "Content-Length: 1000000000000\r\n\r\n");
-  AddServer("s", "plain", core::ServerRole::kPlain, endless.server_.Address());
-  BOOST_TEST(absl::StartsWith(SendRequest("/once"), "HTTP/1.1 502"));
-  BOOST_TEST(endless.sent_bytes_ < EndlessServer::kByteLimit);
-}
-
-BOOST_AUTO_TEST_CASE(Stream_WhenAnEventExceedsTheLimit_IsAborted) {
-  EndlessServer endless(
-      "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\n"
-      "Content-Type: text/event-stream\r\n"
-      "Content-Length: 1000000000000\r\n\r\n");
-  AddServer("d", "engines", core::ServerRole::kDecode,
-            endless.server_.Address());
-  BOOST_TEST(!absl::StartsWith(SendRequest("/stream"), "HTTP/1.1 200"));
-  BOOST_TEST(endless.sent_bytes_ < EndlessServer::kByteLimit);
-}
-
-BOOST_AUTO_TEST_CASE(Prefill_WhenItsResultExceedsTheLimit_IsDoneElsewhere) {
-  EndlessServer endless(
-      "HTTP/1.1 200 OK\r\nId: 7\r\n"
-      "Content-Length: 1000000000000\r\n\r\n");
-  test::ScriptedServer decode([](test::Peer& peer, int) {
-    peer.ReadUntil("\r\n\r\n");
-    const std::string events = Events(1, 3);
-    peer.Send(Answer("Content-Type: text/event-stream\r\n", events));
-  });
-  AddServer("p", "engines", core::ServerRole::kPrefill,
-            endless.server_.Address());
-  AddServer("d", "engines", core::ServerRole::kDecode, decode.Address());
-  BOOST_TEST(absl::StrContains(SendRequest("/stream"), "id: 3"));
-  BOOST_TEST(endless.sent_bytes_ < EndlessServer::kByteLimit);
-}
-
-BOOST_AUTO_TEST_CASE(
-    Answer_WhenItsCallerDoesNotRead_AppliesBackpressureToTheServer) {
-  EndlessServer endless(
-      "HTTP/1.1 200 OK\r\nId: 7\r\nMark: m\r\n"
-      "Content-Length: 1000000000000\r\n\r\n");
-  AddServer("s", "plain", core::ServerRole::kPlain, endless.server_.Address());
-  test::Peer caller = test::Peer::Connect(port_);
-  caller.Send(
-      "POST /once HTTP/1.1\r\nHost: h\r\nId: 7\r\n"
-      "Content-Length: 0\r\n\r\n");
-  // The server may send until the route's timeout, but the caller never reads.
-  const core::TimePoint limit = http::MonotonicNow() + core::Milliseconds(1500);
-  while (!endless.ended_ && http::MonotonicNow() < limit) {
-    std::this_thread::sleep_for(core::Milliseconds(10));
-  }
-  BOOST_TEST(endless.sent_bytes_ < EndlessServer::kByteLimit);
-}
-
 BOOST_AUTO_TEST_CASE(Drain_WhenARequestIsInProgress_LetsItFinish) {
   test::ScriptedServer server([this](test::Peer& peer, int) {
     peer.ReadUntil("\r\n\r\n");
@@ -582,117 +409,5 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-// Gateway without any repeat left, as in a burst that has used up the budget.
-struct NoRepeatsFixture : GatewayFixture {
-  NoRepeatsFixture() {
-    gateway_->Post(
-        dispatch::SettingsRead{{}, {0, 0, core::Milliseconds(10000)}});
-  }
-};
-
-BOOST_FIXTURE_TEST_SUITE(NoRepeats, NoRepeatsFixture)
-
-// Longer than any time without data after which an entry looks for another
-// server, and shorter than a caller's patience.
-constexpr core::Milliseconds kSilence{2000};
-
-BOOST_AUTO_TEST_CASE(Stream_WhenASoundServerFallsSilent_IsNotCut) {
-  test::ScriptedServer server([](test::Peer& peer, int) {
-    peer.ReadUntil("\r\n\r\n");
-    peer.Send(kStreamHead);
-    peer.Send(http::FormatChunk(Events(1, 3)));
-    std::this_thread::sleep_for(kSilence);
-    peer.Send(http::FormatChunk(Events(4, 6)));
-    peer.Send(std::string(http::kLastChunk));
-    peer.ReadAll();
-  });
-  for (const char* name : {"d1", "d2"}) {
-    AddServer(name, "engines", core::ServerRole::kDecode, server.Address());
-  }
-  const std::string answer = SendRequest("/resume");
-  BOOST_TEST(absl::StrContains(answer, "id: 6\n"));
-  BOOST_TEST(answer.ends_with(std::string(http::kLastChunk)));
-}
-
-BOOST_AUTO_TEST_CASE(Read_WhenASoundServerFallsSilent_GetsItsAnswer) {
-  test::ScriptedServer server([](test::Peer& peer, int) {
-    peer.ReadUntil("\r\n\r\n");
-    std::this_thread::sleep_for(kSilence);
-    peer.Send(Answer("", "late"));
-  });
-  for (const char* name : {"s1", "s2"}) {
-    AddServer(name, "plain", core::ServerRole::kPlain, server.Address());
-  }
-  BOOST_TEST(SendRequest("/read").ends_with("\r\n\r\nlate"));
-}
-
-BOOST_AUTO_TEST_CASE(Prefill_WhenASoundServerFallsSilent_IsUsed) {
-  test::ScriptedServer prefill([](test::Peer& peer, int) {
-    peer.ReadUntil("\r\n\r\n");
-    std::this_thread::sleep_for(kSilence);
-    peer.Send("HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nkv");
-  });
-  std::string request;
-  test::ScriptedServer decode([&request](test::Peer& peer, int) {
-    request = peer.ReadUntil("\r\n\r\n");
-    peer.Send(Answer("Content-Type: text/event-stream\r\n", Events(1, 3)));
-  });
-  AddServer("p", "engines", core::ServerRole::kPrefill, prefill.Address());
-  AddServer("d", "engines", core::ServerRole::kDecode, decode.Address());
-  BOOST_TEST(absl::StrContains(SendRequest("/stream"), "id: 3\n"));
-  BOOST_TEST(absl::StrContains(request, "Handle: kv\r\n"));
-}
-
-BOOST_AUTO_TEST_SUITE_END()
-
-struct SplitterFixture {
-  EventSplitter splitter_;
-};
-
-BOOST_FIXTURE_TEST_SUITE(Splitter, SplitterFixture)
-
-BOOST_AUTO_TEST_CASE(ExtractEvents_WhenAnEventArrivesInPieces_ReturnsItWhole) {
-  BOOST_TEST(ExtractEvents(splitter_, "id: 1\nda").empty());
-  BOOST_TEST(ExtractEvents(splitter_, "ta: x\n").empty());
-  BOOST_TEST(ExtractEvents(splitter_, "\nid: 2\n") == "id: 1\ndata: x\n\n");
-  BOOST_TEST(splitter_.last_event_.value() == 1U);
-}
-
-BOOST_AUTO_TEST_CASE(ExtractEvents_WhenEventsAreRepeated_ReturnsThemOnce) {
-  ExtractEvents(splitter_, Events(1, 4));
-  DiscardPartial(splitter_);
-  BOOST_TEST(ExtractEvents(splitter_, Events(3, 6)) == Events(5, 6));
-}
-
-BOOST_AUTO_TEST_CASE(ExtractEvents_WhenLineEndsAreMixed_FindsTheEndInAnyRead) {
-  const std::string events[] = {
-      "id: 1\ndata: x\n\n",       "id: 1\ndata: x\n\r\n",
-      "id: 1\ndata: x\r\n\n",     "id: 1\ndata: x\r\n\r\n",
-      "id: 1\r\ndata: x\r\n\r\n", "id: 1\r\ndata: x\n\n",
-  };
-  for (const std::string& event : events) {
-    for (std::size_t cut = 0; cut < event.size(); ++cut) {
-      EventSplitter splitter;
-      BOOST_TEST(ExtractEvents(splitter, event.substr(0, cut)).empty());
-      BOOST_TEST(ExtractEvents(splitter, event.substr(cut)) == event);
-      BOOST_TEST(splitter.partial_.empty());
-    }
-  }
-}
-
-BOOST_AUTO_TEST_CASE(ExtractEvents_WhenAnEmptyLineFollowsAnEvent_KeepsNothing) {
-  BOOST_TEST(ExtractEvents(splitter_, Events(1, 1) + "\n") ==
-             Events(1, 1) + "\n");
-  BOOST_TEST(splitter_.partial_.empty());
-}
-
-BOOST_AUTO_TEST_CASE(ExtractEvents_WhenLinesEndInCrLf_FindsTheEnd) {
-  BOOST_TEST(ExtractEvents(splitter_, "id: 9\r\ndata: x\r\n\r\n").size() ==
-             18U);
-  BOOST_TEST(splitter_.last_event_.value() == 9U);
-}
-
-BOOST_AUTO_TEST_SUITE_END()
-
 }  // namespace
 }  // namespace siskindrum::gateway
