--- a/packages/dispatch/src/role_changes.cc
+++ b/packages/dispatch/src/role_changes.cc
@@ -10,14 +10,15 @@
 
 std::vector<std::string> MemberAddresses(const core::Membership& membership) {
   std::vector<std::string> addresses;
+  addresses.reserve(membership.members_.size());
   for (const auto& [name, member] : membership.members_) {
     addresses.push_back(member.row_.address_);
   }
   return addresses;
 }
 
-// Asks for the votes that are missing.
-void ContinueCampaign(Step& step) {
+// Asks for the votes that are missing. Elects this entry if none is.
+void RequestVotes(Step& step) {
   Dispatcher& dispatcher = step.dispatcher_;
   const Peers& peers = dispatcher.peers_;
   const election::Campaign campaign = election::ContinueCampaign(
@@ -79,7 +80,7 @@
   const std::vector<std::string> convert =
       PrefillEnginesToConvert(dispatcher.pool_, step.now_);
   if (!convert.empty()) {
-    ContinueCampaign(step);
+    RequestVotes(step);
   }
   if (convert.empty() || dispatcher.election_.elected_) {
     dispatcher.roles_changed_ = true;
