Store: follow it into a new era when it comes back from an older copy

Cause: the store's revisions ordered everything and never went back: answers against synced_revision_, configurations against configuration_revision_, lists against list_version_, in an entry and between entries. A store that comes back from an older copy gives its revisions out again, so all that it said was dropped until the numbers had passed, or for good where the copy was past the watch's revision. Class: an order that holds within one life of its source is taken for one over all of them. A later era begins with a fresh listing; answers of an earlier one, or of none, change nothing. core::StorePosition (era, revision) orders lists in an entry and between entries; entries of the earlier message format count as era 0.

--- a/packages/core/include/siskindrum/core/membership.h
+++ b/packages/core/include/siskindrum/core/membership.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "siskindrum/core/limits.h"
+#include "siskindrum/core/store_position.h"
 #include "siskindrum/core/types.h"
 
 namespace siskindrum::core {
@@ -35,9 +36,9 @@
   std::string address_;
   std::string domain_;
   Incarnation incarnation_ = 0;
-  std::uint64_t counter_ = 0;       // Increases with each gossip round.
-  std::uint64_t revision_ = 0;      // Of its current configuration.
-  std::uint64_t list_version_ = 0;  // Of its instance list.
+  std::uint64_t counter_ = 0;   // Increases with each gossip round.
+  std::uint64_t revision_ = 0;  // Of its current configuration.
+  StorePosition list_version_;  // Of its instance list.
   bool leaving_ = false;
   std::vector<CellDigest> cells_;
   std::vector<std::string> leaving_servers_;
--- a/packages/core/include/siskindrum/core/peer_message.h
+++ b/packages/core/include/siskindrum/core/peer_message.h
@@ -9,6 +9,7 @@
 #include "siskindrum/core/call.h"
 #include "siskindrum/core/fleet.h"
 #include "siskindrum/core/membership.h"
+#include "siskindrum/core/store_position.h"
 #include "siskindrum/core/verdict.h"
 
 namespace siskindrum::core {
@@ -31,11 +32,11 @@
 };
 
 struct ListRequest {
-  std::uint64_t have_version_ = 0;
+  StorePosition have_version_;
 };
 
 struct ListBody {
-  std::uint64_t version_ = 0;
+  StorePosition version_;
   std::vector<ServerInfo> servers_;
   std::vector<EntryInfo> entries_;
 };
--- a/packages/core/include/siskindrum/core/router.h
+++ b/packages/core/include/siskindrum/core/router.h
@@ -156,7 +156,7 @@
   ConfigurationState configuration_;
   // Configuration offered by the service during startup; applied at its end.
   std::shared_ptr<const Configuration> pending_offer_;
-  std::uint64_t list_version_ = 0;
+  StorePosition list_version_;
   std::vector<ServerInfo> listed_servers_;
   std::vector<EntryInfo> listed_entries_;
   Membership membership_;
--- a/packages/core/src/relay.cc
+++ b/packages/core/src/relay.cc
@@ -90,7 +90,7 @@
 }
 
 void ApplyList(EventContext& context,
-               std::uint64_t version,
+               const StorePosition& version,
                const std::vector<ServerInfo>& servers,
                const std::vector<EntryInfo>& entries,
                const std::string& source) {
@@ -101,7 +101,7 @@
   const bool is_new = version != router.list_version_;
   UpdateEntries(router.membership_, entries, context.now_.steady_);
   if (!UpdateServers(router.fleet_, servers)) {
-    Log(context, "empty_list_ignored", {{"version", std::to_string(version)}});
+    Log(context, "empty_list_ignored", {{"version", ToString(version)}});
     return;
   }
   router.list_version_ = version;
@@ -109,7 +109,7 @@
   router.listed_entries_ = entries;
   if (is_new) {
     Log(context, "instance_list",
-        {{"version", std::to_string(version)},
+        {{"version", ToString(version)},
          {"servers", std::to_string(servers.size())},
          {"entries", std::to_string(entries.size())},
          {"source", source}});
@@ -174,7 +174,8 @@
 void OnInstanceListArrived(EventContext& context,
                            const InstanceListArrived& event,
                            const std::string& source) {
-  ApplyList(context, event.version_, event.servers_, event.entries_, source);
+  ApplyList(context, {0, event.version_}, event.servers_, event.entries_,
+            source);
 }
 
 void OnConfigurationArrived(EventContext& context,
@@ -195,7 +196,7 @@
 
 void FinishStartup(EventContext& context) {
   Router& router = context.router_;
-  if (!router.starting_ || router.list_version_ == 0 ||
+  if (!router.starting_ || router.list_version_ == StorePosition{} ||
       IsAwaitingPeers(router, context.now_.steady_)) {
     return;
   }
--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -235,7 +235,7 @@
   TimePoint list_changed_at_{};  // Last applied list change.
   bool roles_changed_ = false;
   bool list_read_ = false;
-  std::uint64_t list_version_ = 0;
+  core::StorePosition list_version_;
   bool ready_ = false;
   std::optional<DrainBegan> drain_;  // Set once the process shuts down.
   DispatchCounters counters_;
--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -8,6 +8,7 @@
 
 #include "siskindrum/core/fade.h"
 #include "siskindrum/core/fleet.h"
+#include "siskindrum/core/store_position.h"
 #include "siskindrum/core/types.h"
 #include "siskindrum/dispatch/server_notices.h"
 
@@ -82,8 +83,8 @@
   std::vector<core::ServerInfo> seen_;
   std::vector<std::string> removed_;
   bool is_snapshot_ = false;  // `seen_` is the complete list.
-  // Version of the list after these changes; zero: unversioned.
-  std::uint64_t version_ = 0;
+  // Version of the list after these changes; the default: unversioned.
+  core::StorePosition version_;
 };
 
 // Append a change of the list. When a server is reported more than once, the
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -194,7 +194,7 @@
 void LogChanges(Step& step,
                 const ListChanges& changes,
                 const std::string& source) {
-  const std::string version = std::to_string(changes.version_);
+  const std::string version = core::ToString(changes.version_);
   for (const core::ServerInfo& info : changes.seen_) {
     const ServerState* known = FindServer(step.dispatcher_.pool_, info.name_);
     if (known != nullptr && known->info_ == info &&
@@ -353,13 +353,13 @@
                    const ListChanges& changes,
                    const std::string& source) {
   Dispatcher& dispatcher = step.dispatcher_;
-  const bool older =
-      changes.version_ != 0 && changes.version_ < dispatcher.list_version_;
+  const bool older = changes.version_ != core::StorePosition{} &&
+                     changes.version_ < dispatcher.list_version_;
   if (older) {
     step.actions_.emplace_back(
         core::LogEvent{"list_not_taken",
-                       {{"version", std::to_string(changes.version_)},
-                        {"known", std::to_string(dispatcher.list_version_)},
+                       {{"version", core::ToString(changes.version_)},
+                        {"known", core::ToString(dispatcher.list_version_)},
                         {"source", source}}});
     return;
   }
--- a/packages/dispatch/src/peers.cc
+++ b/packages/dispatch/src/peers.cc
@@ -156,7 +156,7 @@
       {{"rules_of", newer_rules == nullptr ? "" : newer_rules->row_.name_},
        {"list_of", newer_list == nullptr ? "" : newer_list->row_.name_},
        {"revision", std::to_string(own)},
-       {"list_version", std::to_string(dispatcher.list_version_)},
+       {"list_version", core::ToString(dispatcher.list_version_)},
        {"behind_ms", FormatMs(step.now_ - peers.behind_since_)}}});
 }
 
@@ -253,6 +253,26 @@
   SendToPeer(step, address, std::move(body));
 }
 
+void OnListBody(Step& step,
+                const std::string& from,
+                const core::ListBody& body) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  // The store may have delivered the same version meanwhile.
+  if (body.version_ <= dispatcher.list_version_) {
+    return;
+  }
+  std::vector<core::ServerInfo> servers = body.servers_;
+  for (core::ServerInfo& info : servers) {
+    // The peer may know the server only from an older copy of the store.
+    const ServerState* known = FindServer(dispatcher.pool_, info.name_);
+    info.leaving_ = info.leaving_ ||
+                    (known != nullptr && known->info_.leaving_ &&
+                     info.incarnation_ != 0 &&
+                     known->info_.incarnation_ == info.incarnation_);
+  }
+  OnListChanges(step, {std::move(servers), {}, true, body.version_}, from);
+}
+
 void OnUsageReport(Step& step,
                    const core::PeerMessage& message,
                    const core::EngineUseReport& report) {
@@ -354,11 +374,7 @@
             OnListRequest(step, message.from_, body);
           },
           [&](const core::ListBody& body) {
-            // The store may have delivered the same version meanwhile.
-            if (body.version_ > step.dispatcher_.list_version_) {
-              OnListChanges(step, {body.servers_, {}, true, body.version_},
-                            message.from_);
-            }
+            OnListBody(step, message.from_, body);
           },
           [&](const core::EngineUseReport& body) {
             OnUsageReport(step, message, body);
--- a/packages/dispatch/test/fleet.h
+++ b/packages/dispatch/test/fleet.h
@@ -87,7 +87,7 @@
   void Feed(const std::vector<core::ServerInfo>& servers) {
     HandleAll(ConfigurationRead{
         *rules::MakeConfiguration(1, DispatcherFixture::kRules), "store"});
-    HandleAll(ListSeen{{servers, {}, true, 1}});
+    HandleAll(ListSeen{{servers, {}, true, {0, 1}}});
   }
 
   TimePoint now_{std::chrono::hours(1)};
--- a/packages/dispatch/test/peers_test.cc
+++ b/packages/dispatch/test/peers_test.cc
@@ -81,8 +81,9 @@
   }
   void List(const std::string& address,
             const std::vector<core::ServerInfo>& servers,
-            std::uint64_t version) {
-    Handle(address, ListSeen{{servers, {}, true, version}});
+            std::uint64_t version,
+            std::uint64_t era = 0) {
+    Handle(address, ListSeen{{servers, {}, true, {era, version}}});
   }
   Dispatcher& At(const std::string& address) {
     return entries_.at(address).dispatcher_;
@@ -109,7 +110,7 @@
   Pass(Milliseconds(100));
   BOOST_TEST(At("east:2").ready_);
   BOOST_TEST(At("east:2").configuration_.current_->revision_ == 5U);
-  BOOST_TEST(At("east:2").list_version_ == 5U);
+  BOOST_TEST(At("east:2").list_version_.revision_ == 5U);
   const ServerState* plain = FindServer(At("east:2").pool_, "s1");
   BOOST_REQUIRE(plain != nullptr);
   BOOST_TEST((plain->info_.role_ == core::ServerRole::kPlain));
@@ -159,13 +160,53 @@
   Feed();
   List("east:1", {DispatcherFixture::Plain("s2")}, 9);
   List("east:1", {DispatcherFixture::Plain("s1")}, 8);
-  BOOST_TEST(At("east:1").list_version_ == 9U);
+  BOOST_TEST(At("east:1").list_version_.revision_ == 9U);
   BOOST_TEST(
       (FindServer(At("east:1").pool_, "s2")->listing_ == Listing::kListed));
   Configure("east:1", 3);
   BOOST_TEST(At("east:1").configuration_.current_->revision_ == 5U);
 }
 
+BOOST_AUTO_TEST_CASE(List_WhenItsEraIsLater_IsTakenAtALowerRevision) {
+  List("east:1", {DispatcherFixture::Plain("s1")}, 90, 1);
+  List("east:1", {DispatcherFixture::Plain("s2")}, 40, 2);
+  BOOST_TEST(
+      (FindServer(At("east:1").pool_, "s2")->listing_ == Listing::kListed));
+  List("east:1", {DispatcherFixture::Plain("s1")}, 95, 1);
+  BOOST_TEST((At("east:1").list_version_ == core::StorePosition{2, 40}));
+}
+
+// Guards against two entries of two eras that take each other's old list.
+BOOST_AUTO_TEST_CASE(Entry_WhenAPeerIsInALaterEra_TakesItsListOnce) {
+  Feed();
+  Pass(Milliseconds(500));
+  List("east:2", {DispatcherFixture::Plain("s1")}, 90, 1);
+  List("east:1", {DispatcherFixture::Plain("s2")}, 40, 2);
+  Pass(Milliseconds(3500));
+  for (const char* address : {"east:1", "east:2"}) {
+    BOOST_TEST((At(address).list_version_ == core::StorePosition{2, 40}));
+    BOOST_TEST(
+        (FindServer(At(address).pool_, "s2")->listing_ == Listing::kListed));
+  }
+  BOOST_TEST(entries_.at("east:1").list_requests_ == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(
+    Server_WhenAPeerHasItFromBeforeItsDraining_GetsNothingNew) {
+  Feed();
+  Pass(Milliseconds(500));
+  core::ServerInfo server = DispatcherFixture::Plain("s1");
+  server.incarnation_ = 7;
+  List("east:1", {server}, 40, 2);
+  server.leaving_ = true;
+  List("east:2", {server}, 90, 1);
+  Pass(Milliseconds(3500));
+  Dispatcher& second = At("east:2");
+  BOOST_TEST((second.list_version_ == core::StorePosition{2, 40}));
+  BOOST_TEST(
+      !AcceptsNewWork(second.pool_, *FindServer(second.pool_, "s1"), now_));
+}
+
 BOOST_AUTO_TEST_CASE(Entry_WhenItReturnsWithALowerIncarnation_IsKnownAgain) {
   Feed();
   Pass(Milliseconds(500));
--- a/packages/dispatch/test/quota_calls_test.cc
+++ b/packages/dispatch/test/quota_calls_test.cc
@@ -55,7 +55,7 @@
     for (const char* name : {"s1", "s2", "s3"}) {
       servers.push_back(DispatcherFixture::Plain(name));
     }
-    HandleAll(ListSeen{{servers, {}, true, 1}});
+    HandleAll(ListSeen{{servers, {}, true, {0, 1}}});
   }
   void Calls(std::size_t entry, int count) {
     for (int i = 0; i < count; ++i) {
--- a/packages/gateway/src/operators.cc
+++ b/packages/gateway/src/operators.cc
@@ -237,7 +237,7 @@
       {"ready", dispatcher.ready_},
       {"draining", dispatcher.drain_.has_value()},
       {"revision", configuration == nullptr ? 0 : configuration->revision_},
-      {"list_version", dispatcher.list_version_},
+      {"list_version", core::ToString(dispatcher.list_version_)},
       {"rules", configuration == nullptr
                     ? ""
                     : rules::HideKeys(configuration->rules_.text_)},
@@ -250,7 +250,7 @@
   for (const auto& [name, member] : dispatcher.peers_.membership_.members_) {
     dump["entries"][name] = {{"address", member.row_.address_},
                              {"revision", member.row_.revision_},
-                             {"list_version", member.row_.list_version_},
+                             {"list_version", core::ToString(member.row_.list_version_)},
                              {"heard_ms", AgeMs(now, member.advanced_at_)}};
   }
   for (const auto& [name, server] : dispatcher.pool_.servers_) {
--- a/packages/gateway/test/gateway_test.cc
+++ b/packages/gateway/test/gateway_test.cc
@@ -343,7 +343,7 @@
   info.address_ = engine.Address();
   info.service_ = "engines";
   info.role_ = core::ServerRole::kDecode;
-  again.Post(dispatch::ListSeen{{{info}, {}, true, 1}});
+  again.Post(dispatch::ListSeen{{{info}, {}, true, {0, 1}}});
   std::future<std::string> request = asked.get_future();
   const bool came =
       request.wait_for(std::chrono::milliseconds(test::kWaitMs)) ==
@@ -386,7 +386,7 @@
   info.address_ = "127.0.0.1:1";
   info.service_ = "plain";
   info.role_ = core::ServerRole::kPlain;
-  first.Post(dispatch::ListSeen{{{info}, {}, true, 9}});
+  first.Post(dispatch::ListSeen{{{info}, {}, true, {0, 9}}});
   const std::uint16_t ready_port =
       http::ParseEndpoint(options.ready_address_)->port();
   std::string answer;
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -122,6 +122,11 @@
   }
 }
 
+// Returns the era of a position; an earlier version does not send it.
+std::uint64_t TakeEra(const Json& json, std::size_t index) {
+  return json.size() > index ? json.at(index).get<std::uint64_t>() : 0;
+}
+
 Json Put(const CellDigest& row) {
   return Json::array({row.cell_, row.free_slots_, row.waiting_, row.wait_ms_,
                       row.prefill_rate_});
@@ -136,9 +141,10 @@
 
 Json Put(const MemberRow& row) {
   return Json::array({row.name_, row.address_, row.domain_, row.incarnation_,
-                      row.counter_, row.revision_, row.list_version_,
+                      row.counter_, row.revision_, row.list_version_.revision_,
                       row.leaving_, PutRows(row.cells_), row.leaving_servers_,
-                      row.role_changing_servers_, row.domain_entries_});
+                      row.role_changing_servers_, row.domain_entries_,
+                      row.list_version_.era_});
 }
 void Take(const Json& json, MemberRow& row) {
   row.name_ = json.at(0).get<std::string>();
@@ -147,13 +153,14 @@
   row.incarnation_ = json.at(3).get<std::uint64_t>();
   row.counter_ = json.at(4).get<std::uint64_t>();
   row.revision_ = json.at(5).get<std::uint64_t>();
-  row.list_version_ = json.at(6).get<std::uint64_t>();
+  row.list_version_.revision_ = json.at(6).get<std::uint64_t>();
   row.leaving_ = json.at(7).get<bool>();
   TakeRows(json.at(8), row.cells_);
   row.leaving_servers_ = json.at(9).get<std::vector<std::string>>();
   row.role_changing_servers_ = json.at(10).get<std::vector<std::string>>();
   // An earlier version does not say.
   row.domain_entries_ = json.size() > 11 ? json.at(11).get<std::uint32_t>() : 0;
+  row.list_version_.era_ = TakeEra(json, 12);
 }
 
 Json Put(const Candidate& row) {
@@ -301,17 +308,18 @@
 }
 
 Json Put(const ListRequest& m) {
-  return Json::array({m.have_version_});
+  return Json::array({m.have_version_.revision_, m.have_version_.era_});
 }
 void Take(const Json& json, ListRequest& m) {
-  m.have_version_ = json.at(0).get<std::uint64_t>();
+  m.have_version_ = {TakeEra(json, 1), json.at(0).get<std::uint64_t>()};
 }
 
 Json Put(const ListBody& m) {
-  return Json::array({m.version_, PutRows(m.servers_), PutRows(m.entries_)});
+  return Json::array({m.version_.revision_, PutRows(m.servers_),
+                      PutRows(m.entries_), m.version_.era_});
 }
 void Take(const Json& json, ListBody& m) {
-  m.version_ = json.at(0).get<std::uint64_t>();
+  m.version_ = {TakeEra(json, 3), json.at(0).get<std::uint64_t>()};
   TakeRows(json.at(1), m.servers_);
   TakeRows(json.at(2), m.entries_);
 }
--- a/packages/peer/test/peer_test.cc
+++ b/packages/peer/test/peer_test.cc
@@ -41,6 +41,7 @@
   row.leaving_servers_ = {"s"};
   row.role_changing_servers_ = {"t"};
   row.domain_entries_ = 7;
+  row.list_version_ = {3, 9};
   Requirements need;
   need.request_ = {1, 2};
   need.organisation_ = "o";
@@ -52,8 +53,8 @@
       Gossip{{row}},
       ConfigurationRequest{3},
       ConfigurationBody{4, "rules \xfe"},
-      ListRequest{5},
-      ListBody{6,
+      ListRequest{{3, 5}},
+      ListBody{{3, 6},
                {{"s", "a:1", "svc", "dom", ServerRole::kPlain, true, 0, 8}},
                {{"e", "a:2", "dom", false}}},
       LeaseRequest{"c", need, Milliseconds(70)},
@@ -130,6 +131,25 @@
   BOOST_TEST(!Decode(good.substr(0, good.size() - 1) + huge).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(Decode_WhenTheSenderKnowsNoEras_ReadsEraZero) {
+  MemberRow row;
+  row.name_ = "a";
+  row.list_version_ = {0, 5};
+  std::string gossip = Encode({"me", 7, Gossip{{row}}});
+  // An array of 13 becomes one of 12, without the era at its end.
+  gossip.replace(gossip.find("\x8d\x61\x61"), 1, "\x8c");
+  gossip.pop_back();
+  const auto read = Decode(gossip);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((std::get<Gossip>(read->body_).rows_.at(0).list_version_ ==
+              StorePosition{0, 5}));
+  std::string request = Encode({"me", 7, ListRequest{{0, 5}}});
+  request.replace(request.size() - 3, 3, "\x81\x05");
+  BOOST_REQUIRE(Decode(request).has_value());
+  BOOST_TEST((std::get<ListRequest>(Decode(request)->body_).have_version_ ==
+              StorePosition{0, 5}));
+}
+
 BOOST_AUTO_TEST_CASE(Decode_WhenOfAnotherVersion_Refuses) {
   std::string bytes = Encode({"me", 7, SeatHandoverRequest{"s"}});
   // The first element of the array is the version.
--- a/packages/telemetry/src/dump.cc
+++ b/packages/telemetry/src/dump.cc
@@ -127,7 +127,7 @@
       {"watching", router.watching_},
       {"replaced", router.membership_.replaced_},
       {"uptime_ms", AgeMs(router.started_at_, at)},
-      {"list_version", router.list_version_},
+      {"list_version", core::ToString(router.list_version_)},
       {"live_entries", router.live_entries_},
       {"configuration", DumpConfiguration(router, at)},
       {"members", DumpMembers(router, at)},
