--- a/packages/core/include/siskindrum/core/store_position.h
+++ b/packages/core/include/siskindrum/core/store_position.h
@@ -16,6 +16,7 @@
   std::uint64_t era_ = 0;  // Zero: the store has no eras.
   std::uint64_t revision_ = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): a defaulted comparison has none.
   auto operator<=>(const StorePosition&) const = default;
 };
 
--- a/packages/dispatch/src/peers.cc
+++ b/packages/dispatch/src/peers.cc
@@ -265,10 +265,10 @@
   for (core::ServerInfo& info : servers) {
     // The peer may know the server only from an older copy of the store.
     const ServerState* known = FindServer(dispatcher.pool_, info.name_);
-    info.leaving_ = info.leaving_ ||
-                    (known != nullptr && known->info_.leaving_ &&
-                     info.incarnation_ != 0 &&
-                     known->info_.incarnation_ == info.incarnation_);
+    info.leaving_ =
+        info.leaving_ ||
+        (known != nullptr && known->info_.leaving_ && info.incarnation_ != 0 &&
+         known->info_.incarnation_ == info.incarnation_);
   }
   OnListChanges(step, {std::move(servers), {}, true, body.version_}, from);
 }
--- a/packages/gateway/src/operators.cc
+++ b/packages/gateway/src/operators.cc
@@ -248,10 +248,11 @@
                            ? -1
                            : AgeMs(now, dispatcher.confirmation_.at_)}};
   for (const auto& [name, member] : dispatcher.peers_.membership_.members_) {
-    dump["entries"][name] = {{"address", member.row_.address_},
-                             {"revision", member.row_.revision_},
-                             {"list_version", core::ToString(member.row_.list_version_)},
-                             {"heard_ms", AgeMs(now, member.advanced_at_)}};
+    dump["entries"][name] = {
+        {"address", member.row_.address_},
+        {"revision", member.row_.revision_},
+        {"list_version", core::ToString(member.row_.list_version_)},
+        {"heard_ms", AgeMs(now, member.advanced_at_)}};
   }
   for (const auto& [name, server] : dispatcher.pool_.servers_) {
     dump["servers"][name] = DumpServer(dispatcher.pool_, server, now);
