Streams: log the software version of servers and what take-ups name

Neither a server's version nor Resumes was read, so the log could not tell a caller's take-up from the entry's own continuation, nor what was joined. Nothing is decided by them yet. Evidence: platform, peer and dispatch tests pass.

--- a/packages/core/include/siskindrum/core/fleet.h
+++ b/packages/core/include/siskindrum/core/fleet.h
@@ -30,6 +30,8 @@
   std::uint32_t slots_ = 0;  // Zero: unknown.
   // Increases with each start of the server; zero: unknown.
   Incarnation incarnation_ = 0;
+  // Version of its software; empty: not stated.
+  std::string software_version_;
 
   bool operator==(const ServerInfo&) const = default;
 };
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -46,6 +46,9 @@
   core::PromptParts shared_parts_;
   // The caller resumes after this event.
   std::optional<std::uint64_t> last_event_;
+  // Label of the caller's request that brought the first event of the stream
+  // that it resumes; empty: not stated.
+  std::string resumes_;
   std::string key_;  // Secret, never logged or shown; empty: none.
 };
 
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -64,6 +64,13 @@
     FailCall(step, call, core::Reason::kDraining, "it came late in the drain");
     return;
   }
+  if (call.last_event_.has_value()) {
+    step.actions_.emplace_back(
+        core::LogEvent{"stream_taken_up",
+                       {{"request", call.call_.label_},
+                        {"resumes", call.call_.resumes_},
+                        {"after_event", std::to_string(*call.last_event_)}}});
+  }
   if (AdmitByQuota(step, call)) {
     RouteCall(step, call);
   }
@@ -208,6 +215,7 @@
                         {"pool", info.service_},
                         {"role", core::ToString(info.role_)},
                         {"domain", info.domain_},
+                        {"software", info.software_version_},
                         {"leaving", info.leaving_ ? "yes" : "no"},
                         {"version", version},
                         {"source", source}}});
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -208,7 +208,8 @@
 
 Json Put(const ServerInfo& info) {
   return Json::array({info.name_, info.address_, info.service_, info.domain_,
-                      PutEnum(info.role_), info.leaving_, info.incarnation_});
+                      PutEnum(info.role_), info.leaving_, info.incarnation_,
+                      info.software_version_});
 }
 void Take(const Json& json, ServerInfo& info) {
   info.name_ = json.at(0).get<std::string>();
@@ -219,6 +220,8 @@
   info.leaving_ = json.at(5).get<bool>();
   // An earlier version does not say.
   info.incarnation_ = json.size() > 6 ? json.at(6).get<std::uint64_t>() : 0;
+  info.software_version_ =
+      json.size() > 7 ? json.at(7).get<std::string>() : std::string();
 }
 
 Json Put(const EntryInfo& info) {
--- a/packages/peer/test/peer_test.cc
+++ b/packages/peer/test/peer_test.cc
@@ -55,7 +55,7 @@
       ConfigurationBody{4, "rules \xfe"},
       ListRequest{{3, 5}},
       ListBody{{3, 6},
-               {{"s", "a:1", "svc", "dom", ServerRole::kPlain, true, 0, 8}},
+               {{"s", "a:1", "svc", "dom", ServerRole::kPlain, true, 0, 8, "v1"}},
                {{"e", "a:2", "dom", false}}},
       LeaseRequest{"c", need, Milliseconds(70)},
       LeaseQueued{{1, 2}, {"c", 1, 2, 3, 4}},
