--- /dev/null
+++ b/packages/dispatch/test/stream_versions_test.cc
@@ -0,0 +1,203 @@
+// Tests that a stream goes on only at the software version that began it.
+
+#include <boost/test/unit_test.hpp>
+
+#include "fleet.h"
+#include "siskindrum/dispatch/limits.h"
+
+namespace siskindrum::dispatch {
+namespace {
+
+constexpr std::uint64_t kPrompt = 0x91bd3f06;
+
+core::ServerInfo VersionedEngine(const std::string& name,
+                                 core::ServerRole role,
+                                 const std::string& version) {
+  core::ServerInfo info = DispatcherFixture::Engine(name, role);
+  info.software_version_ = version;
+  return info;
+}
+
+// Engines of two versions, with two decode engines each.
+std::vector<core::ServerInfo> EnginesOfTwoVersions() {
+  std::vector<core::ServerInfo> engines;
+  for (const char* version : {"v1", "v2"}) {
+    const std::string suffix = std::string("-") + version;
+    engines.push_back(
+        VersionedEngine("p" + suffix, core::ServerRole::kPrefill, version));
+    engines.push_back(
+        VersionedEngine("d1" + suffix, core::ServerRole::kDecode, version));
+    engines.push_back(
+        VersionedEngine("d2" + suffix, core::ServerRole::kDecode, version));
+  }
+  return engines;
+}
+
+std::string VersionOf(const std::string& engine) {
+  return engine.substr(engine.find('-') + 1);
+}
+
+CallArrived TakeUp(std::uint64_t number,
+                   const std::string& resumes,
+                   TimePoint now) {
+  CallArrived arrived;
+  arrived.request_ = {2, number};
+  arrived.call_.shape_.path_ = "/resume/1";
+  arrived.call_.shape_.prompt_tokens_ = 5000;
+  arrived.call_.answer_tokens_ = 700;
+  arrived.call_.prompt_ = kPrompt + number;
+  arrived.call_.label_ = "again" + std::to_string(number);
+  arrived.call_.time_left_ = Milliseconds(10000);
+  arrived.call_.last_event_ = 12;
+  arrived.call_.resumes_ = resumes;
+  arrived.arrived_at_ = now;
+  return arrived;
+}
+
+struct StreamVersionsFixture : DispatcherFixture {
+  StreamVersionsFixture() { List(EnginesOfTwoVersions(), true); }
+
+  void Restart() {
+    DispatcherOptions options = Options("entry-1");
+    options.restarted_ = true;
+    options.incarnation_ = 2;
+    dispatcher_ = MakeDispatcher(options);
+    Configure(1, kRules);
+    List(EnginesOfTwoVersions(), true);
+  }
+  // Version of the server that was last asked for the answer.
+  std::string LastVersion(const RequestId& id) const {
+    return VersionOf(Last(id).server_);
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(StreamVersions, StreamVersionsFixture)
+
+BOOST_AUTO_TEST_CASE(Stream_WhenItsServerFails_GoesOnAtTheVersionThatBeganIt) {
+  for (int i = 0; i < 20; ++i) {
+    const RequestId id = StartAnswer("/resume/1");
+    const std::string version = LastVersion(id);
+    Done(id, AttemptOutcome::kFailed, RunState::kMayHaveRun, 17);
+    BOOST_TEST(LastVersion(id) == version);
+    Handle(CallerLeft{id});
+    Pass(Milliseconds(5000));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Stream_WhenItsVersionHasLeft_IsCutAndNotJoined) {
+  const RequestId id = StartAnswer("/resume/1");
+  const std::string version = LastVersion(id);
+  for (const core::ServerInfo& engine : EnginesOfTwoVersions()) {
+    if (engine.software_version_ == version) {
+      Leave(engine);
+    }
+  }
+  Done(id, AttemptOutcome::kFailed, RunState::kMayHaveRun, 17);
+  BOOST_TEST(Starts(id, Stage::kReserve) == 1U);
+  BOOST_TEST(IsRefused(id));
+}
+
+BOOST_AUTO_TEST_CASE(TakeUp_WhenThisEntryBeganTheStream_GoesOnAtItsVersion) {
+  for (std::uint64_t i = 0; i < 20; ++i) {
+    const RequestId id = StartAnswer("/resume/1");
+    const std::string version = LastVersion(id);
+    Handle(CallerLeft{id});
+    const CallArrived again = TakeUp(i, "r" + std::to_string(requests_), now_);
+    Handle(again);
+    BOOST_TEST(LastVersion(again.request_) == version);
+    Handle(CallerLeft{again.request_});
+    Pass(Milliseconds(1000));
+  }
+}
+
+// Guards against joins after all entries were killed at once.
+BOOST_AUTO_TEST_CASE(TakeUp_WhenNobodyKnowsWhoBeganTheStream_IsRefused) {
+  Restart();
+  Pass(Milliseconds(100));
+  for (std::uint64_t i = 0; i < 5; ++i) {
+    const CallArrived again = TakeUp(i, "lost" + std::to_string(i), now_);
+    Handle(again);
+    Pass(Milliseconds(3000));
+    BOOST_TEST(Starts(again.request_, Stage::kReserve) == 0U);
+    BOOST_REQUIRE(IsRefused(again.request_));
+    BOOST_TEST((Verdict(again.request_).run_state_ == RunState::kNotRun));
+  }
+}
+
+// An engine that decoded the stream retains its prompt.
+BOOST_AUTO_TEST_CASE(
+    TakeUp_AfterARestart_GoesOnAtTheVersionThatRetainsItsPrompt) {
+  Restart();
+  Handle(Ticked{});
+  for (const core::ServerInfo& engine : EnginesOfTwoVersions()) {
+    std::vector<std::uint64_t> prompts;
+    if (engine.name_ == "d1-v2" || engine.role_ == core::ServerRole::kPrefill) {
+      prompts = {kPrompt + 1, kPrompt + 2};
+    }
+    Handle(RetainedPromptsListed{engine.name_, prompts});
+  }
+  for (const std::uint64_t number : {1U, 2U}) {
+    const CallArrived again = TakeUp(number, "lost", now_);
+    Handle(again);
+    Pass(Milliseconds(300));
+    BOOST_REQUIRE(starts_.contains(again.request_));
+    BOOST_TEST(LastVersion(again.request_) == "v2");
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+struct StreamVersionsFleetFixture : Fleet {
+  // Starts an answer at an entry and returns its server's version.
+  std::string StartAnswer(const std::string& address, std::uint64_t number) {
+    CallArrived arrived = TakeUp(number, "", now_);
+    arrived.request_ = {1, number};
+    arrived.call_.last_event_.reset();
+    arrived.call_.label_ = "first" + std::to_string(number);
+    Handle(address, arrived);
+    Handle(address, ReserveDone{arrived.request_, 1, true, false, "hold"});
+    Handle(address, PrefillDone{arrived.request_, 2, true, false, "kv"});
+    Handle(address, AnswerBegan{arrived.request_, 3});
+    return VersionOf(LastServer(address, arrived.request_));
+  }
+  // Server of the last attempt; empty: there was none.
+  std::string LastServer(const std::string& address, const RequestId& id) {
+    std::string server;
+    for (const Action& action : entries_.at(address).actions_) {
+      const auto* start = std::get_if<StartAttempt>(&action);
+      if (start != nullptr && start->request_ == id) {
+        server = start->server_;
+      }
+    }
+    return server;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(StreamVersionsFleet, StreamVersionsFleetFixture)
+
+BOOST_AUTO_TEST_CASE(TakeUp_WhenTheEntryThatBeganItIsGone_GoesOnAtItsVersion) {
+  for (const std::size_t entries : {2U, 5U, 12U}) {
+    Start(entries, 2);
+    Feed(EnginesOfTwoVersions());
+    Pass(Milliseconds(4000));
+    std::vector<std::string> versions;
+    for (std::uint64_t i = 0; i < 12; ++i) {
+      versions.push_back(StartAnswer(AddressOf(0), i));
+    }
+    Pass(Milliseconds(200));
+    entries_.erase(AddressOf(0));
+    for (std::uint64_t i = 0; i < 12; ++i) {
+      const std::string address = AddressOf(1 + i % (entries - 1));
+      const CallArrived again = TakeUp(i, "first" + std::to_string(i), now_);
+      Handle(address, again);
+      Pass(Milliseconds(300));
+      BOOST_TEST(VersionOf(LastServer(address, again.request_)) == versions[i]);
+      Handle(address, CallerLeft{again.request_});
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace siskindrum::dispatch
