Streams: go on only at the software version that began them

Cause: no code read a server's version or Resumes. The entry's own continuation and callers' take-ups went to the cheapest engine of any version. Class: a property that an answer's parts must share was not part of the state of the request, and none of it outlived the entry. Change: packages/origin knows which version began a stream. A take-up asks the peers; if none knows, the decode engines are asked whose cache has the prompt, and their version counts if it is one; a pool that has had one version for the life of a stream needs no word. Otherwise the take-up is refused as not run (version_unknown). Placement of a begun stream takes engines of its version only, and it is looked at again before the send.

--- a/packages/core/include/siskindrum/core/peer_message.h
+++ b/packages/core/include/siskindrum/core/peer_message.h
@@ -248,6 +248,25 @@
   std::vector<std::string> seeds_;  // Of the sender.
 };
 
+// Streams that servers of this software version have begun, by the hash of the
+// label of the caller's request (origin::KeyOf).
+struct StreamReport {
+  std::string version_;
+  std::vector<std::uint32_t> streams_;
+};
+
+// Asks which software version began a stream.
+struct StreamQuery {
+  std::uint32_t stream_ = 0;
+  std::string pool_;  // Of the stream.
+};
+
+struct StreamReply {
+  std::uint32_t stream_ = 0;
+  bool known_ = false;
+  std::string version_;
+};
+
 using PeerBody = std::variant<Gossip,
                               ConfigurationRequest,
                               ConfigurationBody,
@@ -270,7 +289,10 @@
                               QuotaLoan,
                               QuotaReturn,
                               VoteRequest,
-                              VoteReply>;
+                              VoteReply,
+                              StreamReport,
+                              StreamQuery,
+                              StreamReply>;
 
 struct PeerMessage {
   std::string from_;
--- a/packages/core/include/siskindrum/core/verdict.h
+++ b/packages/core/include/siskindrum/core/verdict.h
@@ -39,6 +39,8 @@
   kTooLarge,      // Exceeds the memory of every engine.
   kQuarantined,   // Parts of its prompt crash engines.
   kUnauthorised,  // No organisation holds its key.
+  // Nobody knows which software version began the stream that it resumes.
+  kVersionUnknown,
   kCount
 };
 
--- a/packages/core/src/router.cc
+++ b/packages/core/src/router.cc
@@ -45,6 +45,9 @@
           [](const QuotaReturn&) {},
           [](const VoteRequest&) {},  // Unused: it changes no roles.
           [](const VoteReply&) {},
+          [](const StreamReport&) {},
+          [](const StreamQuery&) {},
+          [](const StreamReply&) {},
       },
       message.body_);
 }
--- a/packages/core/src/verdict.cc
+++ b/packages/core/src/verdict.cc
@@ -38,6 +38,7 @@
       "too_large",
       "quarantined",
       "unauthorised",
+      "version_unknown",
   };
   static_assert(std::size(kNames) == static_cast<std::size_t>(Reason::kCount));
   return kNames[static_cast<int>(reason)];
--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "siskindrum/admission/admission.h"
@@ -27,6 +28,7 @@
 #include "siskindrum/dispatch/use_view.h"
 #include "siskindrum/election/election.h"
 #include "siskindrum/hedge/hedge.h"
+#include "siskindrum/origin/origin.h"
 #include "siskindrum/quota/quota.h"
 
 namespace siskindrum::dispatch {
@@ -39,6 +41,14 @@
   std::uint64_t counted_bytes_ = 0;  // In `request_bytes_` of `server_`.
 };
 
+// The search for the software version that began a caller's stream.
+struct VersionSearch {
+  std::size_t replies_missing_ = 0;  // Of peers.
+  TimePoint replies_until_{};
+  // Of engines: what they retain of the stream's prompt.
+  TimePoint retained_until_{};
+};
+
 // One request in progress at this entry.
 struct ActiveCall {
   RequestId id_;
@@ -60,6 +70,7 @@
   std::uint32_t attempt_ = 0;
   Stage stage_ = Stage::kPlain;
   std::string server_;
+  std::string attempt_version_;  // Software version of `server_` when sent.
   TimePoint sent_at_{};
   bool silence_recorded_ = false;      // The server was found silent.
   std::uint64_t counted_bytes_ = 0;    // In `request_bytes_` of `server_`.
@@ -106,6 +117,11 @@
   // Last event delivered to the caller.
   std::optional<std::uint64_t> last_event_;
   Milliseconds longest_gap_{0};  // Between two events of the answer.
+
+  // Software version of the servers that may go on with the stream: the one
+  // that began it. Nothing: it has not begun, or the version is not known.
+  std::optional<std::string> stream_version_;
+  std::optional<VersionSearch> version_search_;  // While it is looked for.
 };
 
 // What peers are still to be told of the quarantine, and how many messages may
@@ -137,6 +153,8 @@
       hedge_verdicts_{};
   std::uint64_t silences_endured_ = 0;  // Attempts that stayed where they were.
   std::uint64_t resumed_ = 0;
+  std::uint64_t taken_up_ = 0;          // Streams that callers resumed.
+  std::uint64_t versions_unknown_ = 0;  // Of those, refused.
   std::uint64_t cut_ = 0;
   std::uint64_t prefills_elsewhere_ = 0;
   std::uint64_t prefills_direct_ = 0;
@@ -176,6 +194,24 @@
   core::QuotaBounds quota_bounds_;  // Shared by all entries.
 };
 
+// Prompts that an engine retains.
+struct RetainedPrompts {
+  TimePoint asked_at_{};
+  TimePoint answered_at_{};
+  std::unordered_set<std::uint64_t> prompts_;
+};
+
+// Which software version began the streams of callers, as in
+// siskindrum/origin/origin.h.
+struct StreamVersions {
+  origin::Origins origins_;
+  // Streams that peers are still to be told of, by version.
+  std::map<std::string, std::vector<origin::StreamKey>> news_;
+  TimePoint news_sent_at_{};
+  std::vector<RequestId> waiting_;  // Whose version is looked for.
+  std::map<std::string, RetainedPrompts> retained_;  // By engine.
+};
+
 // Records of the last requests, for explanations. A copy is empty: copies of a
 // dispatcher answer what-if questions and are short-lived.
 struct DecisionLog {
@@ -210,6 +246,7 @@
   election::Election election_;  // Of the entry that changes engine roles.
   quota::QuotaState quota_;
   std::vector<RequestId> quota_waiting_;  // For loans, in arrival order.
+  StreamVersions streams_;
   double release_draw_ = 0;  // In [0, 1); of this entry's release delay.
   // Addresses of engines that retained a prompt from before this process
   // started, by prompt identity.
--- a/packages/dispatch/include/siskindrum/dispatch/placement.h
+++ b/packages/dispatch/include/siskindrum/dispatch/placement.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -73,7 +74,9 @@
   std::uint64_t max_request_bytes_ = 0;
   const core::PoolSettings* pool_settings_ = nullptr;  // May be null.
   std::vector<std::string> avoid_;  // Servers that failed this request.
-  std::uint64_t draw_ = 0;          // Random seed for breaking near ties.
+  // Software version that a decode engine must have; nothing: any.
+  std::optional<std::string> software_version_;
+  std::uint64_t draw_ = 0;  // Random seed for breaking near ties.
   // Choices are appended here; null: they are not recorded.
   std::vector<WeighedChoice>* trace_ = nullptr;
 };
@@ -124,11 +127,17 @@
                                    const ServerState& engine,
                                    TimePoint now);
 
-// Returns the earliest end of a pause among the pool's servers of this role,
-// when only pauses keep them from accepting new work; epoch: there is no such
-// server. Thread-safe: no.
+// Returns whether the server has the software version that the request needs in
+// this role. Thread-safe: no.
+bool FitsVersion(const PlacementRequest& request,
+                 const ServerState& server,
+                 core::ServerRole role);
+
+// Returns the earliest end of a pause among the pool's servers of this role
+// that fit the request, when only pauses keep them from accepting new work;
+// epoch: there is no such server. Thread-safe: no.
 TimePoint EarliestPauseEnd(const ServerPool& pool,
-                           const std::string& service,
+                           const PlacementRequest& request,
                            core::ServerRole role,
                            TimePoint now);
 
--- a/packages/dispatch/src/call_end.cc
+++ b/packages/dispatch/src/call_end.cc
@@ -218,6 +218,7 @@
   request.request_bytes_ = call.call_.request_bytes_;
   request.max_request_bytes_ = call.configuration_->rules_.callers_.body_bytes_;
   request.avoid_ = call.avoid_;
+  request.software_version_ = call.stream_version_;
   request.draw_ = call.draw_;
   request.trace_ = step.dispatcher_.trace_;
   return request;
@@ -428,6 +429,7 @@
   call.attempt_ = ++call.attempts_;
   call.stage_ = stage;
   call.server_ = server.info_.name_;
+  call.attempt_version_ = server.info_.software_version_;
   call.sent_at_ = step.now_;
   call.silence_recorded_ = false;
   RecordChoice(step, call);
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -275,6 +275,7 @@
         SetCallerLimits{event.configuration_->rules_.callers_});
     ReportAccess(step);
     ConfigureQuotas(step);
+    ConfigureStreamVersions(step);
   }
   UpdateReady(step);
 }
@@ -314,6 +315,8 @@
   HedgeSlowCalls(step);
   UpdateQuarantine(step);
   QueryRetainedPrompts(step);
+  ResolveStreamVersions(step);
+  UpdateStreamVersions(step);
   UpdateQuotas(step);
   RetryWaiting(step);
   GossipWithPeers(step);
@@ -351,12 +354,17 @@
                     call.pool_, IsRepeatable(call), step.now_);
   if (outcome.kind_ == core::BackendKind::kPlain) {
     SendPlain(step, call);
-  } else if (!RefuseNewQuarantined(step, call)) {
-    UseRetainedPrompt(step, call);
-    AdmitEngineCall(step, call);
+  } else if (!RefuseNewQuarantined(step, call) &&
+             FindStreamVersion(step, call)) {
+    RouteToEngines(step, call);
   }
 }
 
+void RouteToEngines(Step& step, ActiveCall& call) {
+  UseRetainedPrompt(step, call);
+  AdmitEngineCall(step, call);
+}
+
 void OnListChanges(Step& step,
                    const ListChanges& changes,
                    const std::string& source) {
@@ -377,6 +385,7 @@
   ApplyListChanges(dispatcher.pool_, changes, step.now_);
   dispatcher.list_read_ = true;
   dispatcher.list_changed_at_ = step.now_;
+  RecordListedVersions(step);
   UpdateReady(step);
 }
 
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -156,6 +156,32 @@
 // Lets the request fetch its prompt from an engine that retains it.
 void UseRetainedPrompt(Step& step, ActiveCall& call);
 
+// stream_versions.cc: streams go on only at the software version that began
+// them.
+
+// Records which version began the stream, or that it goes on. Call when the
+// answer begins.
+void RecordStreamVersion(Step& step, ActiveCall& call);
+// Finds out which version began the stream that the caller resumes. Returns
+// false if the request waits for the word of peers or engines.
+bool FindStreamVersion(Step& step, ActiveCall& call);
+// Continues the requests whose version is known now, and refuses those whose
+// version nobody knows.
+void ResolveStreamVersions(Step& step);
+// Applies how long streams of the current configuration may last.
+void ConfigureStreamVersions(Step& step);
+// Tells peers of new streams and drops what is too old.
+void UpdateStreamVersions(Step& step);
+// Records the versions of the server list.
+void RecordListedVersions(Step& step);
+void OnStreamReport(Step& step, const core::StreamReport& report);
+void OnStreamQuery(Step& step,
+                   const std::string& from,
+                   const core::StreamQuery& query);
+void OnStreamReply(Step& step, const core::StreamReply& reply);
+// Records which prompts an engine retains.
+void RecordRetainedPrompts(Step& step, const RetainedPromptsListed& event);
+
 // waiting.cc: requests that wait for decode capacity.
 
 // Mean memory of an answer in tokens times its duration, up to a constant
@@ -310,6 +336,8 @@
 void AddDecision(Dispatcher& dispatcher, const ActiveCall& call);
 // Sends an admitted request to its pool.
 void RouteCall(Step& step, ActiveCall& call);
+// Sends a request whose stream may go on, or is new, to the engines.
+void RouteToEngines(Step& step, ActiveCall& call);
 // Applies changes of the server list unless the known version is newer.
 void OnListChanges(Step& step,
                    const ListChanges& changes,
--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -68,7 +68,9 @@
 void SendDecode(Step& step, ActiveCall& call) {
   ServerState* server = FindServer(step.dispatcher_.pool_, call.decode_server_);
   if (server == nullptr ||
-      !AcceptsNewWork(step.dispatcher_.pool_, *server, step.now_)) {
+      !AcceptsNewWork(step.dispatcher_.pool_, *server, step.now_) ||
+      !FitsVersion(MakePlacementRequest(step, call), *server,
+                   core::ServerRole::kDecode)) {
     ReleaseDecode(step, call);
     AssignDecodeEngine(step, call);
     return;
@@ -297,6 +299,7 @@
   }
   call.answer_begun_ = true;
   call.run_state_ = RunState::kRan;
+  RecordStreamVersion(step, call);
 }
 
 void OnDecodeDone(Step& step, ActiveCall& call, const AttemptDone& event) {
--- a/packages/dispatch/src/kept_prompts.cc
+++ b/packages/dispatch/src/kept_prompts.cc
@@ -22,6 +22,7 @@
   for (const auto& [name, server] : dispatcher.pool_.servers_) {
     if (server.info_.role_ != core::ServerRole::kPlain &&
         !IsPaused(dispatcher.pool_, server, step.now_)) {
+      dispatcher.streams_.retained_[name].asked_at_ = step.now_;
       step.actions_.emplace_back(ListRetainedPrompts{
           name, server.info_.address_, server.info_.incarnation_});
     }
@@ -37,6 +38,7 @@
   for (const std::uint64_t prompt : event.prompts_) {
     dispatcher.retained_prompts_[prompt] = server->info_.address_;
   }
+  RecordRetainedPrompts(step, event);
   step.actions_.emplace_back(
       core::LogEvent{"prompts_kept",
                      {{"server", event.server_},
--- a/packages/dispatch/src/peers.cc
+++ b/packages/dispatch/src/peers.cc
@@ -382,6 +382,11 @@
           [&](const core::QuarantineReport& body) {
             OnQuarantineReport(step, message.from_, body);
           },
+          [&](const core::StreamReport& body) { OnStreamReport(step, body); },
+          [&](const core::StreamQuery& body) {
+            OnStreamQuery(step, message.from_, body);
+          },
+          [&](const core::StreamReply& body) { OnStreamReply(step, body); },
           [&](const core::QuotaAsk& body) { OnQuotaAsk(step, message, body); },
           [&](const core::QuotaLoan& body) {
             OnQuotaLoan(step, message, body);
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -192,6 +192,9 @@
   if (role == core::ServerRole::kPrefill && server.role_change_until_ > now) {
     return "changing role";
   }
+  if (!FitsVersion(request, server, role)) {
+    return "another software version began the stream";
+  }
   if (!HasRequestRoom(server, request)) {
     return "no room for the body";
   }
@@ -276,6 +279,14 @@
   return std::accumulate(parts_.begin(), parts_.end(), 0.0);
 }
 
+bool FitsVersion(const PlacementRequest& request,
+                 const ServerState& server,
+                 core::ServerRole role) {
+  return role != core::ServerRole::kDecode ||
+         !request.software_version_.has_value() ||
+         server.info_.software_version_ == *request.software_version_;
+}
+
 std::uint32_t PlainSlots(const ServerState& server) {
   return server.info_.slots_ > 0 ? server.info_.slots_ : kDefaultPlainSlots;
 }
@@ -309,12 +320,13 @@
 }
 
 TimePoint EarliestPauseEnd(const ServerPool& pool,
-                           const std::string& service,
+                           const PlacementRequest& request,
                            core::ServerRole role,
                            TimePoint now) {
   TimePoint earliest{};
   for (const auto& [name, server] : pool.servers_) {
-    if (server.info_.service_ != service || !FitsRole(server, role) ||
+    if (server.info_.service_ != request.pool_ || !FitsRole(server, role) ||
+        !FitsVersion(request, server, role) ||
         !IsInService(pool, server, now) || !IsPaused(pool, server, now)) {
       continue;
     }
@@ -342,7 +354,8 @@
       pool.servers_.begin(), pool.servers_.end(), [&](const auto& entry) {
         const ServerState& server = entry.second;
         return server.info_.service_ == request.pool_ &&
-               FitsRole(server, role) && AcceptsNewWork(pool, server, now) &&
+               FitsRole(server, role) && FitsVersion(request, server, role) &&
+               AcceptsNewWork(pool, server, now) &&
                !HasRequestRoom(server, request);
       });
 }
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -111,8 +111,8 @@
 }
 
 void HandleNoServer(Step& step, ActiveCall& call, core::ServerRole role) {
-  if (LacksOnlyRequestRoom(step.dispatcher_.pool_,
-                           MakePlacementRequest(step, call), role, step.now_)) {
+  const PlacementRequest request = MakePlacementRequest(step, call);
+  if (LacksOnlyRequestRoom(step.dispatcher_.pool_, request, role, step.now_)) {
     if (role == core::ServerRole::kDecode) {
       WaitForCapacity(step, call);
       return;
@@ -123,11 +123,15 @@
     return;
   }
   const TimePoint end =
-      EarliestPauseEnd(step.dispatcher_.pool_, call.pool_, role, step.now_);
+      EarliestPauseEnd(step.dispatcher_.pool_, request, role, step.now_);
   if (end == TimePoint{}) {
     FailCall(step, call, core::Reason::kNoServer,
              absl::StrCat("pool ", call.pool_, " has no usable ",
-                          core::ToString(role), " server"));
+                          core::ToString(role), " server",
+                          request.software_version_.has_value()
+                              ? " of the version that began the stream: "
+                              : "",
+                          request.software_version_.value_or("")));
     return;
   }
   const bool queues = role == core::ServerRole::kDecode;
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -580,6 +580,34 @@
   m.seeds_ = json.at(3).get<std::vector<std::string>>();
 }
 
+Json Put(const StreamReport& m) {
+  return Json::array({m.version_, m.streams_});
+}
+void Take(const Json& json, StreamReport& m) {
+  m.version_ = json.at(0).get<std::string>();
+  if (!json.at(1).is_array() || json.at(1).size() > kMaxRows) {
+    throw Json::other_error::create(501, "expected an array", &json);
+  }
+  m.streams_ = json.at(1).get<std::vector<std::uint32_t>>();
+}
+
+Json Put(const StreamQuery& m) {
+  return Json::array({m.stream_, m.pool_});
+}
+void Take(const Json& json, StreamQuery& m) {
+  m.stream_ = json.at(0).get<std::uint32_t>();
+  m.pool_ = json.at(1).get<std::string>();
+}
+
+Json Put(const StreamReply& m) {
+  return Json::array({m.stream_, m.known_, m.version_});
+}
+void Take(const Json& json, StreamReply& m) {
+  m.stream_ = json.at(0).get<std::uint32_t>();
+  m.known_ = json.at(1).get<bool>();
+  m.version_ = json.at(2).get<std::string>();
+}
+
 template <std::size_t Index = 0>
 PeerBody TakeBody(std::size_t kind, const Json& json) {
   if constexpr (Index < std::variant_size_v<PeerBody>) {
--- a/packages/peer/test/peer_test.cc
+++ b/packages/peer/test/peer_test.cc
@@ -54,9 +54,10 @@
       ConfigurationRequest{3},
       ConfigurationBody{4, "rules \xfe"},
       ListRequest{{3, 5}},
-      ListBody{{3, 6},
-               {{"s", "a:1", "svc", "dom", ServerRole::kPlain, true, 0, 8, "v1"}},
-               {{"e", "a:2", "dom", false}}},
+      ListBody{
+          {3, 6},
+          {{"s", "a:1", "svc", "dom", ServerRole::kPlain, true, 0, 8, "v1"}},
+          {{"e", "a:2", "dom", false}}},
       LeaseRequest{"c", need, Milliseconds(70)},
       LeaseQueued{{1, 2}, {"c", 1, 2, 3, 4}},
       LeaseGrant{{1, 2}, placement, {"c", 1, 2, 3, 4}},
@@ -86,7 +87,10 @@
       QuotaLoan{9, 7, {{3, 40000, Milliseconds(5900), 1'000'000'000}}, true},
       QuotaReturn{9, {{3, 250}}},
       VoteRequest{VoteRound::kVote, "a:1"},
-      VoteReply{VoteRound::kVote, Vote::kKnowsLowerSeed, "a:2", {"a:1"}}};
+      VoteReply{VoteRound::kVote, Vote::kKnowsLowerSeed, "a:2", {"a:1"}},
+      StreamReport{"v1", {7, UINT32_MAX}},
+      StreamQuery{7, "pool"},
+      StreamReply{7, true, "v1"}};
 }
 
 BOOST_AUTO_TEST_SUITE(Peer)
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -42,7 +42,7 @@
 "$root/tools/install.sh" || { echo "cannot install packages"; exit 1; }
 "$root/tools/build.sh" "$build" || { echo "0 passed, 1 failed"; exit 1; }
 export RC_PARAMS="seed=1 max_success=3000"
-for program in core rules settings peer backend ctl model memory http access admission quota hedge election dispatch gateway platform entry; do
+for program in core rules settings peer backend ctl model memory http access admission quota hedge election origin dispatch gateway platform entry; do
   step "$program" run_tests "${program}_test"
 done
 step words "$root/tools/words.sh"
