--- a/packages/core/src/relay.cc
+++ b/packages/core/src/relay.cc
@@ -96,6 +96,10 @@
                const std::string& source) {
   Router& router = context.router_;
   if (version < router.list_version_) {
+    Log(context, "list_not_taken",
+        {{"version", ToString(version)},
+         {"known", ToString(router.list_version_)},
+         {"source", source}});
     return;
   }
   const bool is_new = version != router.list_version_;
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -381,6 +381,10 @@
   }
   dispatcher.list_version_ =
       std::max(dispatcher.list_version_, changes.version_);
+  if (!changes.is_snapshot_ && changes.seen_.empty() &&
+      changes.removed_.empty()) {
+    return;
+  }
   LogChanges(step, changes, source);
   ApplyListChanges(dispatcher.pool_, changes, step.now_);
   dispatcher.list_read_ = true;
