--- a/spec/configuration.pml
+++ b/spec/configuration.pml
@@ -1,7 +1,9 @@
 /* Relay of the configuration: revisions that only rise.
  *
  * Three processes; the service publishes rising revisions but may answer with
- * an older one; processes restart knowing nothing and ask their peers first.
+ * an older one; processes restart knowing nothing and ask their peers first. A
+ * revision is here the number that the operators give a configuration, which a
+ * restored store does not change; those that the store gives are in store.pml.
  *
  * Property: the revision in force in a process never falls, and one that was
  * restarted never puts an older one in force than any peer that it can reach
--- a/tools/model_check.sh
+++ b/tools/model_check.sh
@@ -40,6 +40,10 @@
 for guard in SENDS OPEN_LISTED_UNUSED; do check closing bad "$guard"; done
 check configuration good
 for guard in NO_COMPARE NO_PEERS; do check configuration bad "$guard"; done
+check store good
+for guard in NO_ERA NO_LISTING TAKE_COPY PEERS_BY_REVISION; do
+  check store bad "$guard"
+done
 check stream good
 for guard in NO_PROOF RESUME_ALWAYS NO_ATTEMPT NO_PLACE HANDLE_AGAIN NO_AGE; do
   check stream bad "$guard"
