Dispatch tests: the servers after each event, in histories of several eras

After each event the servers that get new work are those of the store at the list's position, but for newer words that the entry knows (a later start, or that the server leaves). Until now the servers were compared at the end only, and an older list applied at an unchanged position was not seen.

--- a/packages/dispatch/test/list_eras_test.cc
+++ b/packages/dispatch/test/list_eras_test.cc
@@ -63,8 +63,11 @@
   std::map<std::string, core::ServerInfo> words_;
 };
 
-// What may not fall in the life of a process.
-struct Highest {
+// Names and starts of servers.
+using ServerStarts = std::map<std::string, core::Incarnation>;
+
+// What an entry had when it was checked last in the life of its process.
+struct Checked {
   core::StorePosition list_;
   std::uint64_t configuration_ = 0;
 };
@@ -74,10 +77,9 @@
   return current == nullptr ? 0 : current->revision_;
 }
 
-// Names and starts of the servers that get new work.
-std::map<std::string, core::Incarnation> ListedServers(
-    const Dispatcher& dispatcher) {
-  std::map<std::string, core::Incarnation> listed;
+// Returns the servers that get new work.
+ServerStarts ListedServers(const Dispatcher& dispatcher) {
+  ServerStarts listed;
   for (const auto& [name, server] : dispatcher.pool_.servers_) {
     if (server.listing_ == Listing::kListed) {
       listed[name] = server.info_.incarnation_;
@@ -100,7 +102,7 @@
   static constexpr char kConfigurationKey[] = "configuration";
 
   ListErasFixture(unsigned seed, Cuts cuts) : cuts_(cuts), random_(seed) {
-    after_event_ = [this](const std::string& address) { CheckRises(address); };
+    after_event_ = [this](const std::string& address) { CheckEntry(address); };
     for (const char* address : kAddresses) {
       Restart(address);
     }
@@ -114,15 +116,36 @@
   std::uint64_t Pick(std::uint64_t count) { return random_() % count; }
   std::string AnyAddress() { return kAddresses[Pick(std::size(kAddresses))]; }
 
-  void CheckRises(const std::string& address) {
+  void CheckEntry(const std::string& address) {
     const Dispatcher& dispatcher = At(address);
-    Highest& highest = highest_[address];
-    BOOST_TEST((dispatcher.list_version_ >= highest.list_));
-    BOOST_TEST(VersionInForce(dispatcher) >= highest.configuration_);
-    highest = {dispatcher.list_version_, VersionInForce(dispatcher)};
+    Checked& last = checked_[address];
+    BOOST_TEST((dispatcher.list_version_ >= last.list_));
+    BOOST_TEST(VersionInForce(dispatcher) >= last.configuration_);
+    last.list_ = dispatcher.list_version_;
+    last.configuration_ = VersionInForce(dispatcher);
+    if (dispatcher.list_read_) {
+      CheckServers(dispatcher);
+    }
+  }
+  // The servers are those of the store at the list's position, but for newer
+  // words that the entry knows.
+  void CheckServers(const Dispatcher& dispatcher) {
+    const auto& stored = contents_.at(dispatcher.list_version_);
+    const ServerStarts listed = ListedServers(dispatcher);
+    for (const auto& [name, start] : listed) {
+      const auto found = stored.find(name);
+      BOOST_TEST(
+          (found != stored.end() &&
+           (start > found->second.incarnation_ ||
+            (start == found->second.incarnation_ && !found->second.leaving_))));
+    }
+    for (const auto& [name, said] : stored) {
+      BOOST_TEST((listed.contains(name) || said.leaving_ ||
+                  left_[name] >= said.incarnation_));
+    }
   }
   void Restart(const std::string& address) {
-    highest_[address] = {};
+    checked_[address] = {};
     readers_[address] = {};
     Add("entry-" + address.substr(address.size() - 1), address,
         ++incarnations_);
@@ -133,6 +156,15 @@
     copies_.push_back(store_);
     item.revision_ = ++store_.position_.revision_;
     store_.items_[key] = item;
+    RecordContent();
+  }
+  void RecordContent() {
+    auto& content = contents_[store_.position_];
+    for (const auto& [key, item] : store_.items_) {
+      if (item.configuration_ == 0 && !item.removed_) {
+        content[key] = item.server_;
+      }
+    }
   }
   void Publish() {
     Item& newest = written_[kConfigurationKey];
@@ -148,6 +180,7 @@
       newest.removed_ = false;
     } else if (Pick(2) == 0 && !newest.server_.leaving_) {
       newest.server_.leaving_ = true;
+      left_[name] = newest.server_.incarnation_;
     } else {
       newest.removed_ = true;
     }
@@ -161,6 +194,7 @@
     copies_.resize(copy);
     copies_.push_back(store_);
     store_.position_.era_ = era;
+    RecordContent();
   }
   // Writes again one thing that was lost, if there is any.
   bool WriteAgain() {
@@ -293,8 +327,8 @@
     ReadAnswer(reading);
     Pass(cuts_ == Cuts::kBrief ? kSettleTime : kSettleTimeAfterCuts);
   }
-  std::map<std::string, core::Incarnation> WrittenServers() const {
-    std::map<std::string, core::Incarnation> written;
+  ServerStarts WrittenServers() const {
+    ServerStarts written;
     for (const auto& [key, item] : written_) {
       if (item.configuration_ == 0 && !item.removed_ &&
           !item.server_.leaving_) {
@@ -332,7 +366,11 @@
   std::vector<Store> copies_;            // States before each write.
   std::map<std::string, Item> written_;  // The newest by key, lost or not.
   std::map<std::string, Reader> readers_;
-  std::map<std::string, Highest> highest_;
+  std::map<std::string, Checked> checked_;
+  // What the store listed at each position that it had.
+  std::map<core::StorePosition, std::map<std::string, core::ServerInfo>>
+      contents_;
+  ServerStarts left_;  // The latest start of each that said that it leaves.
   core::Incarnation incarnations_ = 0;
   core::Incarnation server_starts_ = 0;
 };
