Peers: ask seeds again that were not heard for a while

What callers saw: late configurations and lists on entries that were cut off from peers and store. Found by random histories of cuts. Cause: after a cut longer than the suspect timeout, gossip took heard members only, and seeds of any known member were left out, so that two entries sent each other nothing until the membership forgot them, 120 s later. Change: a seed counts as known only while its entry is heard.

--- a/packages/dispatch/src/peers.cc
+++ b/packages/dispatch/src/peers.cc
@@ -39,13 +39,16 @@
       core::CountDomainEntries(dispatcher.peers_.membership_);
 }
 
-// Returns the seed addresses that belong to no known entry.
-std::vector<std::string> UnresolvedSeeds(const Peers& peers) {
+// Returns the seed addresses that belong to no entry that was heard lately.
+std::vector<std::string> UnresolvedSeeds(const Peers& peers, TimePoint now) {
   std::vector<std::string> unknown;
   for (const std::string& seed : peers.seeds_) {
     const bool known = std::any_of(
         peers.membership_.members_.begin(), peers.membership_.members_.end(),
-        [&](const auto& entry) { return entry.second.row_.address_ == seed; });
+        [&](const auto& entry) {
+          return entry.second.row_.address_ == seed &&
+                 core::IsHeard(peers.membership_, entry.second, now);
+        });
     if (!known && seed != peers.membership_.self_.address_) {
       unknown.push_back(seed);
     }
@@ -97,7 +100,7 @@
   UpdateReleaseDelay(dispatcher);
   // An entry without rules or a server list gossips to all its seeds; others
   // try one per round.
-  const std::vector<std::string> seeds = UnresolvedSeeds(peers);
+  const std::vector<std::string> seeds = UnresolvedSeeds(peers, step.now_);
   if (LacksRulesOrList(dispatcher)) {
     for (const std::string& seed : seeds) {
       SendGossip(step, "", seed);
--- a/packages/dispatch/test/peers_test.cc
+++ b/packages/dispatch/test/peers_test.cc
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "peers_fixture.h"
+#include "siskindrum/core/limits.h"
 #include "siskindrum/dispatch/limits.h"
 
 namespace siskindrum::dispatch {
@@ -112,6 +113,18 @@
       !AcceptsNewWork(second.pool_, *FindServer(second.pool_, "s1"), now_));
 }
 
+BOOST_AUTO_TEST_CASE(
+    Entry_WhenACutOutlastsTheSuspectTimeout_HearsItsPeersSoon) {
+  Feed();
+  Pass(Milliseconds(2000));
+  partitioned_ = true;
+  Pass(core::kSuspectTimeout + Milliseconds(500));
+  partitioned_ = false;
+  List("east:1", {DispatcherFixture::Plain("s1")}, 6);
+  Pass(Milliseconds(6000));
+  BOOST_TEST(At("east:2").list_version_.revision_ == 6U);
+}
+
 BOOST_AUTO_TEST_CASE(Entry_WhenItReturnsWithALowerIncarnation_IsKnownAgain) {
   Feed();
   Pass(Milliseconds(500));
