Lists: a server that leaves comes back only by a new start

What callers could see: requests at leaving servers (DRAIN), once the store had come back from a copy from before the draining. Cause: only lists of peers, and only of the same start, kept what an entry knew of a leaving server; its own listing or an earlier start undid it. Change: any list that names a leaving server's start, or an earlier one, leaves it as it was.

--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -84,7 +84,7 @@
   std::vector<std::string> removed_;
   bool is_snapshot_ = false;  // `seen_` is the complete list.
   // Version of the list after these changes; the default: unversioned.
-  core::StorePosition version_;
+  core::StorePosition version_{};
 };
 
 // Append a change of the list. When a server is reported more than once, the
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -227,6 +227,18 @@
   }
 }
 
+// A server that leaves does not come back before it starts again. A list that
+// says so is of an older copy of the store.
+void KeepLeaving(ServerPool& pool, ListChanges& changes) {
+  for (core::ServerInfo& info : changes.seen_) {
+    const ServerState* known = FindServer(pool, info.name_);
+    if (known != nullptr && known->info_.leaving_ && info.incarnation_ != 0 &&
+        info.incarnation_ <= known->info_.incarnation_) {
+      info = known->info_;
+    }
+  }
+}
+
 // Returns the fields that name the server process and its load.
 std::vector<core::LogField> DescribeProcess(const ServerNoticeReceived& event,
                                             const ServerState* server) {
@@ -385,8 +397,10 @@
       changes.removed_.empty()) {
     return;
   }
-  LogChanges(step, changes, source);
-  ApplyListChanges(dispatcher.pool_, changes, step.now_);
+  ListChanges kept = changes;
+  KeepLeaving(dispatcher.pool_, kept);
+  LogChanges(step, kept, source);
+  ApplyListChanges(dispatcher.pool_, kept, step.now_);
   dispatcher.list_read_ = true;
   dispatcher.list_changed_at_ = step.now_;
   RecordListedVersions(step);
--- a/packages/dispatch/src/peers.cc
+++ b/packages/dispatch/src/peers.cc
@@ -259,21 +259,11 @@
 void OnListBody(Step& step,
                 const std::string& from,
                 const core::ListBody& body) {
-  Dispatcher& dispatcher = step.dispatcher_;
   // The store may have delivered the same version meanwhile.
-  if (body.version_ <= dispatcher.list_version_) {
+  if (body.version_ <= step.dispatcher_.list_version_) {
     return;
   }
-  std::vector<core::ServerInfo> servers = body.servers_;
-  for (core::ServerInfo& info : servers) {
-    // The peer may know the server only from an older copy of the store.
-    const ServerState* known = FindServer(dispatcher.pool_, info.name_);
-    info.leaving_ =
-        info.leaving_ ||
-        (known != nullptr && known->info_.leaving_ && info.incarnation_ != 0 &&
-         known->info_.incarnation_ == info.incarnation_);
-  }
-  OnListChanges(step, {std::move(servers), {}, true, body.version_}, from);
+  OnListChanges(step, {body.servers_, {}, true, body.version_}, from);
 }
 
 void OnUsageReport(Step& step,
--- a/packages/dispatch/test/list_eras_test.cc
+++ b/packages/dispatch/test/list_eras_test.cc
@@ -70,6 +70,7 @@
 struct Checked {
   core::StorePosition list_;
   std::uint64_t configuration_ = 0;
+  ServerStarts drained_;  // The latest start that it knew to leave.
 };
 
 std::uint64_t VersionInForce(const Dispatcher& dispatcher) {
@@ -126,6 +127,9 @@
     if (dispatcher.list_read_) {
       CheckServers(dispatcher);
     }
+    if (checks_drained_) {
+      CheckDrained(dispatcher, last.drained_);
+    }
   }
   // The servers are those of the store at the list's position, but for newer
   // words that the entry knows.
@@ -144,6 +148,24 @@
                   left_[name] >= said.incarnation_));
     }
   }
+  // A server that is known to leave gets no new work until it starts again. One
+  // that did, and was removed then, may come back as it was (store.md, Limits).
+  static void CheckDrained(const Dispatcher& dispatcher,
+                           ServerStarts& drained) {
+    std::erase_if(drained, [&](const auto& server) {
+      return !dispatcher.pool_.servers_.contains(server.first);
+    });
+    for (const auto& [name, server] : dispatcher.pool_.servers_) {
+      const core::Incarnation start = server.info_.incarnation_;
+      const bool is_known = drained.contains(name) && start <= drained[name];
+      BOOST_TEST((server.listing_ != Listing::kListed || !is_known));
+      if (server.listing_ == Listing::kDraining) {
+        drained[name] = std::max(drained[name], start);
+      } else if (!is_known) {
+        drained.erase(name);
+      }
+    }
+  }
   void Restart(const std::string& address) {
     checked_[address] = {};
     readers_[address] = {};
@@ -360,7 +382,8 @@
   }
 
   Cuts cuts_;
-  TimePoint heal_at_{};  // End of the last brief cut.
+  bool checks_drained_ = false;  // Set before the first step.
+  TimePoint heal_at_{};          // End of the last brief cut.
   std::mt19937 random_;
   Store store_;
   std::vector<Store> copies_;            // States before each write.
@@ -375,11 +398,12 @@
   core::Incarnation server_starts_ = 0;
 };
 
-void RunHistories(Cuts cuts) {
+void RunHistories(Cuts cuts, bool checks_drained = false) {
   constexpr unsigned kSeeds = 100;
   constexpr int kSteps = 150;
   for (unsigned seed = 1; seed <= kSeeds; ++seed) {
     ListErasFixture history(seed, cuts);
+    history.checks_drained_ = checks_drained;
     BOOST_TEST_CONTEXT("seed " << seed) {
       for (int i = 0; i < kSteps; ++i) {
         history.RunRandomStep();
@@ -400,6 +424,10 @@
   RunHistories(Cuts::kAny);
 }
 
+BOOST_AUTO_TEST_CASE(Server_InAnyHistoryOnceItIsKnownToLeave_GetsNothingNew) {
+  RunHistories(Cuts::kAny, true);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/dispatch/test/peers_test.cc
+++ b/packages/dispatch/test/peers_test.cc
@@ -113,6 +113,40 @@
       !AcceptsNewWork(second.pool_, *FindServer(second.pool_, "s1"), now_));
 }
 
+BOOST_AUTO_TEST_CASE(Server_WhenOnlyAPeerSawItsDraining_GetsNothingNewByACopy) {
+  Feed();
+  Pass(Milliseconds(500));
+  core::ServerInfo server = DispatcherFixture::Plain("s1");
+  server.incarnation_ = 7;
+  server.leaving_ = true;
+  List("east:1", {server}, 90, 1);
+  Pass(Milliseconds(3500));
+  Dispatcher& second = At("east:2");
+  BOOST_TEST(
+      !AcceptsNewWork(second.pool_, *FindServer(second.pool_, "s1"), now_));
+  // The store's first word to the second entry is from before the draining.
+  server.leaving_ = false;
+  List("east:2", {server}, 40, 2);
+  BOOST_TEST(
+      !AcceptsNewWork(second.pool_, *FindServer(second.pool_, "s1"), now_));
+}
+
+BOOST_AUTO_TEST_CASE(Server_WhenAPeerHasAnEarlierStartOfIt_GetsNothingNew) {
+  Feed();
+  Pass(Milliseconds(500));
+  core::ServerInfo server = DispatcherFixture::Plain("s1");
+  server.incarnation_ = 6;
+  List("east:1", {server}, 40, 2);
+  server.incarnation_ = 7;
+  server.leaving_ = true;
+  List("east:2", {server}, 90, 1);
+  Pass(Milliseconds(3500));
+  Dispatcher& second = At("east:2");
+  BOOST_TEST((second.list_version_ == core::StorePosition{2, 40}));
+  BOOST_TEST(
+      !AcceptsNewWork(second.pool_, *FindServer(second.pool_, "s1"), now_));
+}
+
 BOOST_AUTO_TEST_CASE(
     Entry_WhenACutOutlastsTheSuspectTimeout_HearsItsPeersSoon) {
   Feed();
