Streams: ask engines which streams they still run

Cause: engines retain a prompt only once they notice that the entry stopped reading, seconds after a loss of power; until then they run the stream. Change: a restarted entry, and one that looks for a stream's version, also asks the decode engines for their runs; a run names the caller's request. What an engine retained a moment ago counts as well.

--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -190,6 +190,12 @@
   std::vector<std::uint64_t> prompts_;
 };
 
+// Requests that an engine runs, by the labels of their callers.
+struct RunsListed {
+  std::string server_;
+  std::vector<std::string> labels_;
+};
+
 // What a server said about itself in the head of an answer. Comes before the
 // outcome of the attempt or of the entry's own request that was answered.
 struct ServerNoticeReceived {
@@ -229,6 +235,7 @@
                            RefusedAtHead,
                            PeerMessageReceived,
                            RetainedPromptsListed,
+                           RunsListed,
                            ServerNoticeReceived,
                            SettingsRead,
                            DrainBegan,
@@ -319,6 +326,14 @@
   core::Incarnation incarnation_ = 0;
 };
 
+// Queries an engine for the requests that it runs. A missing answer counts as
+// none.
+struct ListRuns {
+  std::string server_;
+  std::string address_;
+  core::Incarnation incarnation_ = 0;
+};
+
 // Sends a message to another entry, without guarantee of delivery.
 struct SendPeerMessage {
   std::string address_;
@@ -350,6 +365,7 @@
                             ReleaseReservation,
                             SwitchToDecode,
                             ListRetainedPrompts,
+                            ListRuns,
                             SendPeerMessage,
                             SetCallerLimits,
                             AccessChanged,
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -481,6 +481,7 @@
           [&](const ConfigurationConfirmed& e) { OnConfirmed(step, e); },
           [&](const RefusedAtHead& e) { OnRefusedAtHead(step, e); },
           [&](const RetainedPromptsListed& e) { OnRetainedPrompts(step, e); },
+          [&](const RunsListed& e) { OnRunsListed(step, e); },
           [&](const ServerNoticeReceived& e) { OnServerNotice(step, e); },
           [&](const SettingsRead& e) {
             dispatcher.peers_.seeds_ = e.seeds_;
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -179,6 +179,10 @@
                    const std::string& from,
                    const core::StreamQuery& query);
 void OnStreamReply(Step& step, const core::StreamReply& reply);
+// Records which streams an engine runs.
+void OnRunsListed(Step& step, const RunsListed& event);
+// Asks the engine which streams it runs, if it may have begun any.
+void QueryRuns(Step& step, const ServerState& engine);
 // Records which prompts an engine retains.
 void RecordRetainedPrompts(Step& step, const RetainedPromptsListed& event);
 
--- a/packages/dispatch/src/kept_prompts.cc
+++ b/packages/dispatch/src/kept_prompts.cc
@@ -18,13 +18,16 @@
       kRetainedPromptQueryTimes[dispatcher.retained_prompt_queries_]) {
     return;
   }
-  ++dispatcher.retained_prompt_queries_;
+  const bool is_first = dispatcher.retained_prompt_queries_++ == 0;
   for (const auto& [name, server] : dispatcher.pool_.servers_) {
     if (server.info_.role_ != core::ServerRole::kPlain &&
         !IsPaused(dispatcher.pool_, server, step.now_)) {
       dispatcher.streams_.retained_[name].asked_at_ = step.now_;
       step.actions_.emplace_back(ListRetainedPrompts{
           name, server.info_.address_, server.info_.incarnation_});
+      if (is_first) {
+        QueryRuns(step, server);
+      }
     }
   }
 }
--- a/packages/dispatch/src/stream_versions.cc
+++ b/packages/dispatch/src/stream_versions.cc
@@ -122,6 +122,7 @@
     asked_at = step.now_;
     step.actions_.emplace_back(ListRetainedPrompts{name, server.info_.address_,
                                                    server.info_.incarnation_});
+    QueryRuns(step, server);
   }
 }
 
@@ -189,7 +190,7 @@
   const auto known =
       KnownVersion(step.dispatcher_, call.pool_, KeyOf(call), step.now_);
   if (known.has_value()) {
-    TakeVersion(step, call, *known, "peer");
+    TakeVersion(step, call, *known, "peer_or_run");
     RouteToEngines(step, call);
     return false;
   }
@@ -353,11 +354,41 @@
   ResolveStreamVersions(step);
 }
 
+void QueryRuns(Step& step, const ServerState& engine) {
+  if (CanDecode(engine.info_)) {
+    step.actions_.emplace_back(ListRuns{
+        engine.info_.name_, engine.info_.address_, engine.info_.incarnation_});
+  }
+}
+
+void OnRunsListed(Step& step, const RunsListed& event) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  const ServerState* server = FindServer(dispatcher.pool_, event.server_);
+  if (server == nullptr) {
+    return;
+  }
+  origin::Origins& origins = dispatcher.streams_.origins_;
+  for (const std::string& label : event.labels_) {
+    const StreamKey stream = origin::KeyOf(label);
+    // What is known already is of the attempt that brought events.
+    if (!origin::FindVersion(origins, stream, step.now_).has_value()) {
+      origin::RecordStream(origins, stream, server->info_.software_version_,
+                           step.now_);
+    }
+  }
+  step.actions_.emplace_back(
+      core::LogEvent{"runs_listed",
+                     {{"server", event.server_},
+                      {"runs", std::to_string(event.labels_.size())}}});
+  ResolveStreamVersions(step);
+}
+
 void RecordRetainedPrompts(Step& step, const RetainedPromptsListed& event) {
   RetainedPrompts& retained =
       step.dispatcher_.streams_.retained_[event.server_];
   retained.answered_at_ = step.now_;
-  retained.prompts_ = {event.prompts_.begin(), event.prompts_.end()};
+  // What it retained a moment ago it had decoded as well.
+  retained.prompts_.insert(event.prompts_.begin(), event.prompts_.end());
   ResolveStreamVersions(step);
 }
 
--- a/packages/dispatch/test/stream_versions_test.cc
+++ b/packages/dispatch/test/stream_versions_test.cc
@@ -145,6 +145,23 @@
   }
 }
 
+// Engines go on for a while with streams of entries that lost power.
+BOOST_AUTO_TEST_CASE(TakeUp_AfterARestart_GoesOnAtTheVersionThatStillRunsIt) {
+  Restart();
+  Handle(Ticked{});
+  Handle(RunsListed{"d2-v1", {"first1", "other"}});
+  const CallArrived again = TakeUp(1, "first1", now_);
+  Handle(again);
+  BOOST_REQUIRE(starts_.contains(again.request_));
+  BOOST_TEST(LastVersion(again.request_) == "v1");
+  const CallArrived later = TakeUp(2, "first2", now_);
+  Handle(later);
+  BOOST_TEST(!starts_.contains(later.request_));
+  Handle(RunsListed{"d1-v2", {"first2"}});
+  BOOST_REQUIRE(starts_.contains(later.request_));
+  BOOST_TEST(LastVersion(later.request_) == "v2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 struct StreamVersionsFleetFixture : Fleet {
--- a/packages/gateway/include/siskindrum/gateway/dialect.h
+++ b/packages/gateway/include/siskindrum/gateway/dialect.h
@@ -102,6 +102,12 @@
       nullptr;
   tl::expected<std::vector<std::uint64_t>, std::string> (*read_prompt_list_)(
       std::string_view body) = nullptr;
+  // Make the request for the requests that an engine runs, and read their
+  // callers' labels in its answer.
+  ControlRequest (*make_list_runs_request_)(const std::string& server) =
+      nullptr;
+  tl::expected<std::vector<std::string>, std::string> (*read_run_list_)(
+      std::string_view body) = nullptr;
   // Makes the order that switches a prefill engine to decode. `holder` is the
   // name of the sender, `fence` its fencing number.
   ControlRequest (*make_decode_order_)(const std::string& server,
--- a/packages/gateway/src/control_client.cc
+++ b/packages/gateway/src/control_client.cc
@@ -59,31 +59,64 @@
 }
 
 void ControlClient::Send(const dispatch::ListRetainedPrompts& list) {
-  http::BackendCall call =
-      MakeCall(list.address_,
-               context_.dialect_.make_list_prompts_request_(list.server_));
+  SendForAnswer(
+      {list.server_, list.address_, list.incarnation_},
+      context_.dialect_.make_list_prompts_request_(list.server_),
+      "prompts_not_listed",
+      [this, list](const std::string& body) -> tl::expected<void, std::string> {
+        auto prompts = context_.dialect_.read_prompt_list_(body);
+        if (!prompts.has_value()) {
+          return tl::unexpected(prompts.error());
+        }
+        context_.post_(
+            dispatch::RetainedPromptsListed{list.server_, std::move(*prompts)});
+        return {};
+      });
+}
+
+void ControlClient::Send(const dispatch::ListRuns& list) {
+  SendForAnswer(
+      {list.server_, list.address_, list.incarnation_},
+      context_.dialect_.make_list_runs_request_(list.server_),
+      "runs_not_listed",
+      [this, list](const std::string& body) -> tl::expected<void, std::string> {
+        auto labels = context_.dialect_.read_run_list_(body);
+        if (!labels.has_value()) {
+          return tl::unexpected(labels.error());
+        }
+        context_.post_(dispatch::RunsListed{list.server_, std::move(*labels)});
+        return {};
+      });
+}
+
+void ControlClient::SendForAnswer(
+    const Target& target,
+    ControlRequest request,
+    const std::string& failure_event,
+    std::function<tl::expected<void, std::string>(const std::string& body)>
+        read) {
+  http::BackendCall call = MakeCall(target.address_, std::move(request));
   call.max_answer_bytes_ = kMaxPromptListBytes;
   const auto answer = std::make_shared<BufferedAnswer>();
-  call.on_head_ = [this, list, answer](const http::Head& head) {
+  call.on_head_ = [this, target, answer](const http::Head& head) {
     answer->status_ = head.status_;
-    return OnHead({list.server_, list.address_, list.incarnation_}, head);
+    return OnHead(target, head);
   };
   call.on_body_ = [answer](std::string_view data) {
     answer->body_.append(data);
   };
-  call.on_end_ = [this, list, answer](const http::CallResult& end) {
+  call.on_end_ = [this, target, answer, failure_event,
+                  read = std::move(read)](const http::CallResult& end) {
     const bool succeeded =
         end.failure_ == http::CallFailure::kNone && answer->status_ == 200;
-    const auto prompts =
-        succeeded ? context_.dialect_.read_prompt_list_(answer->body_)
+    const tl::expected<void, std::string> done =
+        succeeded ? read(answer->body_)
                   : tl::unexpected(absl::StrCat("status ", answer->status_, " ",
                                                 http::ToString(end.failure_),
                                                 " ", end.detail_));
-    if (prompts.has_value()) {
-      context_.post_(dispatch::RetainedPromptsListed{list.server_, *prompts});
-    } else {
-      context_.log_({"prompts_not_listed",
-                     {{"server", list.server_}, {"detail", prompts.error()}}});
+    if (!done.has_value()) {
+      context_.log_({failure_event,
+                     {{"server", target.server_}, {"detail", done.error()}}});
     }
   };
   context_.pool_.Send(std::move(call));
--- a/packages/gateway/src/control_client_p.h
+++ b/packages/gateway/src/control_client_p.h
@@ -31,6 +31,7 @@
   void Send(const dispatch::SwitchToDecode& order);
   // The answer is posted to the dispatcher as an event.
   void Send(const dispatch::ListRetainedPrompts& list);
+  void Send(const dispatch::ListRuns& list);
 
  private:
   // The server process that a request is meant for.
@@ -43,6 +44,14 @@
   // Passes on what the server said about itself. Skips the answer to another
   // request.
   http::AnswerDecision OnHead(const Target& target, const http::Head& head);
+  // Sends a request whose whole answer `read` parses and posts; the error it
+  // returns is logged with `failure_event`.
+  void SendForAnswer(
+      const Target& target,
+      ControlRequest request,
+      const std::string& failure_event,
+      std::function<tl::expected<void, std::string>(const std::string& body)>
+          read);
   void SendIgnoringAnswer(const Target& target,
                           ControlRequest request,
                           const std::string& failure_event);
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -383,6 +383,7 @@
   void Execute(const dispatch::ListRetainedPrompts& list) {
     control_client_.Send(list);
   }
+  void Execute(const dispatch::ListRuns& list) { control_client_.Send(list); }
   void Execute(const dispatch::SetCallerLimits& change) {
     http::CallerLimits limits;
     limits.parser_.head_bytes_ = change.settings_.head_bytes_;
--- a/packages/gateway/test/control_client_test.cc
+++ b/packages/gateway/test/control_client_test.cc
@@ -67,6 +67,19 @@
   BOOST_TEST((listed->prompts_ == std::vector<std::uint64_t>{3}));
 }
 
+BOOST_AUTO_TEST_CASE(Runs_WhenTheEngineAnswers_ArePosted) {
+  test::ScriptedServer server([](test::Peer& peer, int) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nr7");
+  });
+  client_.Send(dispatch::ListRuns{"d", server.Address()});
+  RunUntilResult();
+  BOOST_REQUIRE(events_.size() == 1U);
+  const auto* listed = std::get_if<dispatch::RunsListed>(&events_[0]);
+  BOOST_REQUIRE(listed != nullptr);
+  BOOST_TEST(listed->labels_.at(0) == "r7");
+}
+
 // Guards against an entry whose memory grows with what a faulty server sends.
 BOOST_DATA_TEST_CASE(List_WhenTheAnswerDoesNotEnd_FailsAndClosesTheConnection,
                      boost::unit_test::data::make(EndlessAnswersToLists()),
--- a/packages/gateway/test/gateway_fixture.h
+++ b/packages/gateway/test/gateway_fixture.h
@@ -106,6 +106,11 @@
       -> tl::expected<std::vector<std::uint64_t>, std::string> {
     return std::vector<std::uint64_t>{body.size()};
   };
+  dialect.make_list_runs_request_ = dialect.make_list_prompts_request_;
+  dialect.read_run_list_ = [](std::string_view body)
+      -> tl::expected<std::vector<std::string>, std::string> {
+    return std::vector<std::string>{std::string(body)};
+  };
   return dialect;
 }
 
