Streams: a take-up waits for capacity as a stream in progress

Cause: a take-up counted as a new request that is late already, and late ones get no capacity while others can still begin in time. Change: a request that resumes a stream waits as one whose answer has begun, up to the longest wait of a request. Evidence: StreamVersions/TakeUp_WhenCapacityIsShort* failed before; passes.

--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -7,11 +7,17 @@
 
 namespace {
 
-// Priority among requests that can still meet their target: answers already
-// begun first, then the smallest memory-time product.
+// True when the caller has part of the answer, from this request or from an
+// earlier one that it resumes.
+bool IsInProgress(const ActiveCall& call) {
+  return call.answer_begun_ || call.last_event_.has_value();
+}
+
+// Priority among requests that can still meet their target: answers in progress
+// first, then the smallest memory-time product.
 bool HasPriority(const ActiveCall& a, const ActiveCall& b) {
-  if (a.answer_begun_ != b.answer_begun_) {
-    return a.answer_begun_;
+  if (IsInProgress(a) != IsInProgress(b)) {
+    return IsInProgress(a);
   }
   return MemoryTime(a) < MemoryTime(b);
 }
@@ -62,7 +68,7 @@
 
 Milliseconds SlackToTarget(const Step& step, const ActiveCall& call) {
   const Milliseconds target = call.rule_->outcome_.first_token_;
-  if (target.count() == 0 || call.answer_begun_) {
+  if (target.count() == 0 || IsInProgress(call)) {
     return Milliseconds::max();
   }
   const PlacementRequest request = MakePlacementRequest(step, call);
@@ -93,7 +99,7 @@
 
 bool CanFinish(const Step& step, const ActiveCall& call) {
   const auto mean = step.dispatcher_.mean_token_ms_.find(call.pool_);
-  if (call.answer_begun_ || mean == step.dispatcher_.mean_token_ms_.end()) {
+  if (IsInProgress(call) || mean == step.dispatcher_.mean_token_ms_.end()) {
     return true;
   }
   const double left_ms = ToMs(call.deadline_ - step.now_);
--- a/packages/dispatch/test/stream_versions_test.cc
+++ b/packages/dispatch/test/stream_versions_test.cc
@@ -162,6 +162,32 @@
   BOOST_TEST(LastVersion(later.request_) == "v2");
 }
 
+// Guards against take-ups that are refused as late while new streams begin.
+BOOST_AUTO_TEST_CASE(TakeUp_WhenCapacityIsShort_WaitsAsAStreamInProgress) {
+  const RequestId first = StartAnswer("/resume/1");
+  const std::string label = "r" + std::to_string(requests_);
+  Handle(CallerLeft{first});
+  for (int i = 0; i < 8; ++i) {
+    const RequestId id = Arrive("/stream/1");
+    while (starts_.contains(id) && Last(id).stage_ == Stage::kReserve &&
+           !dispatcher_.calls_.at(id).waiting_) {
+      Reserve(id, false);
+    }
+  }
+  Pass(Milliseconds(100));
+  const CallArrived again = TakeUp(1, label, now_ - Milliseconds(1000));
+  Handle(again);
+  while (starts_.contains(again.request_) &&
+         Last(again.request_).stage_ == Stage::kReserve &&
+         !dispatcher_.calls_.at(again.request_).waiting_) {
+    Reserve(again.request_, false);
+  }
+  const RequestId fresh = Arrive("/stream/1");
+  BOOST_TEST(dispatcher_.calls_.contains(fresh));
+  BOOST_TEST(!IsRefused(again.request_));
+  BOOST_TEST(dispatcher_.calls_.at(again.request_).waiting_);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 struct StreamVersionsFleetFixture : Fleet {
