Streams: look at what engines retain once a tick

Cost: with hundreds of take-ups that wait after a restart and a hundred engines, each answer of an engine looked at all engines for each take-up. Change: answers are looked at together at the next tick, and only if there are new ones.

--- a/packages/dispatch/src/stream_versions.cc
+++ b/packages/dispatch/src/stream_versions.cc
@@ -197,12 +197,16 @@
   if (search.replies_missing_ > 0 && step.now_ < search.replies_until_) {
     return true;
   }
-  if (search.retained_until_ == TimePoint{}) {
+  const bool begins = search.retained_until_ == TimePoint{};
+  if (begins) {
     AskEngines(step, call.pool_);
     search.retained_until_ = RetainedUntil(step);
   }
-  const RetainedWord word = ReadRetained(step.dispatcher_, call);
   const bool ends = step.now_ >= search.retained_until_;
+  if (!begins && !ends && !step.dispatcher_.streams_.retained_changed_) {
+    return true;
+  }
+  const RetainedWord word = ReadRetained(step.dispatcher_, call);
   if (word.version_.has_value() && (word.complete_ || ends)) {
     TakeVersion(step, call, *word.version_, "retained_prompt");
     RouteToEngines(step, call);
@@ -269,6 +273,7 @@
       dispatcher.streams_.waiting_.push_back(id);
     }
   }
+  dispatcher.streams_.retained_changed_ = false;
 }
 
 void ConfigureStreamVersions(Step& step) {
@@ -389,7 +394,8 @@
   retained.answered_at_ = step.now_;
   // What it retained a moment ago it had decoded as well.
   retained.prompts_.insert(event.prompts_.begin(), event.prompts_.end());
-  ResolveStreamVersions(step);
+  // Looked at with the next tick, together with the answers of other engines.
+  step.dispatcher_.streams_.retained_changed_ = true;
 }
 
 }  // namespace siskindrum::dispatch
