Streams: what an engine retained ends with its process

Cause: a server that starts again under its id at another version kept the prompts that its earlier process had retained, for up to 8 s. Change: they count only for the start that was asked. Evidence: StreamVersions/TakeUp_WhenTheEngineHasStartedAgain*; dispatch tests pass.

--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -196,6 +196,7 @@
 
 // Prompts that an engine retains.
 struct RetainedPrompts {
+  core::Incarnation incarnation_ = 0;  // Of the engine that answered.
   TimePoint asked_at_{};
   TimePoint answered_at_{};
   std::unordered_set<std::uint64_t> prompts_;
--- a/packages/dispatch/src/stream_versions.cc
+++ b/packages/dispatch/src/stream_versions.cc
@@ -147,6 +147,7 @@
       word.complete_ = false;
     }
     if (found != dispatcher.streams_.retained_.end() &&
+        found->second.incarnation_ == server.info_.incarnation_ &&
         found->second.prompts_.contains(call.call_.prompt_)) {
       versions.push_back(server.info_.software_version_);
     }
@@ -391,6 +392,13 @@
 void RecordRetainedPrompts(Step& step, const RetainedPromptsListed& event) {
   RetainedPrompts& retained =
       step.dispatcher_.streams_.retained_[event.server_];
+  const ServerState* server = FindServer(step.dispatcher_.pool_, event.server_);
+  const core::Incarnation incarnation =
+      server == nullptr ? 0 : server->info_.incarnation_;
+  if (retained.incarnation_ != incarnation) {
+    retained.prompts_.clear();
+    retained.incarnation_ = incarnation;
+  }
   retained.answered_at_ = step.now_;
   // What it retained a moment ago it had decoded as well.
   retained.prompts_.insert(event.prompts_.begin(), event.prompts_.end());
--- a/packages/dispatch/test/stream_versions_test.cc
+++ b/packages/dispatch/test/stream_versions_test.cc
@@ -145,6 +145,22 @@
   }
 }
 
+// Guards against what an engine retained before it started again elsewhere.
+BOOST_AUTO_TEST_CASE(TakeUp_WhenTheEngineHasStartedAgain_IsNotTakenForItsOwn) {
+  Restart();
+  Handle(Ticked{});
+  Handle(RetainedPromptsListed{"d1-v1", {kPrompt + 1}});
+  core::ServerInfo again_started =
+      VersionedEngine("d1-v1", core::ServerRole::kDecode, "v3");
+  again_started.incarnation_ = 9;
+  List({again_started}, false);
+  const CallArrived again = TakeUp(1, "lost", now_);
+  Handle(again);
+  Pass(Milliseconds(4000));
+  BOOST_TEST(!starts_.contains(again.request_));
+  BOOST_TEST(IsRefused(again.request_));
+}
+
 // Engines go on for a while with streams of entries that lost power.
 BOOST_AUTO_TEST_CASE(TakeUp_AfterARestart_GoesOnAtTheVersionThatStillRunsIt) {
   Restart();
