--- a/packages/dispatch/src/stream_versions.cc
+++ b/packages/dispatch/src/stream_versions.cc
@@ -96,6 +96,7 @@
                         });
   peers.resize(std::min(peers.size(), kMaxAskedPeers));
   std::vector<std::string> addresses;
+  addresses.reserve(peers.size());
   for (const core::MemberRow* row : peers) {
     addresses.push_back(row->address_);
   }
