Streams: know the version also when only the end of an attempt is reported

What callers could see: one answer joined from two versions. Found by reading. Cause: the version was noted when the answer begins. That report can be lost in a full ring; the end of the attempt then brought the last event, and the continuation had no version to keep to. Change: an attempt that wrote events notes the version at its end as well.

--- a/packages/dispatch/src/engine_call.cc
+++ b/packages/dispatch/src/engine_call.cc
@@ -317,6 +317,10 @@
   if (event.last_event_.has_value()) {
     call.last_event_ = event.last_event_;
   }
+  // The report that the answer began may have been lost.
+  if (event.wrote_events_ && !call.stream_version_.has_value()) {
+    RecordStreamVersion(step, call);
+  }
   call.longest_gap_ = event.longest_gap_;
   const bool is_error = event.outcome_ == AttemptOutcome::kServerError;
   if (server != nullptr &&
--- a/packages/dispatch/test/stream_versions_test.cc
+++ b/packages/dispatch/test/stream_versions_test.cc
@@ -84,6 +84,60 @@
   }
 }
 
+// Guards against a report of the first event that was lost in a full ring.
+BOOST_AUTO_TEST_CASE(Stream_WhenOnlyItsEndIsReported_GoesOnAtItsVersion) {
+  for (int i = 0; i < 20; ++i) {
+    const RequestId id = Arrive("/resume/1");
+    Reserve(id, true);
+    Prefill(id, true);
+    const std::string version = LastVersion(id);
+    Done(id, AttemptOutcome::kFailed, RunState::kMayHaveRun, 17);
+    BOOST_TEST(LastVersion(id) == version);
+    Handle(CallerLeft{id});
+    Pass(Milliseconds(5000));
+  }
+}
+
+// The server that brought the first event counts, not one that failed before.
+BOOST_AUTO_TEST_CASE(Stream_WhenRepeatedBeforeItsFirstEvent_KeepsTheLater) {
+  for (int i = 0; i < 20; ++i) {
+    std::string rules = kRules;
+    rules.replace(rules.find("retries=1"), 9, "retries=2");
+    Configure(static_cast<std::uint64_t>(i) + 2, rules);
+    const RequestId id = Arrive("/resume/1");
+    Reserve(id, true);
+    Prefill(id, true);
+    Done(id, AttemptOutcome::kFailed, RunState::kMayHaveRun);
+    Reserve(id, true);
+    const std::string version = LastVersion(id);
+    Begin(id);
+    Done(id, AttemptOutcome::kFailed, RunState::kMayHaveRun, 17);
+    BOOST_TEST(LastVersion(id) == version);
+    Handle(CallerLeft{id});
+    Pass(Milliseconds(5000));
+  }
+}
+
+// Guards against an import at a server that started again meanwhile.
+BOOST_AUTO_TEST_CASE(TakeUp_WhenItsServerChangesVersionMeanwhile_IsPlacedAnew) {
+  const RequestId first = StartAnswer("/resume/1");
+  const std::string version = LastVersion(first);
+  const std::string label = "r" + std::to_string(requests_);
+  Handle(CallerLeft{first});
+  const CallArrived again = TakeUp(1, label, now_);
+  Handle(again);
+  const std::string engine = Last(again.request_).server_;
+  Reserve(again.request_, true);
+  BOOST_REQUIRE((Last(again.request_).stage_ == Stage::kPrefill));
+  core::ServerInfo restarted =
+      VersionedEngine(engine, core::ServerRole::kDecode, "v3");
+  restarted.incarnation_ = 9;
+  List({restarted}, false);
+  Prefill(again.request_, true);
+  BOOST_TEST(Last(again.request_).server_ != engine);
+  BOOST_TEST(LastVersion(again.request_) == version);
+}
+
 BOOST_AUTO_TEST_CASE(Stream_WhenItsVersionHasLeft_IsCutAndNotJoined) {
   const RequestId id = StartAnswer("/resume/1");
   const std::string version = LastVersion(id);
