Peers: tell the seed that was told longest ago

What callers could see: late configurations and lists after a cut, on an entry that one of its seeds did not answer. Cause: each round told a random one of the seeds that are not heard, so one that is down took every other round on average, at times six in a row. Change: the one told longest ago; a random one of those never told.

--- a/packages/dispatch/include/siskindrum/dispatch/peers.h
+++ b/packages/dispatch/include/siskindrum/dispatch/peers.h
@@ -2,6 +2,7 @@
 #define SISKINDRUM_DISPATCH_PEERS_H_
 
 #include <cstddef>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
 struct Peers {
   core::Membership membership_;
   std::vector<std::string> seeds_;  // Initial peers; may be unreachable.
+  // When each seed that was not heard was last told; epoch: never.
+  std::map<std::string, TimePoint> seeds_told_at_;
   TimePoint next_round_at_{};
   TimePoint behind_since_{};  // Epoch: no peer has newer data.
   TimePoint next_request_at_{};
--- a/packages/dispatch/src/peers.cc
+++ b/packages/dispatch/src/peers.cc
@@ -56,6 +56,23 @@
   return unknown;
 }
 
+// Returns the seed that was told longest ago, so that one that is down delays
+// the others by a round only. Of those never told, a random one, since entries
+// start together. Requires: `seeds` is not empty.
+std::string NextSeed(Step& step, std::vector<std::string> seeds) {
+  auto& told_at = step.dispatcher_.peers_.seeds_told_at_;
+  const auto first =
+      static_cast<std::ptrdiff_t>(step.dispatcher_.random_() % seeds.size());
+  std::rotate(seeds.begin(), seeds.begin() + first, seeds.end());
+  const auto next =
+      std::min_element(seeds.begin(), seeds.end(),
+                       [&told_at](const std::string& a, const std::string& b) {
+                         return told_at[a] < told_at[b];
+                       });
+  told_at[*next] = step.now_;
+  return *next;
+}
+
 void SendGossip(Step& step,
                 const std::string& name,
                 const std::string& address) {
@@ -106,7 +123,7 @@
       SendGossip(step, "", seed);
     }
   } else if (!seeds.empty()) {
-    SendGossip(step, "", seeds[dispatcher.random_() % seeds.size()]);
+    SendGossip(step, "", NextSeed(step, seeds));
   }
 }
 
--- a/packages/dispatch/test/list_eras_test.cc
+++ b/packages/dispatch/test/list_eras_test.cc
@@ -20,10 +20,6 @@
 // Time in which entries that hear each other have what one of them has: gossip
 // has told of it, and it was asked for.
 constexpr Milliseconds kSettleTime{6000};
-// The same after any cut: an entry forgets peers that it has not heard for long
-// and finds them again by its seeds.
-constexpr Milliseconds kSettleTimeAfterCuts =
-    core::kMemberRetention + kSettleTime;
 // Cuts in which entries go on counting each other as heard, and the time
 // between two of them.
 constexpr Milliseconds kBriefCut{800};
@@ -347,7 +343,7 @@
     ReadAnswer(reading);
     Call(reading);
     ReadAnswer(reading);
-    Pass(cuts_ == Cuts::kBrief ? kSettleTime : kSettleTimeAfterCuts);
+    Pass(kSettleTime);
   }
   ServerStarts WrittenServers() const {
     ServerStarts written;
