Dispatch: the server list in a file of its own

What an entry does with a list of servers had grown with the store's eras and with servers that leave: it stood between attempts and calls in dispatcher.cc. It is moved to server_list.cc as it was; UpdateReady is declared for it. No behaviour changes: dispatch_test and platform_test pass.

--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -184,61 +184,6 @@
   }
 }
 
-void UpdateReady(Step& step) {
-  Dispatcher& dispatcher = step.dispatcher_;
-  const bool ready = dispatcher.configuration_.current_ != nullptr &&
-                     dispatcher.list_read_ && !dispatcher.drain_.has_value();
-  if (ready != dispatcher.ready_) {
-    dispatcher.ready_ = ready;
-    step.actions_.emplace_back(ReadyChanged{ready});
-    step.actions_.emplace_back(
-        core::LogEvent{"ready_changed", {{"ready", ready ? "yes" : "no"}}});
-  }
-}
-
-// Logs new, changed and removed servers. Requires: `changes` are not yet
-// applied to the pool.
-void LogChanges(Step& step,
-                const ListChanges& changes,
-                const std::string& source) {
-  const std::string version = core::ToString(changes.version_);
-  for (const core::ServerInfo& info : changes.seen_) {
-    const ServerState* known = FindServer(step.dispatcher_.pool_, info.name_);
-    if (known != nullptr && known->info_ == info &&
-        known->listing_ != Listing::kUnlisted) {
-      continue;
-    }
-    step.actions_.emplace_back(
-        core::LogEvent{"server_listed",
-                       {{"server", info.name_},
-                        {"address", info.address_},
-                        {"pool", info.service_},
-                        {"role", core::ToString(info.role_)},
-                        {"domain", info.domain_},
-                        {"software", info.software_version_},
-                        {"leaving", info.leaving_ ? "yes" : "no"},
-                        {"version", version},
-                        {"source", source}}});
-  }
-  for (const std::string& name : changes.removed_) {
-    step.actions_.emplace_back(core::LogEvent{
-        "server_vanished",
-        {{"server", name}, {"version", version}, {"source", source}}});
-  }
-}
-
-// A server that leaves does not come back before it starts again. A list that
-// says so is of an older copy of the store.
-void KeepLeaving(ServerPool& pool, ListChanges& changes) {
-  for (core::ServerInfo& info : changes.seen_) {
-    const ServerState* known = FindServer(pool, info.name_);
-    if (known != nullptr && known->info_.leaving_ && info.incarnation_ != 0 &&
-        info.incarnation_ <= known->info_.incarnation_) {
-      info = known->info_;
-    }
-  }
-}
-
 // Returns the fields that name the server process and its load.
 std::vector<core::LogField> DescribeProcess(const ServerNoticeReceived& event,
                                             const ServerState* server) {
@@ -339,6 +284,18 @@
 
 }  // namespace
 
+void UpdateReady(Step& step) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  const bool ready = dispatcher.configuration_.current_ != nullptr &&
+                     dispatcher.list_read_ && !dispatcher.drain_.has_value();
+  if (ready != dispatcher.ready_) {
+    dispatcher.ready_ = ready;
+    step.actions_.emplace_back(ReadyChanged{ready});
+    step.actions_.emplace_back(
+        core::LogEvent{"ready_changed", {{"ready", ready ? "yes" : "no"}}});
+  }
+}
+
 void AddDecision(Dispatcher& dispatcher, const ActiveCall& call) {
   core::DecisionRecord record;
   record.request_ = call.id_;
@@ -377,36 +334,6 @@
   AdmitEngineCall(step, call);
 }
 
-void OnListChanges(Step& step,
-                   const ListChanges& changes,
-                   const std::string& source) {
-  Dispatcher& dispatcher = step.dispatcher_;
-  const bool older = changes.version_ != core::StorePosition{} &&
-                     changes.version_ < dispatcher.list_version_;
-  if (older) {
-    step.actions_.emplace_back(
-        core::LogEvent{"list_not_taken",
-                       {{"version", core::ToString(changes.version_)},
-                        {"known", core::ToString(dispatcher.list_version_)},
-                        {"source", source}}});
-    return;
-  }
-  dispatcher.list_version_ =
-      std::max(dispatcher.list_version_, changes.version_);
-  if (!changes.is_snapshot_ && changes.seen_.empty() &&
-      changes.removed_.empty()) {
-    return;
-  }
-  ListChanges kept = changes;
-  KeepLeaving(dispatcher.pool_, kept);
-  LogChanges(step, kept, source);
-  ApplyListChanges(dispatcher.pool_, kept, step.now_);
-  dispatcher.list_read_ = true;
-  dispatcher.list_changed_at_ = step.now_;
-  RecordListedVersions(step);
-  UpdateReady(step);
-}
-
 const char* ToString(Stage stage) {
   switch (stage) {
     case Stage::kPlain:
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -342,6 +342,10 @@
 void RouteCall(Step& step, ActiveCall& call);
 // Sends a request whose stream may go on, or is new, to the engines.
 void RouteToEngines(Step& step, ActiveCall& call);
+// Reports whether the entry can serve, when that has changed.
+void UpdateReady(Step& step);
+
+// server_list.cc
 // Applies changes of the server list unless the known version is newer.
 void OnListChanges(Step& step,
                    const ListChanges& changes,
--- a/packages/dispatch/src/peers.cc
+++ b/packages/dispatch/src/peers.cc
@@ -273,16 +273,6 @@
   SendToPeer(step, address, std::move(body));
 }
 
-void OnListBody(Step& step,
-                const std::string& from,
-                const core::ListBody& body) {
-  // The store may have delivered the same version meanwhile.
-  if (body.version_ <= step.dispatcher_.list_version_) {
-    return;
-  }
-  OnListChanges(step, {body.servers_, {}, true, body.version_}, from);
-}
-
 void OnUsageReport(Step& step,
                    const core::PeerMessage& message,
                    const core::EngineUseReport& report) {
@@ -384,7 +374,11 @@
             OnListRequest(step, message.from_, body);
           },
           [&](const core::ListBody& body) {
-            OnListBody(step, message.from_, body);
+            // The store may have delivered the same version meanwhile.
+            if (body.version_ > step.dispatcher_.list_version_) {
+              OnListChanges(step, {body.servers_, {}, true, body.version_},
+                            message.from_);
+            }
           },
           [&](const core::EngineUseReport& body) {
             OnUsageReport(step, message, body);
