--- a/packages/dispatch/src/stream_versions.cc
+++ b/packages/dispatch/src/stream_versions.cc
@@ -114,10 +114,12 @@
 void AskEngines(Step& step, const std::string& pool) {
   Dispatcher& dispatcher = step.dispatcher_;
   for (const auto& [name, server] : dispatcher.pool_.servers_) {
-    TimePoint& asked_at = dispatcher.streams_.retained_[name].asked_at_;
     if (server.info_.service_ != pool || !CanDecode(server.info_) ||
-        IsPaused(dispatcher.pool_, server, step.now_) ||
-        step.now_ - asked_at < kRetainedAskInterval) {
+        IsPaused(dispatcher.pool_, server, step.now_)) {
+      continue;
+    }
+    TimePoint& asked_at = dispatcher.streams_.retained_[name].asked_at_;
+    if (step.now_ - asked_at < kRetainedAskInterval) {
       continue;
     }
     asked_at = step.now_;
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -48,6 +48,10 @@
   }
 };
 
+void Take(const Json& json, std::uint32_t& value) {
+  value = json.get<std::uint32_t>();
+}
+
 // Declared ahead, so that the templates below find them.
 Json Put(const RequestId& row);
 void Take(const Json& json, RequestId& row);
@@ -585,10 +589,7 @@
 }
 void Take(const Json& json, StreamReport& m) {
   m.version_ = json.at(0).get<std::string>();
-  if (!json.at(1).is_array() || json.at(1).size() > kMaxRows) {
-    throw Json::other_error::create(501, "expected an array", &json);
-  }
-  m.streams_ = json.at(1).get<std::vector<std::uint32_t>>();
+  TakeRows(json.at(1), m.streams_);
 }
 
 Json Put(const StreamQuery& m) {
