Fuzzers: say which target failed, and with what input

Now the target that failed is named, with its own log and the input, which was written to a folder that is deleted. The lists of runs that engines report are read by a target too.

--- a/fuzz/fuzz_platform.cc
+++ b/fuzz/fuzz_platform.cc
@@ -29,5 +29,6 @@
   (void)siskindrum::adapter::MakeDialect().read_prefill_(text);
   (void)siskindrum::adapter::MakeDialect().read_reservation_(text);
   (void)siskindrum::adapter::MakeDialect().read_prompt_list_(text);
+  (void)siskindrum::adapter::MakeDialect().read_run_list_(text);
   return 0;
 }
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -16,13 +16,26 @@
 pids=()
 for target in "${targets[@]}"; do
   mkdir -p "$work/$target"
-  (cd "$work" && "$build/fuzz_$target" -max_total_time="$seconds" -seed=1 \
-    -max_len=65536 -rss_limit_mb=2048 -timeout=10 "$work/$target" \
+  ("$build/fuzz_$target" -max_total_time="$seconds" -seed=1 \
+    -artifact_prefix="$work/$target-" -max_len=65536 -rss_limit_mb=2048 \
+    -timeout=10 "$work/$target" \
     "$root/fuzz/corpus/$target" >"$work/$target.log" 2>&1) &
   pids+=($!)
 done
 status=0
-for pid in "${pids[@]}"; do wait "$pid" || status=1; done
+for i in "${!targets[@]}"; do
+  target=${targets[$i]}
+  wait "${pids[$i]}" || {
+    status=1
+    echo "$target failed:"
+    tail -40 "$work/$target.log"
+    for input in "$work/$target"-*; do
+      if [ -f "$input" ]; then
+        echo "the input, as gzip in base64: $(gzip -c "$input" | base64 -w0)"
+      fi
+    done
+  }
+done
 for target in "${targets[@]}"; do
   grep -E '^(Done|SUMMARY|==)' "$work/$target.log" | sed "s/^/$target: /" || true
   if [ "${2:-}" = --keep ]; then
@@ -30,4 +43,4 @@
       "$work/$target" >/dev/null 2>&1
   fi
 done
-[ "$status" = 0 ] || { cat "$work"/*.log | tail -60; exit 1; }
+exit "$status"
