--- a/packages/rules/include/siskindrum/rules/rules.h
+++ b/packages/rules/include/siskindrum/rules/rules.h
@@ -31,6 +31,12 @@
 // is 13 bytes, its pool line about 110.
 inline constexpr std::size_t kMaxRulesBytes = 10 * 1024 * 1024;
 
+// Longest time in a rules file, in milliseconds.
+inline constexpr std::int64_t kMaxDurationMs = 3'600'000;
+
+// Largest limit of a caller's head or body, in bytes.
+inline constexpr std::uint32_t kMaxCallerBytes = 1'000'000'000;
+
 // Largest rate or burst of a quota, in its unit.
 inline constexpr double kMaxQuotaAmount = 1e12;
 
--- a/packages/rules/src/rules.cc
+++ b/packages/rules/src/rules.cc
@@ -28,9 +28,7 @@
 };
 
 constexpr std::uint32_t kMaxTokens = 10'000'000;
-constexpr std::uint32_t kMaxBytes = 1'000'000'000;
 constexpr std::uint32_t kMaxCount = 1'000'000;
-constexpr std::int64_t kMaxDurationMs = 3'600'000;
 
 void AddError(Parser& parser, const Line& line, int column, std::string text) {
   parser.errors_.push_back({line.number_, column, std::move(text)});
@@ -406,9 +404,10 @@
   for (auto word = line.words_.begin() + 1; word != line.words_.end(); ++word) {
     const std::string& value = word->value_;
     const bool good =
-        word->key_ == "head" ? ParseCount(value, kMaxBytes, &bounds.head_bytes_)
+        word->key_ == "head"
+            ? ParseCount(value, kMaxCallerBytes, &bounds.head_bytes_)
         : word->key_ == "body"
-            ? ParseCount(value, kMaxBytes, &bounds.body_bytes_)
+            ? ParseCount(value, kMaxCallerBytes, &bounds.body_bytes_)
         : word->key_ == "head_time" ? ParseDuration(value, &bounds.head_time_)
         : word->key_ == "idle"      ? ParseDuration(value, &bounds.idle_time_)
                                     : false;
