--- a/tools/test.sh
+++ b/tools/test.sh
@@ -6,21 +6,39 @@
 set -uo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 build="$root/build"
+logs=$(mktemp -d)
+trap 'rm -rf "$logs"' EXIT
 passed=0
-failed=0
+failed=()
 
 step() { # NAME COMMAND...
-  local name=$1
+  local name=$1 status=0
   shift
   echo "=== $name"
-  if "$@"; then
+  # A process that a failed test left running holds the output open, so its
+  # end is awaited for a second only.
+  "$@" > >(tee "$logs/$name") 2>&1 || status=$?
+  timeout 1 tail --pid=$! -f /dev/null
+  if [ "$status" = 0 ]; then
     passed=$((passed + 1))
   else
-    failed=$((failed + 1))
+    failed+=("$name")
     echo "FAILED: $name"
   fi
 }
 
+# Prints again what the failed steps said: the lines that name a fault, and the
+# last ones.
+print_failed() {
+  local name
+  for name in "${failed[@]}"; do
+    echo "=== FAILED: $name"
+    grep -nE 'error|FAILED|failed|STILL GREEN' "$logs/$name" | cut -c1-300 | head -40
+    echo "..."
+    tail -n 20 "$logs/$name" | cut -c1-300
+  done
+}
+
 # Boost.Test names listed as "PROGRAM SUITE/CASE ..." in KNOWN-RED.txt.
 known_red() { # PROGRAM
   [ -f "$root/KNOWN-RED.txt" ] || return 0
@@ -53,5 +71,6 @@
 step capacity "$root/tools/capacity.sh" --check
 step lint "$root/tools/lint.sh" "$build"
 [ -f "$root/KNOWN-RED.txt" ] && cat "$root/KNOWN-RED.txt"
-echo "$passed passed, $failed failed"
-[ "$failed" = 0 ]
+print_failed
+echo "$passed passed, ${#failed[@]} failed"
+[ "${#failed[@]}" = 0 ]
