Stream tests: an entry with an earlier list, or cut off, joins two versions

What callers saw: nothing yet; the fault was found by reading. An entry whose list is from before a pool's second version holds the first one for that of every stream, also of one that began elsewhere at the second.

Tests: TakeUp_WhenTheListIsFromBeforeTheOtherVersion_IsNotJoined (12 entries, one with the earlier list; 12 streams) and TakeUp_WhenTheEntryIsCutOff_ IsNotJoined (an entry that hears of nobody must refuse).

--- a/packages/dispatch/test/stream_versions_test.cc
+++ b/packages/dispatch/test/stream_versions_test.cc
@@ -1,5 +1,6 @@
 // Tests that a stream goes on only at the software version that began it.
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "fleet.h"
@@ -273,6 +274,14 @@
     Handle(address, AnswerBegan{arrived.request_, 3});
     return VersionOf(LastServer(address, arrived.request_));
   }
+  bool IsRefused(const std::string& address, const RequestId& id) {
+    const std::vector<Action>& actions = entries_.at(address).actions_;
+    return std::any_of(actions.begin(), actions.end(),
+                       [&id](const Action& action) {
+                         const auto* refuse = std::get_if<Refuse>(&action);
+                         return refuse != nullptr && refuse->request_ == id;
+                       });
+  }
   // Server of the last attempt; empty: there was none.
   std::string LastServer(const std::string& address, const RequestId& id) {
     std::string server;
@@ -310,6 +319,51 @@
   }
 }
 
+// Guards against an entry that takes the only version of its list for that of a
+// stream that began at a server it has not heard of yet.
+BOOST_AUTO_TEST_CASE(
+    TakeUp_WhenTheListIsFromBeforeTheOtherVersion_IsNotJoined) {
+  Start(12, 2);
+  const std::vector<core::ServerInfo> both = EnginesOfTwoVersions();
+  Feed({both[0], both[1], both[2]});
+  Pass(Milliseconds(4000));
+  const std::string late = AddressOf(7);
+  for (std::size_t i = 0; i < 12; ++i) {
+    if (AddressOf(i) != late) {
+      Handle(AddressOf(i), ListSeen{{both, {}, true, {0, 2}}});
+    }
+  }
+  std::vector<std::string> versions;
+  for (std::uint64_t i = 0; i < 12; ++i) {
+    versions.push_back(StartAnswer(AddressOf(0), i));
+  }
+  BOOST_TEST(std::count(versions.begin(), versions.end(), "v2") > 0);
+  Pass(Milliseconds(50));
+  for (std::uint64_t i = 0; i < 12; ++i) {
+    const CallArrived again = TakeUp(i, "first" + std::to_string(i), now_);
+    Handle(late, again);
+    Pass(kTick);
+    const std::string server = LastServer(late, again.request_);
+    BOOST_TEST((server.empty() || VersionOf(server) == versions[i]));
+    Handle(late, CallerLeft{again.request_});
+  }
+}
+
+// The same, of an entry that hears of nobody: it has only its list, and that is
+// as old as the store's last answer.
+BOOST_AUTO_TEST_CASE(TakeUp_WhenTheEntryIsCutOff_IsNotJoined) {
+  Start(1, 1);
+  const std::vector<core::ServerInfo> both = EnginesOfTwoVersions();
+  const std::string alone = AddressOf(0);
+  Feed({both[0], both[1], both[2]});
+  Pass(Milliseconds(4000));
+  const CallArrived again = TakeUp(1, "begun elsewhere at v2", now_);
+  Handle(alone, again);
+  Pass(Milliseconds(5000));
+  BOOST_TEST(LastServer(alone, again.request_) == "");
+  BOOST_TEST(IsRefused(alone, again.request_));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
