Streams: the only version of a list counts once the store has confirmed it

What callers saw: nothing yet; found by reading. A caller that came back to an entry with a list from before the pool's second version was taken on at the first one, whoever had begun the stream.

Cause: the entry took the only version that it knew of before it asked anybody, and answered its peers by it too. A list says which servers there were when the store last spoke, not when the stream began.

Change: - First the entry's own record, then that of peers; a peer answers by its record only, so a query no longer names the pool. - Then the only version of the list, if the store has confirmed the list since the caller came back. A confirmation of an earlier list than the one in use does not count. - Otherwise engines, also those that are listed during the search, or an honest refusal. An entry that the store does not answer never takes the only version.

EngineCalls/Stream_WhenTheCallerResumes_StartsAfterItsEvent resumes a stream that nobody has a record of, so the store's confirmation is now part of it; what it checks stays.

--- a/packages/core/include/siskindrum/core/peer_message.h
+++ b/packages/core/include/siskindrum/core/peer_message.h
@@ -258,7 +258,6 @@
 // Asks which software version began a stream.
 struct StreamQuery {
   std::uint32_t stream_ = 0;
-  std::string pool_;  // Of the stream.
 };
 
 struct StreamReply {
--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -47,6 +47,7 @@
   TimePoint replies_until_{};
   // Of engines: what they retain of the stream's prompt.
   TimePoint retained_until_{};
+  TimePoint engines_asked_at_{};
 };
 
 // One request in progress at this entry.
@@ -273,6 +274,8 @@
   std::vector<WeighedChoice>* trace_ = nullptr;
   TimePoint started_at_{};       // First event.
   TimePoint list_changed_at_{};  // Last applied list change.
+  // The list has all changes of the store up to then; epoch: not known.
+  TimePoint list_confirmed_at_{};
   bool roles_changed_ = false;
   bool list_read_ = false;
   core::StorePosition list_version_;
--- a/packages/dispatch/include/siskindrum/dispatch/event.h
+++ b/packages/dispatch/include/siskindrum/dispatch/event.h
@@ -150,6 +150,14 @@
   ListChanges changes_;
 };
 
+// The store confirmed that the lists reported before have all changes up to
+// `confirmed_at_`. Not applied while the dispatcher uses a later list, of a
+// peer.
+struct ListConfirmed {
+  TimePoint confirmed_at_{};
+  core::StorePosition version_;  // Of the last list reported.
+};
+
 // A message of another entry. Configurations arrive as ConfigurationRead.
 struct PeerMessageReceived {
   core::PeerMessage message_;
@@ -230,6 +238,7 @@
                            AttemptDone,
                            AttemptSilent,
                            ListSeen,
+                           ListConfirmed,
                            ConfigurationRead,
                            ConfigurationConfirmed,
                            RefusedAtHead,
@@ -334,6 +343,10 @@
   core::Incarnation incarnation_ = 0;
 };
 
+// Asks the store at once for what it has changed; answered by ListConfirmed, as
+// soon as the store answers.
+struct ConfirmList {};
+
 // Sends a message to another entry, without guarantee of delivery.
 struct SendPeerMessage {
   std::string address_;
@@ -366,6 +379,7 @@
                             SwitchToDecode,
                             ListRetainedPrompts,
                             ListRuns,
+                            ConfirmList,
                             SendPeerMessage,
                             SetCallerLimits,
                             AccessChanged,
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -403,6 +403,7 @@
             }
           },
           [&](const ListSeen& e) { OnListChanges(step, e.changes_, "store"); },
+          [&](const ListConfirmed& e) { OnListConfirmed(step, e); },
           [&](const PeerMessageReceived& e) { OnPeerMessage(step, e); },
           [&](const ConfigurationRead& e) { OnConfiguration(step, e); },
           [&](const ConfigurationConfirmed& e) { OnConfirmed(step, e); },
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -179,6 +179,8 @@
                    const std::string& from,
                    const core::StreamQuery& query);
 void OnStreamReply(Step& step, const core::StreamReply& reply);
+// Records up to when the server list is complete.
+void OnListConfirmed(Step& step, const ListConfirmed& event);
 // Records which streams an engine runs.
 void OnRunsListed(Step& step, const RunsListed& event);
 // Asks the engine which streams it runs, if it may have begun any.
--- a/packages/dispatch/src/stream_versions.cc
+++ b/packages/dispatch/src/stream_versions.cc
@@ -37,24 +37,32 @@
                                             : call.call_.label_;
 }
 
-std::optional<std::string> KnownVersion(const Dispatcher& dispatcher,
-                                        const std::string& pool,
-                                        std::optional<StreamKey> stream,
-                                        TimePoint now) {
-  const origin::Origins& origins = dispatcher.streams_.origins_;
-  std::optional<std::string> version;
-  if (stream.has_value()) {
-    version = origin::FindVersion(origins, *stream, now);
-  }
-  return version.has_value() ? version
-                             : origin::OnlyVersion(origins, pool, now);
-}
-
 std::optional<StreamKey> KeyOf(const ActiveCall& call) {
   const std::string& label = FirstLabel(call);
   return label.empty() ? std::nullopt : std::optional(origin::KeyOf(label));
 }
 
+std::optional<std::string> RecordedVersion(const Step& step,
+                                           const ActiveCall& call) {
+  const std::optional<StreamKey> stream = KeyOf(call);
+  return stream.has_value()
+             ? origin::FindVersion(step.dispatcher_.streams_.origins_, *stream,
+                                   step.now_)
+             : std::nullopt;
+}
+
+// A stream may have begun at a server that this entry has not heard of, so the
+// only version of the list counts once the store has confirmed it since the
+// caller came back.
+std::optional<std::string> ConfirmedOnlyVersion(const Step& step,
+                                                const ActiveCall& call) {
+  const Dispatcher& dispatcher = step.dispatcher_;
+  return dispatcher.list_confirmed_at_ >= call.arrived_at_
+             ? origin::OnlyVersion(dispatcher.streams_.origins_, call.pool_,
+                                   step.now_)
+             : std::nullopt;
+}
+
 // Peers that were heard lately, in the order of their names after this entry's,
 // so that the entries of a fleet tell different ones.
 std::vector<const core::MemberRow*> PeersAfterSelf(const Step& step) {
@@ -105,7 +113,7 @@
     std::erase(addresses, membership.self_.address_);
   }
   for (const std::string& address : addresses) {
-    SendToPeer(step, address, core::StreamQuery{stream, call.pool_});
+    SendToPeer(step, address, core::StreamQuery{stream});
   }
   return addresses.size();
 }
@@ -191,20 +199,29 @@
 // or was refused and `call` is destroyed.
 bool SearchOn(Step& step, ActiveCall& call) {
   VersionSearch& search = *call.version_search_;
-  const auto known =
-      KnownVersion(step.dispatcher_, call.pool_, KeyOf(call), step.now_);
-  if (known.has_value()) {
-    TakeVersion(step, call, *known, "peer_or_run");
+  const auto recorded = RecordedVersion(step, call);
+  if (recorded.has_value()) {
+    TakeVersion(step, call, *recorded, "peer_or_run");
     RouteToEngines(step, call);
     return false;
   }
   if (search.replies_missing_ > 0 && step.now_ < search.replies_until_) {
     return true;
   }
+  const auto only = ConfirmedOnlyVersion(step, call);
+  if (only.has_value()) {
+    TakeVersion(step, call, *only, "only_version");
+    RouteToEngines(step, call);
+    return false;
+  }
   const bool begins = search.retained_until_ == TimePoint{};
   if (begins) {
-    AskEngines(step, call.pool_);
     search.retained_until_ = RetainedUntil(step);
+    step.actions_.emplace_back(ConfirmList{});
+  }
+  if (begins || step.dispatcher_.list_changed_at_ > search.engines_asked_at_) {
+    search.engines_asked_at_ = step.now_;
+    AskEngines(step, call.pool_);
   }
   const bool ends = step.now_ >= search.retained_until_;
   if (!begins && !ends && !step.dispatcher_.streams_.retained_changed_) {
@@ -249,12 +266,12 @@
   }
   Dispatcher& dispatcher = step.dispatcher_;
   ++dispatcher.counters_.taken_up_;
-  const std::optional<StreamKey> stream = KeyOf(call);
-  const auto known = KnownVersion(dispatcher, call.pool_, stream, step.now_);
-  if (known.has_value()) {
-    TakeVersion(step, call, *known, "entry");
+  const auto recorded = RecordedVersion(step, call);
+  if (recorded.has_value()) {
+    TakeVersion(step, call, *recorded, "entry");
     return true;
   }
+  const std::optional<StreamKey> stream = KeyOf(call);
   VersionSearch search;
   search.replies_missing_ =
       stream.has_value() ? AskPeers(step, call, *stream) : 0;
@@ -338,8 +355,8 @@
   if (address.empty()) {
     return;
   }
-  const auto known =
-      KnownVersion(step.dispatcher_, query.pool_, query.stream_, step.now_);
+  const auto known = origin::FindVersion(step.dispatcher_.streams_.origins_,
+                                         query.stream_, step.now_);
   SendToPeer(
       step, address,
       core::StreamReply{query.stream_, known.has_value(), known.value_or("")});
@@ -363,6 +380,16 @@
   ResolveStreamVersions(step);
 }
 
+void OnListConfirmed(Step& step, const ListConfirmed& event) {
+  Dispatcher& dispatcher = step.dispatcher_;
+  if (event.version_ < dispatcher.list_version_) {
+    return;
+  }
+  dispatcher.list_confirmed_at_ =
+      std::max(dispatcher.list_confirmed_at_, event.confirmed_at_);
+  ResolveStreamVersions(step);
+}
+
 void QueryRuns(Step& step, const ServerState& engine) {
   if (CanDecode(engine.info_)) {
     step.actions_.emplace_back(ListRuns{
--- a/packages/dispatch/test/engine_call_test.cc
+++ b/packages/dispatch/test/engine_call_test.cc
@@ -126,6 +126,7 @@
   arrived.call_.last_event_ = 12;
   arrived.arrived_at_ = now_;
   Handle(arrived);
+  Handle(ListConfirmed{now_, dispatcher_.list_version_});
   Reserve({1, 99}, true);
   Prefill({1, 99}, true);
   BOOST_TEST(Last({1, 99}).resume_after_.value() == 12U);
--- a/packages/dispatch/test/stream_versions_test.cc
+++ b/packages/dispatch/test/stream_versions_test.cc
@@ -282,6 +282,21 @@
                          return refuse != nullptr && refuse->request_ == id;
                        });
   }
+  bool AsksStore(const std::string& address) {
+    const std::vector<Action>& actions = entries_.at(address).actions_;
+    return std::any_of(actions.begin(), actions.end(),
+                       [](const Action& action) {
+                         return std::holds_alternative<ConfirmList>(action);
+                       });
+  }
+  bool AsksEngine(const std::string& address, const std::string& engine) {
+    const std::vector<Action>& actions = entries_.at(address).actions_;
+    return std::any_of(actions.begin(), actions.end(),
+                       [&engine](const Action& action) {
+                         const auto* list = std::get_if<ListRuns>(&action);
+                         return list != nullptr && list->server_ == engine;
+                       });
+  }
   // Server of the last attempt; empty: there was none.
   std::string LastServer(const std::string& address, const RequestId& id) {
     std::string server;
@@ -364,6 +379,44 @@
   BOOST_TEST(IsRefused(alone, again.request_));
 }
 
+// The store says at once whether there is another version.
+BOOST_AUTO_TEST_CASE(TakeUp_WhenTheStoreConfirmsTheOnlyVersion_GoesOn) {
+  Start(1, 1);
+  const std::vector<core::ServerInfo> both = EnginesOfTwoVersions();
+  const std::string alone = AddressOf(0);
+  Feed({both[0], both[1], both[2]});
+  Pass(Milliseconds(4000));
+  const CallArrived again = TakeUp(1, "begun elsewhere", now_);
+  Handle(alone, again);
+  Pass(Milliseconds(300));  // Nobody answers.
+  BOOST_TEST(AsksStore(alone));
+  Handle(alone, ListConfirmed{again.arrived_at_ - Milliseconds(1), {0, 1}});
+  BOOST_TEST(LastServer(alone, again.request_) == "");
+  // Of a list before the one that it uses, as a copy of the store may have.
+  Handle(alone, ListConfirmed{now_, {0, 0}});
+  BOOST_TEST(LastServer(alone, again.request_) == "");
+  Handle(alone, ListConfirmed{again.arrived_at_, {0, 1}});
+  BOOST_TEST(VersionOf(LastServer(alone, again.request_)) == "v1");
+}
+
+// Guards against engines that are listed during a search and never asked.
+BOOST_AUTO_TEST_CASE(TakeUp_WhenTheStoreNamesAnotherVersion_AsksItsEngines) {
+  Start(1, 1);
+  const std::vector<core::ServerInfo> both = EnginesOfTwoVersions();
+  const std::string alone = AddressOf(0);
+  Feed({both[0], both[1], both[2]});
+  Pass(Milliseconds(4000));
+  const CallArrived again = TakeUp(1, "begun at v2", now_);
+  Handle(alone, again);
+  Pass(Milliseconds(300));  // Nobody answers.
+  Handle(alone, ListSeen{{both, {}, true, {0, 2}}});
+  Handle(alone, ListConfirmed{now_, {0, 2}});
+  BOOST_TEST(LastServer(alone, again.request_) == "");
+  BOOST_TEST(AsksEngine(alone, "d1-v2"));
+  Handle(alone, RunsListed{"d1-v2", {"begun at v2"}});
+  BOOST_TEST(VersionOf(LastServer(alone, again.request_)) == "v2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/gateway/include/siskindrum/gateway/gateway.h
+++ b/packages/gateway/include/siskindrum/gateway/gateway.h
@@ -31,6 +31,10 @@
   // and what is held for requests is counted but not bounded.
   std::uint64_t memory_limit_ = 0;
   Dialect dialect_;
+  // Asks for a confirmation of the server list, which is then posted as
+  // dispatch::ListConfirmed; null: nobody can confirm it. Called on the network
+  // thread, while Run runs.
+  std::function<void()> confirm_list_;
 };
 
 // A streaming reverse proxy. Each gateway process is one entry of a deployment;
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -384,6 +384,11 @@
     control_client_.Send(list);
   }
   void Execute(const dispatch::ListRuns& list) { control_client_.Send(list); }
+  void Execute(const dispatch::ConfirmList&) {
+    if (options_.confirm_list_) {
+      options_.confirm_list_();
+    }
+  }
   void Execute(const dispatch::SetCallerLimits& change) {
     http::CallerLimits limits;
     limits.parser_.head_bytes_ = change.settings_.head_bytes_;
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -593,11 +593,10 @@
 }
 
 Json Put(const StreamQuery& m) {
-  return Json::array({m.stream_, m.pool_});
+  return Json::array({m.stream_});
 }
 void Take(const Json& json, StreamQuery& m) {
   m.stream_ = json.at(0).get<std::uint32_t>();
-  m.pool_ = json.at(1).get<std::string>();
 }
 
 Json Put(const StreamReply& m) {
