Stream tests: a version that came and left while the list was unconfirmed

An entry that the store did not answer for 20 s may have missed a version altogether; the confirmed list has only the other one then.

--- a/packages/dispatch/test/stream_versions_test.cc
+++ b/packages/dispatch/test/stream_versions_test.cc
@@ -399,6 +399,27 @@
   BOOST_TEST(VersionOf(LastServer(alone, again.request_)) == "v1");
 }
 
+// Guards against a version that came and left while nobody told this entry.
+BOOST_AUTO_TEST_CASE(TakeUp_AfterTheListWasUnconfirmed_IsNotJoined) {
+  const std::vector<core::ServerInfo> both = EnginesOfTwoVersions();
+  const std::string alone = AddressOf(0);
+  for (const int gap_seconds : {4, 20}) {
+    Start(1, 1);
+    Feed({both[0], both[1], both[2]});
+    Handle(alone, ListConfirmed{now_, {0, 1}});
+    Pass(std::chrono::seconds(gap_seconds));
+    Handle(alone, ListConfirmed{now_, {0, 1}});
+    const CallArrived again = TakeUp(1, "begun at v2", now_);
+    Handle(alone, again);
+    Pass(Milliseconds(300));
+    Handle(alone, ListConfirmed{now_, {0, 1}});
+    Pass(Milliseconds(5000));
+    const bool goes_on = !LastServer(alone, again.request_).empty();
+    BOOST_TEST(goes_on == (gap_seconds == 4));
+    BOOST_TEST(IsRefused(alone, again.request_) == !goes_on);
+  }
+}
+
 // Guards against engines that are listed during a search and never asked.
 BOOST_AUTO_TEST_CASE(TakeUp_WhenTheStoreNamesAnotherVersion_AsksItsEngines) {
   Start(1, 1);
