Streams: a list that was unconfirmed for long may have missed a version

What callers saw: nothing yet; found by reading. An entry that was cut off from the store and its peers for 20 s took the one version of the list that it then got for the only one of the last 30 s.

Cause: only a restart of the process counted as a time in which versions may have been missed.

Change: after more than 8 s without a confirmation, twice the longest time that the store holds a watch open, versions are known completely only from then on. Take-ups go by records and engines meanwhile.

--- a/packages/dispatch/src/stream_versions.cc
+++ b/packages/dispatch/src/stream_versions.cc
@@ -25,6 +25,9 @@
 constexpr Milliseconds kRetainedTime{600};
 // An engine is asked again after this time.
 constexpr Milliseconds kRetainedAskInterval{500};
+// A list that nobody confirmed for longer may have missed a version that came
+// and left. Twice as long as the store holds a watch open at most.
+constexpr Milliseconds kMaxUnconfirmedTime{8000};
 
 bool CanDecode(const core::ServerInfo& info) {
   return info.role_ == core::ServerRole::kDecode ||
@@ -385,8 +388,12 @@
   if (event.version_ < dispatcher.list_version_) {
     return;
   }
-  dispatcher.list_confirmed_at_ =
-      std::max(dispatcher.list_confirmed_at_, event.confirmed_at_);
+  TimePoint& confirmed_at = dispatcher.list_confirmed_at_;
+  if (confirmed_at != TimePoint{} &&
+      event.confirmed_at_ - confirmed_at > kMaxUnconfirmedTime) {
+    dispatcher.streams_.origins_.complete_since_ = event.confirmed_at_;
+  }
+  confirmed_at = std::max(confirmed_at, event.confirmed_at_);
   ResolveStreamVersions(step);
 }
 
