Stream tests: peers know the version before the list has a server of it

A take-up whose version an entry learns from peers is refused at once when its list has no decode engine of that version yet, though the store would name one within a moment.

--- a/packages/dispatch/test/stream_versions_test.cc
+++ b/packages/dispatch/test/stream_versions_test.cc
@@ -364,6 +364,36 @@
   }
 }
 
+// Peers know the version before this entry's list has a server of it.
+BOOST_AUTO_TEST_CASE(TakeUp_WhenItsVersionIsListedAMomentLater_GoesOn) {
+  for (const bool listed : {true, false}) {
+    Start(12, 2);
+    const std::vector<core::ServerInfo> both = EnginesOfTwoVersions();
+    Feed({both[0], both[1], both[2]});
+    Pass(Milliseconds(4000));
+    const std::string late = AddressOf(7);
+    Handle(AddressOf(0), ListSeen{{{both[3], both[4], both[5]},
+                                   {"p-v1", "d1-v1", "d2-v1"},
+                                   false,
+                                   {0, 2}}});
+    BOOST_REQUIRE(StartAnswer(AddressOf(0), 1) == "v2");
+    const CallArrived again = TakeUp(1, "first1", now_);
+    Handle(late, again);
+    Pass(Milliseconds(100));
+    BOOST_TEST(LastServer(late, again.request_) == "");
+    if (listed) {
+      Handle(late, ListSeen{{both, {}, true, {0, 2}}});
+      Handle(late, ListConfirmed{now_, {0, 2}});
+    }
+    Pass(Milliseconds(3000));
+    BOOST_TEST(LastServer(late, again.request_).empty() == !listed);
+    BOOST_TEST(IsRefused(late, again.request_) == !listed);
+    if (listed) {
+      BOOST_TEST(VersionOf(LastServer(late, again.request_)) == "v2");
+    }
+  }
+}
+
 // The same, of an entry that hears of nobody: it has only its list, and that is
 // as old as the store's last answer.
 BOOST_AUTO_TEST_CASE(TakeUp_WhenTheEntryIsCutOff_IsNotJoined) {
