Streams: a take-up waits a moment for a list with a server of its version

What callers saw: a caller that came back to an entry whose list had no decode engine of the stream's version yet was refused at once (no_server), although a peer had just named that version.

Cause: an entry took its list for complete, however old.

Evidence: StreamVersionsFleet/TakeUp_WhenItsVersionIsListedAMomentLater_GoesOn, red without this change (3 checks).

Change: while the store has not confirmed the list since the caller came back, and for 1 s at most, the take-up asks for a confirmation and waits as others do for capacity. After that, or once the list is confirmed, it is refused as before.

--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -7,6 +7,10 @@
 
 namespace {
 
+// Time for which a take-up waits for a list that the store confirms. An entry
+// that is cut off from it hears of new servers from peers within this time.
+constexpr Milliseconds kListWait{1000};
+
 // True when the caller has part of the answer, from this request or from an
 // earlier one that it resumes.
 bool IsInProgress(const ActiveCall& call) {
@@ -27,6 +31,14 @@
   return std::min(call.arrived_at_ + kMaxCapacityWait, call.deadline_);
 }
 
+// A server of the version that began the stream may be listed in a moment: the
+// list is from before the caller came back.
+bool CanAwaitList(const Step& step, const ActiveCall& call) {
+  return call.stream_version_.has_value() && !call.answer_begun_ &&
+         step.dispatcher_.list_confirmed_at_ < call.arrived_at_ &&
+         step.now_ < std::min(call.arrived_at_ + kListWait, call.deadline_);
+}
+
 // True when a pause that ends then still lets the request be served in time.
 bool CanAwaitPauseEnd(const Step& step, const ActiveCall& call, TimePoint end) {
   if (call.answer_begun_) {
@@ -130,7 +142,13 @@
   }
   const TimePoint end =
       EarliestPauseEnd(step.dispatcher_.pool_, request, role, step.now_);
+  const bool queues = role == core::ServerRole::kDecode;
   if (end == TimePoint{}) {
+    if (queues && CanAwaitList(step, call)) {
+      step.actions_.emplace_back(ConfirmList{});
+      Enqueue(step, call);
+      return;
+    }
     FailCall(step, call, core::Reason::kNoServer,
              absl::StrCat("pool ", call.pool_, " has no usable ",
                           core::ToString(role), " server",
@@ -140,7 +158,6 @@
                           request.software_version_.value_or("")));
     return;
   }
-  const bool queues = role == core::ServerRole::kDecode;
   if (queues && CanAwaitPauseEnd(step, call, end)) {
     Enqueue(step, call);
     return;
