Streams: drop an unused parameter; tests without compiler warnings

AskPeers no longer needs the call since queries do not name the pool (clang-tidy: misc-unused-parameters). No behaviour changes. StreamVersions* of dispatch_test: no errors.

--- a/packages/dispatch/src/stream_versions.cc
+++ b/packages/dispatch/src/stream_versions.cc
@@ -98,7 +98,7 @@
 
 // Asks the peers, those of this failure domain first; an entry that has heard
 // of none asks its seeds.
-std::size_t AskPeers(Step& step, const ActiveCall& call, StreamKey stream) {
+std::size_t AskPeers(Step& step, StreamKey stream) {
   const core::Membership& membership = step.dispatcher_.peers_.membership_;
   std::vector<const core::MemberRow*> peers = PeersAfterSelf(step);
   std::stable_partition(peers.begin(), peers.end(),
@@ -276,8 +276,7 @@
   }
   const std::optional<StreamKey> stream = KeyOf(call);
   VersionSearch search;
-  search.replies_missing_ =
-      stream.has_value() ? AskPeers(step, call, *stream) : 0;
+  search.replies_missing_ = stream.has_value() ? AskPeers(step, *stream) : 0;
   search.replies_until_ = step.now_ + kReplyTime;
   call.version_search_ = search;
   dispatcher.streams_.waiting_.push_back(call.id_);
--- a/packages/dispatch/test/stream_versions_test.cc
+++ b/packages/dispatch/test/stream_versions_test.cc
@@ -269,8 +269,8 @@
     arrived.call_.last_event_.reset();
     arrived.call_.label_ = "first" + std::to_string(number);
     Handle(address, arrived);
-    Handle(address, ReserveDone{arrived.request_, 1, true, false, "hold"});
-    Handle(address, PrefillDone{arrived.request_, 2, true, false, "kv"});
+    Handle(address, ReserveDone{arrived.request_, 1, true, false, "hold", ""});
+    Handle(address, PrefillDone{arrived.request_, 2, true, false, "kv", ""});
     Handle(address, AnswerBegan{arrived.request_, 3});
     return VersionOf(LastServer(address, arrived.request_));
   }
