--- a/packages/dispatch/test/stream_versions_test.cc
+++ b/packages/dispatch/test/stream_versions_test.cc
@@ -429,27 +429,90 @@
   BOOST_TEST(VersionOf(LastServer(alone, again.request_)) == "v1");
 }
 
-// Guards against a version that came and left while nobody told this entry.
-BOOST_AUTO_TEST_CASE(TakeUp_AfterTheListWasUnconfirmed_IsNotJoined) {
+// An engine of the listed version has decoded the same prompt before; the one
+// that began the stream is not listed yet.
+BOOST_AUTO_TEST_CASE(TakeUp_WhenAnEarlierListRetainsItsPrompt_IsNotJoined) {
+  Start(1, 1);
+  const std::vector<core::ServerInfo> both = EnginesOfTwoVersions();
+  const std::string alone = AddressOf(0);
+  Feed({both[0], both[1], both[2]});
+  Pass(Milliseconds(4000));
+  const CallArrived again = TakeUp(1, "begun at v2", now_);
+  Handle(alone, again);
+  Pass(Milliseconds(300));  // Nobody answers.
+  for (const char* engine : {"d1-v1", "d2-v1"}) {
+    Handle(alone, RetainedPromptsListed{engine, {kPrompt + 1}});
+  }
+  Pass(Milliseconds(5000));
+  BOOST_TEST(LastServer(alone, again.request_) == "");
+  BOOST_TEST(IsRefused(alone, again.request_));
+}
+
+// The list is a peer's; the store first answers long after the start.
+BOOST_AUTO_TEST_CASE(TakeUp_WhenTheListWasNeverConfirmedBefore_IsNotJoined) {
+  Start(1, 1);
+  const std::vector<core::ServerInfo> both = EnginesOfTwoVersions();
+  const std::string alone = AddressOf(0);
+  Feed({both[0], both[1], both[2]});
+  Pass(Milliseconds(20000));
+  Handle(alone, ListSeen{{{both[0], both[1], both[2]}, {}, true, {0, 1}}});
+  Handle(alone, ListConfirmed{now_, {0, 1}});
+  const CallArrived again = TakeUp(1, "begun at v2", now_);
+  Handle(alone, again);
+  Pass(Milliseconds(300));
+  Handle(alone, ListConfirmed{now_, {0, 1}});
+  Pass(Milliseconds(5000));
+  BOOST_TEST(LastServer(alone, again.request_) == "");
+  BOOST_TEST(IsRefused(alone, again.request_));
+}
+
+// What the store has changed since the entry last heard of it, it says in
+// order; what it lists anew says nothing of versions that came and left.
+BOOST_AUTO_TEST_CASE(TakeUp_AfterTheListWasReadAnew_IsNotJoined) {
   const std::vector<core::ServerInfo> both = EnginesOfTwoVersions();
   const std::string alone = AddressOf(0);
-  for (const int gap_seconds : {4, 20}) {
+  for (const bool anew : {true, false}) {
     Start(1, 1);
     Feed({both[0], both[1], both[2]});
     Handle(alone, ListConfirmed{now_, {0, 1}});
-    Pass(std::chrono::seconds(gap_seconds));
-    Handle(alone, ListConfirmed{now_, {0, 1}});
-    const CallArrived again = TakeUp(1, "begun at v2", now_);
+    Pass(Milliseconds(20000));
+    if (anew) {
+      Handle(alone, ListSeen{{{both[0], both[1], both[2]}, {}, true, {0, 3}}});
+    }
+    Handle(alone, ListConfirmed{now_, {0, 3}});
+    const CallArrived again = TakeUp(1, "begun elsewhere", now_);
     Handle(alone, again);
     Pass(Milliseconds(300));
-    Handle(alone, ListConfirmed{now_, {0, 1}});
+    Handle(alone, ListConfirmed{now_, {0, 3}});
     Pass(Milliseconds(5000));
-    const bool goes_on = !LastServer(alone, again.request_).empty();
-    BOOST_TEST(goes_on == (gap_seconds == 4));
-    BOOST_TEST(IsRefused(alone, again.request_) == !goes_on);
+    BOOST_TEST(LastServer(alone, again.request_).empty() == anew);
+    BOOST_TEST(IsRefused(alone, again.request_) == anew);
   }
 }
 
+// A version that came and left between two answers of the store.
+BOOST_AUTO_TEST_CASE(TakeUp_WhenItsVersionCameAndLeftAtOnce_IsNotJoined) {
+  Start(1, 1);
+  const std::vector<core::ServerInfo> both = EnginesOfTwoVersions();
+  const std::string alone = AddressOf(0);
+  Feed({both[0], both[1], both[2]});
+  Pass(Milliseconds(4000));
+  ListChanges changes;
+  for (const core::ServerInfo& engine : {both[3], both[4], both[5]}) {
+    AddSeen(changes, engine);
+    AddRemoved(changes, engine.name_);
+  }
+  changes.version_ = {0, 2};
+  Handle(alone, ListSeen{changes});
+  const CallArrived again = TakeUp(1, "begun at v2", now_);
+  Handle(alone, again);
+  Pass(Milliseconds(300));
+  Handle(alone, ListConfirmed{now_, {0, 2}});
+  Pass(Milliseconds(5000));
+  BOOST_TEST(LastServer(alone, again.request_) == "");
+  BOOST_TEST(IsRefused(alone, again.request_));
+}
+
 // Guards against engines that are listed during a search and never asked.
 BOOST_AUTO_TEST_CASE(TakeUp_WhenTheStoreNamesAnotherVersion_AsksItsEngines) {
   Start(1, 1);
