Streams: versions are known in full unless the list was read anew

What callers saw: nothing yet; found by a review. A version that came and left within one answer of the store, or before it first answered, left no trace, so a stream of it was taken for one of the remaining version. And 8 s without a confirmation are less than one lost watch of the longest kind (8.9 s), after which connected entries refused take-ups for 30 s.

Cause: the time without confirmations stood for what an entry may have missed. But the store says in order all that it has changed since it last answered; only a list that is read anew says nothing of the past.

Evidence: TakeUp_WhenItsVersionCameAndLeftAtOnce_IsNotJoined, TakeUp_WhenTheListWasNeverConfirmedBefore_IsNotJoined, TakeUp_AfterTheListWasReadAnew_IsNotJoined, red before.

Change: list changes keep the servers that came and went within them, and all versions that they name are recorded, also of changes that led to a list that a peer has told already. Versions are known in full from the first list on, and anew from each that the store lists from the beginning.

--- a/packages/dispatch/include/siskindrum/dispatch/server_pool.h
+++ b/packages/dispatch/include/siskindrum/dispatch/server_pool.h
@@ -85,6 +85,8 @@
   bool is_snapshot_ = false;  // `seen_` is the complete list.
   // Version of the list after these changes; the default: unversioned.
   core::StorePosition version_{};
+  // Servers that came and were removed again within these changes.
+  std::vector<core::ServerInfo> passed_{};
 };
 
 // Append a change of the list. When a server is reported more than once, the
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -402,7 +402,9 @@
               OnAttemptSilent(step, *call);
             }
           },
-          [&](const ListSeen& e) { OnListChanges(step, e.changes_, "store"); },
+          [&](const ListSeen& e) {
+            OnListChanges(step, e.changes_, kStoreSource);
+          },
           [&](const ListConfirmed& e) { OnListConfirmed(step, e); },
           [&](const PeerMessageReceived& e) { OnPeerMessage(step, e); },
           [&](const ConfigurationRead& e) { OnConfiguration(step, e); },
--- a/packages/dispatch/src/dispatcher_p.h
+++ b/packages/dispatch/src/dispatcher_p.h
@@ -172,8 +172,9 @@
 void ConfigureStreamVersions(Step& step);
 // Tells peers of new streams and drops what is too old.
 void UpdateStreamVersions(Step& step);
-// Records the versions of the server list.
-void RecordListedVersions(Step& step);
+// Records the versions of the server list, and those that the changes name.
+// Requires: the changes were applied to the list, or it is later.
+void RecordListedVersions(Step& step, const ListChanges& changes);
 void OnStreamReport(Step& step, const core::StreamReport& report);
 void OnStreamQuery(Step& step,
                    const std::string& from,
@@ -348,6 +349,7 @@
 void UpdateReady(Step& step);
 
 // server_list.cc
+inline constexpr char kStoreSource[] = "store";  // Of a list; else a peer.
 // Applies changes of the server list unless the known version is newer.
 void OnListChanges(Step& step,
                    const ListChanges& changes,
--- a/packages/dispatch/src/server_list.cc
+++ b/packages/dispatch/src/server_list.cc
@@ -61,6 +61,10 @@
                        {{"version", core::ToString(changes.version_)},
                         {"known", core::ToString(dispatcher.list_version_)},
                         {"source", source}}});
+    // A peer told of a later list; the store, of what led there.
+    if (source == kStoreSource) {
+      RecordListedVersions(step, changes);
+    }
     return;
   }
   dispatcher.list_version_ =
@@ -69,13 +73,17 @@
       changes.removed_.empty()) {
     return;
   }
+  // What the store lists anew, it says nothing of what came and left before.
+  if (changes.is_snapshot_ && dispatcher.list_read_ && source == kStoreSource) {
+    dispatcher.streams_.origins_.complete_since_ = step.now_;
+  }
   ListChanges kept = changes;
   KeepLeaving(dispatcher.pool_, kept);
   LogChanges(step, kept, source);
   ApplyListChanges(dispatcher.pool_, kept, step.now_);
   dispatcher.list_read_ = true;
   dispatcher.list_changed_at_ = step.now_;
-  RecordListedVersions(step);
+  RecordListedVersions(step, kept);
   UpdateReady(step);
 }
 
--- a/packages/dispatch/src/server_pool.cc
+++ b/packages/dispatch/src/server_pool.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <set>
+#include <utility>
 
 #include "siskindrum/dispatch/limits.h"
 
@@ -51,9 +53,13 @@
 }
 
 void AddRemoved(ListChanges& changes, const std::string& name) {
-  std::erase_if(changes.seen_, [&name](const core::ServerInfo& info) {
-    return info.name_ == name;
-  });
+  const auto stays = [&name](const core::ServerInfo& info) {
+    return info.name_ != name;
+  };
+  const auto passed =
+      std::stable_partition(changes.seen_.begin(), changes.seen_.end(), stays);
+  std::move(passed, changes.seen_.end(), std::back_inserter(changes.passed_));
+  changes.seen_.erase(passed, changes.seen_.end());
   changes.removed_.push_back(name);
 }
 
--- a/packages/dispatch/src/stream_versions.cc
+++ b/packages/dispatch/src/stream_versions.cc
@@ -25,9 +25,6 @@
 constexpr Milliseconds kRetainedTime{600};
 // An engine is asked again after this time.
 constexpr Milliseconds kRetainedAskInterval{500};
-// A list that nobody confirmed for longer may have missed a version that came
-// and left. Twice as long as the store holds a watch open at most.
-constexpr Milliseconds kMaxUnconfirmedTime{8000};
 
 bool CanDecode(const core::ServerInfo& info) {
   return info.role_ == core::ServerRole::kDecode ||
@@ -328,7 +325,7 @@
   streams.news_.clear();
 }
 
-void RecordListedVersions(Step& step) {
+void RecordListedVersions(Step& step, const ListChanges& changes) {
   Dispatcher& dispatcher = step.dispatcher_;
   origin::Origins& origins = dispatcher.streams_.origins_;
   if (dispatcher.options_.restarted_ && origins.pools_.empty()) {
@@ -340,6 +337,16 @@
       listed[server.info_.service_].insert(server.info_.software_version_);
     }
   }
+  std::map<std::string, std::set<std::string>> named = listed;
+  for (const auto* servers : {&changes.seen_, &changes.passed_}) {
+    for (const core::ServerInfo& info : *servers) {
+      if (CanDecode(info)) {
+        named[info.service_].insert(info.software_version_);
+      }
+    }
+  }
+  // What is named and no longer listed has just left.
+  origin::RecordVersions(origins, named, step.now_);
   origin::RecordVersions(origins, listed, step.now_);
 }
 
@@ -387,12 +394,8 @@
   if (event.version_ < dispatcher.list_version_) {
     return;
   }
-  TimePoint& confirmed_at = dispatcher.list_confirmed_at_;
-  if (confirmed_at != TimePoint{} &&
-      event.confirmed_at_ - confirmed_at > kMaxUnconfirmedTime) {
-    dispatcher.streams_.origins_.complete_since_ = event.confirmed_at_;
-  }
-  confirmed_at = std::max(confirmed_at, event.confirmed_at_);
+  dispatcher.list_confirmed_at_ =
+      std::max(dispatcher.list_confirmed_at_, event.confirmed_at_);
   ResolveStreamVersions(step);
 }
 
