Streams: a prompt in a cache counts only with a confirmed list

What callers saw: nothing yet; found by a review. An engine of the listed version had the same prompt in its cache from an earlier request, the one that began the stream was not listed yet, and all listed engines had answered: the stream was joined.

Cause: "all engines" were those of a list from before the caller came back.

Change: what engines have in their caches counts once the store has confirmed the list, as the only version does. An engine's run names the caller's request and counts as before. StreamVersions/TakeUp_AfterARestart_GoesOnAtTheVersionThatRetainsItsPrompt now has the store confirm the list; what it checks stays.

--- a/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
+++ b/packages/dispatch/include/siskindrum/dispatch/dispatcher.h
@@ -212,8 +212,9 @@
   TimePoint news_sent_at_{};
   std::vector<RequestId> waiting_;  // Whose version is looked for.
   std::map<std::string, RetainedPrompts> retained_;  // By engine.
-  // Engines have answered since the waiting requests were last looked at.
-  bool retained_changed_ = false;
+  // Engines or the store have answered since the waiting requests were last
+  // looked at.
+  bool answers_changed_ = false;
 };
 
 // Records of the last requests, for explanations. A copy is empty: copies of a
--- a/packages/dispatch/src/stream_versions.cc
+++ b/packages/dispatch/src/stream_versions.cc
@@ -51,15 +51,18 @@
              : std::nullopt;
 }
 
-// A stream may have begun at a server that this entry has not heard of, so the
-// only version of the list counts once the store has confirmed it since the
-// caller came back.
+// A stream may have begun at a server that this entry has not heard of, so what
+// follows from the list counts once the store has confirmed it since the caller
+// came back.
+bool IsListConfirmed(const Step& step, const ActiveCall& call) {
+  return step.dispatcher_.list_confirmed_at_ >= call.arrived_at_;
+}
+
 std::optional<std::string> ConfirmedOnlyVersion(const Step& step,
                                                 const ActiveCall& call) {
-  const Dispatcher& dispatcher = step.dispatcher_;
-  return dispatcher.list_confirmed_at_ >= call.arrived_at_
-             ? origin::OnlyVersion(dispatcher.streams_.origins_, call.pool_,
-                                   step.now_)
+  return IsListConfirmed(step, call)
+             ? origin::OnlyVersion(step.dispatcher_.streams_.origins_,
+                                   call.pool_, step.now_)
              : std::nullopt;
 }
 
@@ -224,11 +227,12 @@
     AskEngines(step, call.pool_);
   }
   const bool ends = step.now_ >= search.retained_until_;
-  if (!begins && !ends && !step.dispatcher_.streams_.retained_changed_) {
+  if (!begins && !ends && !step.dispatcher_.streams_.answers_changed_) {
     return true;
   }
   const RetainedWord word = ReadRetained(step.dispatcher_, call);
-  if (word.version_.has_value() && (word.complete_ || ends)) {
+  if (word.version_.has_value() && IsListConfirmed(step, call) &&
+      (word.complete_ || ends)) {
     TakeVersion(step, call, *word.version_, "retained_prompt");
     RouteToEngines(step, call);
     return false;
@@ -293,7 +297,7 @@
       dispatcher.streams_.waiting_.push_back(id);
     }
   }
-  dispatcher.streams_.retained_changed_ = false;
+  dispatcher.streams_.answers_changed_ = false;
 }
 
 void ConfigureStreamVersions(Step& step) {
@@ -396,6 +400,7 @@
   }
   dispatcher.list_confirmed_at_ =
       std::max(dispatcher.list_confirmed_at_, event.confirmed_at_);
+  dispatcher.streams_.answers_changed_ = true;
   ResolveStreamVersions(step);
 }
 
@@ -442,7 +447,7 @@
   // What it retained a moment ago it had decoded as well.
   retained.prompts_.insert(event.prompts_.begin(), event.prompts_.end());
   // Looked at with the next tick, together with the answers of other engines.
-  step.dispatcher_.streams_.retained_changed_ = true;
+  step.dispatcher_.streams_.answers_changed_ = true;
 }
 
 }  // namespace siskindrum::dispatch
--- a/packages/dispatch/test/stream_versions_test.cc
+++ b/packages/dispatch/test/stream_versions_test.cc
@@ -194,6 +194,7 @@
   for (const std::uint64_t number : {1U, 2U}) {
     const CallArrived again = TakeUp(number, "lost", now_);
     Handle(again);
+    Handle(ListConfirmed{now_, dispatcher_.list_version_});
     Pass(Milliseconds(300));
     BOOST_REQUIRE(starts_.contains(again.request_));
     BOOST_TEST(LastVersion(again.request_) == "v2");
