Streams: a list read anew counts as such also when a peer told a later one

What callers saw: nothing yet; found on reading the change again. A list that the store read out anew, and that was from before the one of a peer, did not end the time for which versions are known in full.

Evidence: TakeUp_AfterAnEarlierListWasReadAnew_IsNotJoined, 2 checks red before.

Change: whether the list was read anew is looked at before its version.

--- a/packages/dispatch/src/server_list.cc
+++ b/packages/dispatch/src/server_list.cc
@@ -53,6 +53,11 @@
                    const ListChanges& changes,
                    const std::string& source) {
   Dispatcher& dispatcher = step.dispatcher_;
+  // A list that the store reads out anew says nothing of what came and left
+  // before.
+  if (changes.is_snapshot_ && dispatcher.list_read_ && source == kStoreSource) {
+    dispatcher.streams_.origins_.complete_since_ = step.now_;
+  }
   const bool older = changes.version_ != core::StorePosition{} &&
                      changes.version_ < dispatcher.list_version_;
   if (older) {
@@ -73,10 +78,6 @@
       changes.removed_.empty()) {
     return;
   }
-  // What the store lists anew, it says nothing of what came and left before.
-  if (changes.is_snapshot_ && dispatcher.list_read_ && source == kStoreSource) {
-    dispatcher.streams_.origins_.complete_since_ = step.now_;
-  }
   ListChanges kept = changes;
   KeepLeaving(dispatcher.pool_, kept);
   LogChanges(step, kept, source);
--- a/packages/dispatch/test/stream_versions_test.cc
+++ b/packages/dispatch/test/stream_versions_test.cc
@@ -491,6 +491,24 @@
   }
 }
 
+// The same, of a list that is from before the one that a peer told.
+BOOST_AUTO_TEST_CASE(TakeUp_AfterAnEarlierListWasReadAnew_IsNotJoined) {
+  Start(1, 1);
+  const std::vector<core::ServerInfo> both = EnginesOfTwoVersions();
+  const std::string alone = AddressOf(0);
+  Feed({both[0], both[1], both[2]});
+  Handle(alone, ListSeen{{{}, {}, false, {0, 5}}});
+  Pass(Milliseconds(4000));
+  Handle(alone, ListSeen{{{both[0], both[1], both[2]}, {}, true, {0, 3}}});
+  const CallArrived again = TakeUp(1, "begun elsewhere", now_);
+  Handle(alone, again);
+  Pass(Milliseconds(300));
+  Handle(alone, ListConfirmed{now_, {0, 5}});
+  Pass(Milliseconds(5000));
+  BOOST_TEST(LastServer(alone, again.request_) == "");
+  BOOST_TEST(IsRefused(alone, again.request_));
+}
+
 // A version that came and left between two answers of the store.
 BOOST_AUTO_TEST_CASE(TakeUp_WhenItsVersionCameAndLeftAtOnce_IsNotJoined) {
   Start(1, 1);
